--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Trace replay and measurements with real daemon processes."""
--- /dev/null
+++ b/dotterelbridge/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims that make keyed calls run at most once."""
--- /dev/null
+++ b/dotterelbridge/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs and targets are live, leaving or lost."""
--- /dev/null
+++ b/dotterelbridge/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated websocket links between the daemons."""
--- /dev/null
+++ b/dotterelbridge/placement/__init__.py
@@ -0,0 +1,1 @@
+"""What is loaded on which accelerator."""
--- /dev/null
+++ b/dotterelbridge/replication/__init__.py
@@ -0,0 +1,1 @@
+"""A replicated log with durable storage."""
--- /dev/null
+++ b/dotterelbridge/replication/log.py
@@ -0,0 +1,58 @@
+"""The interfaces of the replicated log."""
+
+import abc
+from datetime import timedelta
+
+from dotterelbridge.ids import LogIndex
+from dotterelbridge.ids import VmId
+
+
+class StateMachine(abc.ABC):
+    """State built by applying committed commands in log order.
+
+    Every method is deterministic: no clocks, no random numbers.
+    """
+
+    @abc.abstractmethod
+    def apply(self, index: LogIndex, command: bytes) -> bytes:
+        """Apply one committed command and return its result."""
+
+    @abc.abstractmethod
+    def take_snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    @abc.abstractmethod
+    def restore_snapshot(self, snapshot: bytes) -> None:
+        """Replace the state by a snapshot."""
+
+
+class ReplicatedLog(abc.ABC):
+    """A log of commands agreed on by a majority of the voters."""
+
+    @abc.abstractmethod
+    def add_machine(self, name: str, machine: StateMachine) -> None:
+        """Register a state machine before the log starts."""
+
+    @abc.abstractmethod
+    def leader(self) -> VmId | None:
+        """Return the leader that this VM knows of."""
+
+    @abc.abstractmethod
+    async def propose(
+        self, machine: str, command: bytes, timeout: timedelta
+    ) -> bytes:
+        """Commit a command and return the machine's result.
+
+        Works on every VM: one that does not lead forwards the command.
+
+        :raises NotCommitted: the command is certainly not in the log.
+        :raises CommitUnknown: it may be; ask again with a command that
+            the machine recognises as a repetition.
+        """
+
+    @abc.abstractmethod
+    async def read_barrier(self, timeout: timedelta) -> LogIndex:
+        """Wait until the local machines hold all earlier commits.
+
+        :raises NotCommitted: no majority confirmed within the timeout.
+        """
--- /dev/null
+++ b/dotterelbridge/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of target, limits and retries."""
--- /dev/null
+++ b/dotterelbridge/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The listeners for callers and operators."""
--- /dev/null
+++ b/dotterelbridge/sheet/__init__.py
@@ -0,0 +1,1 @@
+"""The sheet: the intended state, and its distribution."""
--- /dev/null
+++ b/dotterelbridge/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Clients for model engines and plain services."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the systems around dotterelbridge."""
