--- /dev/null
+++ b/dotterelbridge/membership/platform.py
@@ -0,0 +1,74 @@
+"""The platform's list of live and leaving VMs and targets."""
+
+import abc
+from datetime import timedelta
+import enum
+
+import httpx
+import msgspec
+
+from dotterelbridge.errors import DotterelbridgeError
+
+
+class PlatformState(enum.Enum):
+    """State of an entry on the platform list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class PlatformMember(msgspec.Struct, frozen=True, kw_only=True):
+    """One entry of the platform list; it lags by some seconds."""
+
+    id: str
+    kind: str
+    failure_domain: str
+    address: str
+    state: PlatformState
+
+
+class PlatformListError(DotterelbridgeError):
+    """The platform list could not be read."""
+
+
+class PlatformList(abc.ABC):
+    """Source of the platform's list."""
+
+    @abc.abstractmethod
+    async def fetch(self, timeout: timedelta) -> list[PlatformMember]:
+        """Return the list; PlatformListError when it cannot be read."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Close the connections."""
+
+
+class HttpPlatformList(PlatformList):
+    """Reads ``GET /members`` of the platform."""
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/") + "/members"
+        self._client = httpx.AsyncClient()
+
+    async def fetch(self, timeout: timedelta) -> list[PlatformMember]:
+        try:
+            response = await self._client.get(
+                self._url, timeout=timeout.total_seconds()
+            )
+            response.raise_for_status()
+            return msgspec.json.decode(
+                response.content, type=list[PlatformMember]
+            )
+        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+            raise PlatformListError(
+                f"cannot read {self._url}: {error}",
+                "check [membership] platform_url and the platform's service",
+            ) from error
+
+    async def close(self) -> None:
+        await self._client.aclose()
+
+
+def create_platform_list(url: str) -> PlatformList | None:
+    """Return the list behind a URL, or None for an empty one."""
+    return HttpPlatformList(url) if url else None
