--- /dev/null
+++ b/dotterelbridge/placement/messages.py
@@ -0,0 +1,99 @@
+"""Messages of the placement part."""
+
+import msgspec
+
+from dotterelbridge.ids import ItemName
+from dotterelbridge.ids import MemberId
+from dotterelbridge.ids import Term
+from dotterelbridge.peers.messages import Message
+from dotterelbridge.peers.messages import register_message
+from dotterelbridge.placement.demand import ItemDemand
+
+
+class RecordChange(msgspec.Struct, frozen=True, array_like=True):
+    """A key of the order record and its new value, or None to drop it."""
+
+    key: str
+    value: bytes | None
+
+
+class RecordState(msgspec.Struct, frozen=True, array_like=True):
+    """The whole order record with its position."""
+
+    term: Term
+    sequence: int
+    entries: dict[str, bytes]
+
+
+@register_message("lease_campaign")
+class LeaseCampaign(Message, frozen=True, kw_only=True, array_like=True):
+    """Asks for the lease under a new term."""
+
+    term: Term
+    lease_ms: int
+
+
+@register_message("lease_renewal")
+class LeaseRenewal(Message, frozen=True, kw_only=True, array_like=True):
+    """Asks to extend the lease of a term."""
+
+    term: Term
+    lease_ms: int
+    sequence: int
+    """Newest position of the order record."""
+
+
+@register_message("lease_answer")
+class LeaseAnswer(Message, frozen=True, kw_only=True, array_like=True):
+    """Answer to a campaign or renewal."""
+
+    granted: bool
+    term: Term
+    """Highest term that the VM has promised."""
+    member: MemberId
+    knows_record: bool = False
+    """False for a VM that restarted and has not learnt the record yet."""
+    record_sequence: int = 0
+    record: RecordState | None = None
+    """In the answer to a granted campaign only."""
+
+
+@register_message("lease_release")
+class LeaseRelease(Message, frozen=True, kw_only=True, array_like=True):
+    """Gives the lease of a term back before it ends."""
+
+    term: Term
+
+
+@register_message("record_write")
+class RecordWrite(Message, frozen=True, kw_only=True, array_like=True):
+    """Stores the order record, as changes or whole."""
+
+    term: Term
+    sequence: int
+    changes: tuple[RecordChange, ...] = ()
+    whole: RecordState | None = None
+
+
+@register_message("record_answer")
+class RecordAnswer(Message, frozen=True, kw_only=True, array_like=True):
+    """Answer to a record write."""
+
+    stored: bool
+    term: Term
+    needs_whole: bool = False
+    """The VM lacks the position that the changes start from."""
+
+
+@register_message("demand_report")
+class DemandReport(Message, frozen=True, kw_only=True, array_like=True):
+    """Demand at one VM since its last report, for the lease holder."""
+
+    items: dict[ItemName, ItemDemand]
+
+
+@register_message("moves_pause")
+class MovesPause(Message, frozen=True, kw_only=True, array_like=True):
+    """Asks a VM to pause or resume the moves of its domain."""
+
+    paused: bool
--- /dev/null
+++ b/dotterelbridge/placement/settings.py
@@ -0,0 +1,90 @@
+"""Settings of the placement part."""
+
+from datetime import timedelta
+import enum
+from typing import Annotated
+
+import msgspec
+
+from dotterelbridge.settings_schema import Section
+
+Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=600_000)]
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
+Weight = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class PolicyName(enum.Enum):
+    """Placement policies that ship with dotterelbridge."""
+
+    DEMAND = "demand"
+    STATIC = "static"
+    LRU = "lru"
+
+
+class PlacementSettings(Section, frozen=True, kw_only=True):
+    """Options of the section ``placement``."""
+
+    policy: PolicyName = PolicyName.DEMAND
+    lease_ms: Milliseconds = 4000
+    """Length of a lease; the same on all VMs of a failure domain."""
+    renew_ms: Milliseconds = 1000
+    drift_percent: Annotated[float, msgspec.Meta(ge=0, lt=50)] = 2.0
+    """Largest difference in the rates of two VMs' clocks."""
+    drift_ms: Milliseconds = 200
+    """Fixed part of the margin between a lease's end at its holder and
+    at the VMs that granted it."""
+    lease_timeout_ms: Milliseconds = 800
+    order_late_limit_s: Seconds = 300.0
+    """Longest time after which a sent order may still take effect."""
+    order_timeout_ms: Milliseconds = 2000
+    order_resend_s: Seconds = 3.0
+    inventory_interval_ms: Milliseconds = 5000
+    """Between inventories of a target without open orders."""
+    busy_inventory_interval_ms: Milliseconds = 500
+    """Between inventories of a target with open orders."""
+    inventory_timeout_ms: Milliseconds = 1500
+    inventory_max_age_s: Seconds = 15.0
+    """A target whose inventory is older gets no load."""
+    plan_interval_ms: Milliseconds = 1000
+    demand_interval_ms: Milliseconds = 2000
+    demand_half_life_s: Seconds = 60.0
+    drain_notice_s: Seconds = 3.0
+    """Time for all VMs to hear that an item drains."""
+    minimum_residence_s: Seconds = 120.0
+    """Time that an extra copy stays at least."""
+    attainment_weight: Weight = 1.0
+    move_weight: Weight = 1.0
+    copy_load_share: Annotated[float, msgspec.Meta(gt=0)] = 0.5
+    """Part of an accelerator's even share of the demand above which an
+    item gets a further copy."""
+    kv_room_percent: Annotated[float, msgspec.Meta(ge=0, lt=100)] = 10.0
+    """Least part of an accelerator's memory kept for KV cache."""
+    loads_per_s: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    """Loads that the weight store admits each second, all domains."""
+    concurrent_loads: Annotated[int, msgspec.Meta(ge=1)] = 7
+    """Model loads at once at full speed, all domains."""
+    adapters_in_transit: Annotated[int, msgspec.Meta(ge=1)] = 16
+    """Adapter loads at once at full speed, all domains."""
+    backoff_first_s: Seconds = 1.0
+    backoff_limit_s: Seconds = 60.0
+
+    @property
+    def lease(self) -> timedelta:
+        return timedelta(milliseconds=self.lease_ms)
+
+    @property
+    def lease_timeout(self) -> timedelta:
+        return timedelta(milliseconds=self.lease_timeout_ms)
+
+    @property
+    def drift_margin_s(self) -> float:
+        drift_s = self.lease_ms / 1000 * self.drift_percent / 100
+        return drift_s + self.drift_ms / 1000
+
+    @property
+    def order_timeout(self) -> timedelta:
+        return timedelta(milliseconds=self.order_timeout_ms)
+
+    @property
+    def inventory_timeout(self) -> timedelta:
+        return timedelta(milliseconds=self.inventory_timeout_ms)
