Link the daemons over authenticated websockets

Cause: replication and membership need typed messages between VMs. Requests that certainly were not sent raise RequestNotSent, so that the caller knows that a retry is safe.

--- /dev/null
+++ b/dotterelbridge/peers/errors.py
@@ -0,0 +1,20 @@
+"""Errors of the links between daemons."""
+
+from dotterelbridge.errors import PeerError
+from dotterelbridge.errors import PeerUnreachable
+
+
+class RequestNotSent(PeerUnreachable):
+    """No byte of the request left this VM; sending it again is safe."""
+
+
+class PeerRefused(PeerError):
+    """The peer received the request and answered with an error."""
+
+
+class AuthenticationFailed(PeerError):
+    """The other end did not prove that it knows the shared secret."""
+
+
+class ProtocolViolation(PeerError):
+    """The other end sent something that the protocol does not allow."""
--- /dev/null
+++ b/dotterelbridge/peers/link.py
@@ -0,0 +1,272 @@
+"""One authenticated connection to a peer."""
+
+from collections import deque
+from datetime import timedelta
+import itertools
+import math
+
+import anyio
+import structlog
+from websockets.exceptions import ConnectionClosed
+
+from dotterelbridge import events
+from dotterelbridge.errors import PeerUnreachable
+from dotterelbridge.ids import VmId
+from dotterelbridge.peers import frames
+from dotterelbridge.peers.errors import PeerRefused
+from dotterelbridge.peers.errors import ProtocolViolation
+from dotterelbridge.peers.errors import RequestNotSent
+from dotterelbridge.peers.events import PeerEvent
+from dotterelbridge.peers.frames import Frame
+from dotterelbridge.peers.frames import FrameKind
+from dotterelbridge.peers.handshake import Identity
+from dotterelbridge.peers.messages import Message
+from dotterelbridge.peers.network import Handler
+from dotterelbridge.peers.settings import PeersSettings
+from dotterelbridge.peers.traffic import Traffic
+
+_log = structlog.get_logger(__name__)
+
+_BYTES_PER_MB = 1024 * 1024
+_WAIT_REMEDY = "wait for the link to come back and ask again"
+
+
+class _Pending:
+    """A request that waits for its answer."""
+
+    def __init__(self) -> None:
+        self.done = anyio.Event()
+        self.answer: Message | None = None
+        self.error: Exception | None = None
+
+
+class Link:
+    """Reads and writes the frames of one connection.
+
+    One task reads, one writes, and each request of the peer is handled by
+    a task of its own; plain messages are handled in the order of arrival.
+    """
+
+    def __init__(
+        self,
+        connection,
+        identity: Identity,
+        dialled_by: VmId,
+        handlers: dict[type[Message], Handler],
+        settings: PeersSettings,
+        traffic: Traffic,
+    ) -> None:
+        self.identity = identity
+        self.dialled_by = dialled_by
+        self.closed = anyio.Event()
+        self._connection = connection
+        self._handlers = handlers
+        self._settings = settings
+        self._traffic = traffic
+        self._queue: deque[bytes] = deque()
+        self._queue_bytes = 0
+        self._wake = anyio.Event()
+        self._pending: dict[int, _Pending] = {}
+        self._request_ids = itertools.count(1)
+        self._handling = 0
+
+    async def run(self) -> None:
+        """Carry frames until the connection ends; never raises for that."""
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._write)
+                await self._read(group)
+                group.cancel_scope.cancel()
+        finally:
+            self.abort()
+
+    def abort(self) -> None:
+        """Close the connection at once and fail the pending requests."""
+        if self.closed.is_set():
+            return
+        self.closed.set()
+        self._connection.transport.abort()
+        for pending in self._pending.values():
+            pending.error = self._describe_loss()
+            pending.done.set()
+        self._pending.clear()
+
+    def queue(self, data: bytes) -> bool:
+        """Queue a frame; False when the link is closed or the queue full."""
+        limit = self._settings.queue_limit_mb * _BYTES_PER_MB
+        if (
+            self.closed.is_set()
+            or len(self._queue) >= self._settings.queue_limit_messages
+            or self._queue_bytes + len(data) > limit
+        ):
+            return False
+        self._queue.append(data)
+        self._queue_bytes += len(data)
+        self._wake.set()
+        return True
+
+    async def request(self, message: Message, timeout: timedelta) -> Message:
+        """Send a message and wait for its answer."""
+        request_id = next(self._request_ids)
+        data = frames.encode_message(FrameKind.REQUEST, message, request_id)
+        if not self.queue(data):
+            raise RequestNotSent(
+                f"the queue to {self.identity.vm!r} is full",
+                "send less, or raise queue_limit_mb",
+            )
+        pending = _Pending()
+        self._pending[request_id] = pending
+        try:
+            with anyio.fail_after(timeout.total_seconds()):
+                await pending.done.wait()
+        except TimeoutError:
+            raise PeerUnreachable(
+                f"{self.identity.vm!r} did not answer within {timeout}",
+                "check the peer's load and the network, and ask again",
+            ) from None
+        finally:
+            self._pending.pop(request_id, None)
+        if pending.error:
+            raise pending.error
+        return pending.answer
+
+    def describe(self) -> dict:
+        """Return the link's state for a dump."""
+        return {
+            "dialled_by": self.dialled_by,
+            "incarnation": self.identity.incarnation,
+            "queued_messages": len(self._queue),
+            "queued_bytes": self._queue_bytes,
+            "pending_requests": len(self._pending),
+            "handling": self._handling,
+        }
+
+    async def _write(self) -> None:
+        interval = self._settings.ping_interval_ms / 1000
+        while True:
+            with anyio.move_on_after(interval):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+            if not self._queue:
+                self._queue.append(frames.PING)
+                self._queue_bytes += len(frames.PING)
+            try:
+                await self._flush()
+            except ConnectionClosed:
+                self.abort()
+                return
+
+    async def _flush(self) -> None:
+        while self._queue:
+            data = self._queue.popleft()
+            self._queue_bytes -= len(data)
+            await self._connection.send(data)
+            self._traffic.count_sent(len(data))
+
+    async def _read(self, group) -> None:
+        limit = self._settings.silence_limit_ms / 1000
+        while True:
+            data = None
+            try:
+                with anyio.move_on_after(limit):
+                    data = await self._connection.recv(decode=False)
+            except ConnectionClosed:
+                return
+            if data is None:
+                events.log(_log, PeerEvent.LINK_SILENT, peer=self.identity.vm)
+                return
+            self._traffic.count_received(len(data))
+            try:
+                await self._take(frames.decode_frame(data), group)
+            except ProtocolViolation as error:
+                events.log(
+                    _log,
+                    PeerEvent.PROTOCOL_VIOLATED,
+                    peer=self.identity.vm,
+                    error=str(error),
+                )
+
+    async def _take(self, frame: Frame, group) -> None:
+        match frame.kind:
+            case FrameKind.MESSAGE:
+                await self._handle(frames.decode_message(frame))
+            case FrameKind.REQUEST:
+                self._start_request(frame, group)
+            case FrameKind.ANSWER:
+                self._settle(frame, frames.decode_message(frame), None)
+            case FrameKind.ERROR:
+                error = PeerRefused(
+                    f"{self.identity.vm!r} answered: {frame.name}",
+                    "read the peer's log",
+                )
+                self._settle(frame, None, error)
+
+    def _settle(
+        self, frame: Frame, answer: Message | None, error: Exception | None
+    ) -> None:
+        pending = self._pending.pop(frame.request_id, None)
+        if pending is None:
+            return
+        pending.answer = answer
+        pending.error = error
+        pending.done.set()
+
+    def _start_request(self, frame: Frame, group) -> None:
+        if self._handling >= self._settings.requests_limit:
+            problem = "too many requests; not run"
+            self.queue(frames.encode_error(frame.request_id, problem))
+            return
+        try:
+            message = frames.decode_message(frame)
+        except ProtocolViolation as error:
+            self.queue(frames.encode_error(frame.request_id, str(error)))
+            raise
+        self._handling += 1
+        group.start_soon(self._answer, frame.request_id, message)
+
+    async def _answer(self, request_id: int, message: Message) -> None:
+        try:
+            answer = await self._handle(message)
+        finally:
+            self._handling -= 1
+        if answer is None:
+            problem = f"{type(message).__name__} was not handled"
+            self.queue(frames.encode_error(request_id, problem))
+            return
+        self.queue(frames.encode_message(FrameKind.ANSWER, answer, request_id))
+
+    async def _handle(self, message: Message) -> Message | None:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return None
+        try:
+            return await handler(self.identity.vm, message)
+        except Exception as error:
+            events.log(
+                _log,
+                PeerEvent.HANDLER_FAILED,
+                peer=self.identity.vm,
+                message=type(message).__name__,
+                error=repr(error),
+            )
+            return None
+
+    def _describe_loss(self) -> PeerUnreachable:
+        return PeerUnreachable(
+            f"the link to {self.identity.vm!r} was lost", _WAIT_REMEDY
+        )
+
+
+def compute_backoff(
+    attempt: int, settings: PeersSettings, fraction: float
+) -> timedelta:
+    """Return the wait before a dial: exponential, with full jitter.
+
+    :param attempt: failed attempts so far, from 0.
+    :param fraction: a random number from 0 to 1.
+    """
+    doublings = min(attempt, 30)
+    ceiling = settings.reconnect_min_ms * math.pow(2, doublings)
+    capped = min(ceiling, settings.reconnect_max_ms)
+    floor = settings.reconnect_min_ms / 2
+    return timedelta(milliseconds=floor + (capped - floor) * fraction)
--- /dev/null
+++ b/dotterelbridge/peers/traffic.py
@@ -0,0 +1,53 @@
+"""Counts of bytes on the links, by peer and by distance."""
+
+import enum
+
+from dotterelbridge import metrics
+from dotterelbridge.membership.view import VmInfo
+
+_sent_bytes = metrics.meter.create_counter(
+    "dotterelbridge.peers.sent",
+    unit="By",
+    description="Frame bytes sent to peers, by peer and distance",
+)
+_received_bytes = metrics.meter.create_counter(
+    "dotterelbridge.peers.received",
+    unit="By",
+    description="Frame bytes received from peers, by peer and distance",
+)
+
+
+class Distance(enum.Enum):
+    """How far a peer is; traffic between regions is paid by volume."""
+
+    FAILURE_DOMAIN = "failure_domain"
+    REGION = "region"
+    OTHER_REGION = "other_region"
+
+
+class Traffic:
+    """Bytes to and from one peer over all links since the start."""
+
+    def __init__(self, own: VmInfo, peer: VmInfo) -> None:
+        self.distance = _find_distance(own, peer)
+        self.sent = 0
+        self.received = 0
+        self._labels = {"peer": peer.vm, "distance": self.distance.value}
+
+    def count_sent(self, size: int) -> None:
+        """Count one frame that was sent, in bytes."""
+        self.sent += size
+        _sent_bytes.add(size, self._labels)
+
+    def count_received(self, size: int) -> None:
+        """Count one frame that was received, in bytes."""
+        self.received += size
+        _received_bytes.add(size, self._labels)
+
+
+def _find_distance(own: VmInfo, peer: VmInfo) -> Distance:
+    if own.failure_domain == peer.failure_domain:
+        return Distance.FAILURE_DOMAIN
+    if own.region == peer.region:
+        return Distance.REGION
+    return Distance.OTHER_REGION
