--- a/dotterelbridge/membership/records.py
+++ b/dotterelbridge/membership/records.py
@@ -64,6 +64,12 @@
     adapters_wanting: int = 0
 
 
+class PauseBody(Body, frozen=True, kw_only=True, array_like=True, tag="s"):
+    """Whether operators paused the moves in a failure domain."""
+
+    paused: bool
+
+
 AnyBody = (
     TargetBody | VmBody | MarkBody | PlatformBody | DrainingBody | LoadsBody
 )
--- a/dotterelbridge/membership/service.py
+++ b/dotterelbridge/membership/service.py
@@ -14,7 +14,7 @@
 from dotterelbridge import events
 from dotterelbridge.clock import Clock
 from dotterelbridge.dump import Dumpable
-from dotterelbridge.errors import PeerUnreachable
+from dotterelbridge.errors import PeerError
 from dotterelbridge.errors import PlacementError
 from dotterelbridge.errors import TargetError
 from dotterelbridge.ids import FailureDomain
@@ -390,7 +390,7 @@
             domains = [domain] if domain else await self._find_unequal(peer)
             for name in domains:
                 await self._fetch_newer(peer, name)
-        except PeerUnreachable:
+        except PeerError:
             return  # The next differing hash starts it again.
         finally:
             self._syncing.discard(peer)
--- a/dotterelbridge/placement/lease.py
+++ b/dotterelbridge/placement/lease.py
@@ -22,7 +22,7 @@
 from dotterelbridge.clock import Clock
 from dotterelbridge.dump import Dumpable
 from dotterelbridge.errors import LeaseLost
-from dotterelbridge.errors import PeerUnreachable
+from dotterelbridge.errors import PeerError
 from dotterelbridge.ids import MemberId
 from dotterelbridge.ids import Term
 from dotterelbridge.ids import VmId
@@ -335,7 +335,7 @@
             async def ask_one(vm: VmId) -> None:
                 try:
                     answers.append(await ask(vm))
-                except PeerUnreachable:
+                except PeerError:
                     return
                 if enough(answers):
                     tasks.cancel_scope.cancel()
--- a/dotterelbridge/placement/messages.py
+++ b/dotterelbridge/placement/messages.py
@@ -7,7 +7,6 @@
 from dotterelbridge.ids import Term
 from dotterelbridge.peers.messages import Message
 from dotterelbridge.peers.messages import register_message
-from dotterelbridge.placement.demand import ItemDemand
 
 
 class RecordChange(msgspec.Struct, frozen=True, array_like=True):
@@ -85,15 +84,19 @@
     """The VM lacks the position that the changes start from."""
 
 
-@register_message("demand_report")
-class DemandReport(Message, frozen=True, kw_only=True, array_like=True):
-    """Demand at one VM since its last report, for the lease holder."""
+class ItemRate(msgspec.Struct, frozen=True, array_like=True):
+    """Smoothed demand for one item at one VM."""
 
-    items: dict[ItemName, ItemDemand]
+    rate: float
+    """Requests a second; urgent and missed ones weigh double."""
+    waiting: int = 0
+    """Requests that wait now."""
 
 
-@register_message("moves_pause")
-class MovesPause(Message, frozen=True, kw_only=True, array_like=True):
-    """Asks a VM to pause or resume the moves of its domain."""
+@register_message("demand_report")
+class DemandReport(Message, frozen=True, kw_only=True, array_like=True):
+    """Demand at one VM that changed since its last report."""
 
-    paused: bool
+    whole: bool
+    """Whether items that are left out have no demand."""
+    rates: dict[ItemName, ItemRate]
--- a/dotterelbridge/placement/settings.py
+++ b/dotterelbridge/placement/settings.py
@@ -57,6 +57,8 @@
     copy_load_share: Annotated[float, msgspec.Meta(gt=0)] = 0.5
     """Part of an accelerator's even share of the demand above which an
     item gets a further copy."""
+    copy_rate_per_s: Weight = 0.2
+    """An item gets a further copy only above this demand a copy."""
     kv_room_percent: Annotated[float, msgspec.Meta(ge=0, lt=100)] = 10.0
     """Least part of an accelerator's memory kept for KV cache."""
     loads_per_s: Annotated[float, msgspec.Meta(gt=0)] = 1.0
