--- a/dotterelbridge/placement/demand_policy.py
+++ b/dotterelbridge/placement/demand_policy.py
@@ -311,7 +311,7 @@
             (
                 key
                 for key in host.copies
-                if self._is_surplus(board, host, key)
+                if self._is_surplus(board, host, key, row)
                 and host.copies[key].item.name != row.base
             ),
             key=lambda key: (
@@ -330,13 +330,15 @@
         return victims if free_mb >= row.memory_mb else None
 
     def _is_surplus(
-        self, board: Board, host: AcceleratorView, key: str
+        self, board: Board, host: AcceleratorView, key: str, wanted: SheetRow
     ) -> bool:
+        """Whether a copy may make room for the wanted item."""
         if not self._may_give_up(board, host, key):
             return False
-        if key not in board.rows_by_key:
-            return True  # An old version; the new one needs the room.
-        row = board.rows_by_key[key]
+        row = board.rows_by_key.get(key)
+        if row is None:
+            # An old version, which only the new one may push out.
+            return host.copies[key].item.name == wanted.name
         ready = sum(
             board.accelerators[t].copies[key].ready
             for t in board.copies.get(key, ())
--- /dev/null
+++ b/dotterelbridge/placement/gather.py
@@ -0,0 +1,182 @@
+"""Smooths demand on each VM and gathers it at the lease holder."""
+
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import Any
+
+from dotterelbridge.clock import Clock
+from dotterelbridge.ids import ItemName
+from dotterelbridge.ids import VmId
+from dotterelbridge.peers.messages import Message
+from dotterelbridge.peers.network import PeerNetwork
+from dotterelbridge.placement.demand import DemandSource
+from dotterelbridge.placement.demand import ItemDemand
+from dotterelbridge.placement.lease import Lease
+from dotterelbridge.placement.messages import DemandReport
+from dotterelbridge.placement.messages import ItemRate
+from dotterelbridge.placement.settings import PlacementSettings
+
+REPORT_MAX_AGE_S = 30.0
+"""A VM that has been silent for longer counts as without demand."""
+
+LEAST_RATE_PER_S = 0.001
+"""Smaller rates are dropped."""
+
+REPORTED_CHANGE = 0.1
+"""A rate is sent again when it changed by this part."""
+
+WHOLE_REPORT_EVERY = 30
+"""One of so many reports is whole, in case earlier ones were lost."""
+
+
+class DemandAverage:
+    """Exponentially smoothed demand on this VM."""
+
+    def __init__(self, half_life_s: float) -> None:
+        self._half_life_s = half_life_s
+        self._rates: dict[ItemName, float] = {}
+        self._waiting: dict[ItemName, int] = {}
+
+    def add(
+        self, demand: Mapping[ItemName, ItemDemand], elapsed_s: float
+    ) -> None:
+        """Take in the demand of the last ``elapsed_s`` seconds."""
+        kept = 0.5 ** (elapsed_s / self._half_life_s)
+        rates = {name: rate * kept for name, rate in self._rates.items()}
+        for name, item in demand.items():
+            weighed = item.arrivals + item.urgent_arrivals + item.missed
+            rate = weighed / elapsed_s
+            rates[name] = rates.get(name, 0.0) + (1 - kept) * rate
+        self._rates = {
+            n: rate for n, rate in rates.items() if rate >= LEAST_RATE_PER_S
+        }
+        self._waiting = {
+            n: item.waiting for n, item in demand.items() if item.waiting
+        }
+
+    def current(self) -> dict[ItemName, ItemRate]:
+        """Return rate and waiting requests of each item in demand."""
+        names = self._rates.keys() | self._waiting.keys()
+        return {
+            name: ItemRate(
+                round(self._rates.get(name, 0.0), 4),
+                self._waiting.get(name, 0),
+            )
+            for name in names
+        }
+
+
+class VmDemand:
+    """The demand that one VM reported last."""
+
+    def __init__(self) -> None:
+        self.rates: dict[ItemName, ItemRate] = {}
+        self.heard_at = float("-inf")
+
+
+class DemandGatherer:
+    """Sends this VM's demand to the holder; at the holder, sums it."""
+
+    def __init__(
+        self,
+        settings: PlacementSettings,
+        network: PeerNetwork,
+        lease: Lease,
+        source: DemandSource,
+        clock: Clock,
+    ) -> None:
+        self._interval = timedelta(milliseconds=settings.demand_interval_ms)
+        self._network = network
+        self._lease = lease
+        self._source = source
+        self._clock = clock
+        self._average = DemandAverage(settings.demand_half_life_s)
+        self._reports: dict[VmId, VmDemand] = {}
+        self._sent: dict[ItemName, ItemRate] = {}
+        self._sent_to: VmId | None = None
+        self._round = 0
+        network.handle(DemandReport, self._handle_report)
+
+    async def run(self) -> None:
+        """Read and report demand until cancelled."""
+        read_at = self._clock.monotonic()
+        while True:
+            await self._clock.sleep(self._interval)
+            now = self._clock.monotonic()
+            self._average.add(
+                self._source.read_demand(), max(now - read_at, 0.001)
+            )
+            read_at = now
+            self._report()
+
+    def total(self) -> tuple[dict[ItemName, float], dict[ItemName, int]]:
+        """Return rates and waiting requests over the domain's VMs."""
+        now = self._clock.monotonic()
+        rates: dict[ItemName, float] = {}
+        waiting: dict[ItemName, int] = {}
+        for report in self._reports.values():
+            if now - report.heard_at > REPORT_MAX_AGE_S:
+                continue
+            for name, item in report.rates.items():
+                rates[name] = rates.get(name, 0.0) + item.rate
+                if item.waiting:
+                    waiting[name] = waiting.get(name, 0) + item.waiting
+        return rates, waiting
+
+    def dump(self) -> dict[str, Any]:
+        """Return the reports' sizes as JSON values."""
+        return {
+            "items_in_demand": len(self._average.current()),
+            "reports": {
+                vm: len(report.rates) for vm, report in self._reports.items()
+            },
+        }
+
+    def _report(self) -> None:
+        holder = self._lease.holder
+        if holder is None:
+            return
+        rates = self._average.current()
+        if holder == self._network.own_id:
+            self._take(holder, DemandReport(whole=True, rates=rates))
+            return
+        message = self._create_report(holder, rates)
+        if self._network.send(holder, message):
+            self._sent.update(message.rates)
+
+    def _create_report(
+        self, holder: VmId, rates: dict[ItemName, ItemRate]
+    ) -> DemandReport:
+        self._round += 1
+        if holder != self._sent_to or self._round % WHOLE_REPORT_EVERY == 0:
+            self._sent_to = holder
+            self._sent = {}
+            return DemandReport(whole=True, rates=rates)
+        gone = {
+            name: ItemRate(0.0)
+            for name, sent in self._sent.items()
+            if name not in rates and (sent.rate or sent.waiting)
+        }
+        changed = {
+            name: rate
+            for name, rate in rates.items()
+            if _has_changed(self._sent.get(name, ItemRate(0.0)), rate)
+        }
+        return DemandReport(whole=False, rates=changed | gone)
+
+    async def _handle_report(self, sender: VmId, message: Message) -> None:
+        self._take(sender, message)
+
+    def _take(self, vm: VmId, message: DemandReport) -> None:
+        report = self._reports.setdefault(vm, VmDemand())
+        report.heard_at = self._clock.monotonic()
+        if message.whole:
+            report.rates = dict(message.rates)
+        else:
+            report.rates.update(message.rates)
+
+
+def _has_changed(sent: ItemRate, rate: ItemRate) -> bool:
+    if sent.waiting != rate.waiting:
+        return True
+    return abs(rate.rate - sent.rate) > REPORTED_CHANGE * sent.rate
--- a/dotterelbridge/placement/ledger.py
+++ b/dotterelbridge/placement/ledger.py
@@ -146,6 +146,10 @@
         self._settle(inventory)
         return True
 
+    def note_fence(self, number: FencingNumber) -> None:
+        """Take in a fencing number that the engine's answer told."""
+        self.fencing_number = max(self.fencing_number, number)
+
     def pending_loads(self) -> Iterator[OpenOrder]:
         """Yield the loads that may still take effect."""
         for order in self.orders.values():
--- a/dotterelbridge/placement/settings.py
+++ b/dotterelbridge/placement/settings.py
@@ -46,6 +46,8 @@
     inventory_max_age_s: Seconds = 15.0
     """A target whose inventory is older gets no load."""
     plan_interval_ms: Milliseconds = 1000
+    replan_interval_ms: Milliseconds = 5000
+    """Between plans while nothing but demand changes."""
     demand_interval_ms: Milliseconds = 2000
     demand_half_life_s: Seconds = 60.0
     drain_notice_s: Seconds = 3.0
