--- a/dotterelbridge/placement/holder.py
+++ b/dotterelbridge/placement/holder.py
@@ -127,6 +127,8 @@
         self.planned_at = float("-inf")
         self.plan = Plan()
         self.orders = 0
+        self.unrecorded: list[str] = []
+        """Keys of orders that the record still has to drop."""
 
 
 class Placement(Dumpable):
@@ -367,7 +369,8 @@
             return
         finally:
             holding.asking.discard(target)
-        self._take_inventory(holding, inventory, asked_at)
+        if inventory.target == target:
+            self._take_inventory(holding, inventory, asked_at)
 
     def _take_inventory(
         self, holding: Holding, inventory: Inventory, asked_at: float
@@ -423,9 +426,11 @@
                     order=order.order.order_id,
                     item=order.key,
                 )
-        if expired:
+        keys = [order.record_key for order in expired] + holding.unrecorded
+        if keys:
+            holding.unrecorded = []
             await self.lease.write_record(
-                [RecordChange(order.record_key, None) for order in expired]
+                [RecordChange(key, None) for key in keys]
             )
 
     async def _finish_rebuild(self, holding: Holding, now: float) -> None:
@@ -804,6 +809,7 @@
     def _cancel(self, holding: Holding, order: OpenOrder) -> None:
         holding.ledger.cancel_unsent(order)
         holding.sent_at.pop(order.order.order_id, None)
+        holding.unrecorded.append(order.record_key)
         now = self._clock.monotonic()
         if order.is_load:
             self._pacer.note_failure(order.target, order.key, now)
--- /dev/null
+++ b/tests/placement_fakes.py
@@ -0,0 +1,566 @@
+"""Fakes for the tests of membership and placement, on virtual time.
+
+The fake engine knows the truth: it takes every load that reaches it, also
+beyond its memory, and counts each time that it held too much.
+"""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+import random as random_module
+
+import anyio
+
+from dotterelbridge.errors import TargetBroken
+from dotterelbridge.errors import TargetConnectFailed
+from dotterelbridge.ids import FencingNumber
+from dotterelbridge.ids import ItemKind
+from dotterelbridge.ids import TargetId
+from dotterelbridge.ids import VmId
+from dotterelbridge.membership.service import create_membership
+from dotterelbridge.membership.settings import MembershipSettings
+from dotterelbridge.membership.view import Fencing
+from dotterelbridge.membership.view import TargetInfo
+from dotterelbridge.membership.view import TargetKind
+from dotterelbridge.membership.view import VmInfo
+from dotterelbridge.placement.demand import DemandSource
+from dotterelbridge.placement.demand import ItemDemand
+from dotterelbridge.placement.holder import create_placement
+from dotterelbridge.placement.settings import PlacementSettings
+from dotterelbridge.sheet.rows import EMPTY_SHEET
+from dotterelbridge.sheet.rows import SheetRevision
+from dotterelbridge.sheet.rows import SheetRow
+from dotterelbridge.sheet.source import SheetSource
+from dotterelbridge.targets.engine import Engine
+from dotterelbridge.targets.engine import EngineItem
+from dotterelbridge.targets.engine import EngineLoad
+from dotterelbridge.targets.engine import EngineOrder
+from dotterelbridge.targets.engine import EngineRole
+from dotterelbridge.targets.engine import Inventory
+from dotterelbridge.targets.engine import LoadedItem
+from dotterelbridge.targets.engine import LoadState
+from dotterelbridge.targets.engine import OrderAction
+from dotterelbridge.targets.engine import OrderAnswer
+from dotterelbridge.targets.engine import OrderStatus
+from standins.network import create_standin_network
+from standins.virtual_time import LoopClock
+
+MEMORY_MB = 1000
+SETTLED_KEPT = 50
+
+
+class Faults:
+    """How the way to an engine treats orders; shares from 0 to 1."""
+
+    def __init__(self) -> None:
+        self.lost = 0.0
+        self.late = 0.0
+        self.late_max_s = 30.0
+        self.duplicated = 0.0
+        self.answer_lost = 0.0
+        self.refused = 0.0
+        self.load_failed = 0.0
+        self.inventory_lag_s = 0.0
+
+
+class TrueEngine:
+    """One engine's truth, shared by all ways to it."""
+
+    def __init__(
+        self, info: TargetInfo, seed: int, memory_mb: int = MEMORY_MB
+    ) -> None:
+        self.info = info
+        self.memory_mb = memory_mb
+        self.kv_mb = memory_mb // 10
+        self.load_s = 1.0
+        self.unload_s = 0.2
+        self.faults = Faults()
+        self.up = True
+        self.leaving = False
+        self.over_commits = 0
+        self.cut_requests = 0
+        self.loads = 0
+        self.orders: list[EngineOrder] = []
+        """Orders that were accepted, in order."""
+        self.running: dict[str, int] = {}
+        self.generation = 0
+        self.fencing_number = 0
+        self.items: dict[str, LoadedItem] = {}
+        self.sequence = 0
+        self._random = random_module.Random(f"{seed}/{info.target}")
+        self._seen: set[str] = set()
+        self._settled: list[str] = []
+        self._history: list[tuple[float, Inventory]] = []
+
+    @property
+    def used_mb(self) -> int:
+        loaded = sum(i.item.memory_mb for i in self.items.values())
+        return self.kv_mb + loaded
+
+    def restart(self) -> None:
+        """Come back empty, with no memory of orders."""
+        self.generation += 1
+        self.fencing_number = 0
+        self.items.clear()
+        self.sequence = 0
+        self._seen.clear()
+        self._settled.clear()
+        self._history.clear()
+        self._note_change()
+
+    def put(self, item: EngineItem) -> None:
+        """Place an item at once, as a test's starting state."""
+        self.items[f"{item.name}@{item.version}"] = LoadedItem(
+            item=item, state=LoadState.READY
+        )
+        self._note_change()
+
+    def report(self) -> Inventory:
+        """Return the inventory, as old as the lag makes it."""
+        now = asyncio.get_running_loop().time()
+        shown_at = now - self.faults.inventory_lag_s
+        old = [i for at, i in self._history if at <= shown_at]
+        if self.faults.inventory_lag_s and old:
+            return old[-1]
+        return self._create_inventory()
+
+    async def take_order(self, order: EngineOrder) -> OrderAnswer:
+        """Carry out an order that arrived."""
+        if not self.up:
+            raise TargetConnectFailed("engine is down", "wait")
+        if order.order_id in self._seen:
+            return self._answer(OrderStatus.DUPLICATE)
+        enforces = self.info.fencing is Fencing.ENFORCED
+        if enforces and order.fencing_number < self.fencing_number:
+            return self._answer(OrderStatus.STALE_FENCING)
+        self.fencing_number = max(self.fencing_number, order.fencing_number)
+        if enforces:
+            # Those that ignore fencing forget order ids as well.
+            self._seen.add(order.order_id)
+        if self._random.random() < self.faults.refused:
+            self._settle(order)
+            return self._answer(OrderStatus.REFUSED)
+        self.orders.append(order)
+        if order.action is OrderAction.LOAD:
+            self._start_load(order)
+        elif order.action is OrderAction.UNLOAD:
+            self._start_unload(order)
+        else:
+            self._settle(order)
+        return self._answer(OrderStatus.ACCEPTED)
+
+    def _start_load(self, order: EngineOrder) -> None:
+        key = f"{order.item.name}@{order.item.version}"
+        if key in self.items:
+            self._settle(order)
+            return
+        self.loads += 1
+        self.items[key] = LoadedItem(item=order.item, state=LoadState.LOADING)
+        if self.used_mb > self.memory_mb:
+            self.over_commits += 1
+        self._note_change()
+        failed = self._random.random() < self.faults.load_failed
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self.load_s, self._end_load, self.generation, key, order, failed
+        )
+
+    def _end_load(
+        self, generation: int, key: str, order: EngineOrder, failed: bool
+    ) -> None:
+        if generation != self.generation:
+            return
+        if failed:
+            self.items.pop(key, None)
+        elif key in self.items:
+            self.items[key] = LoadedItem(
+                item=order.item, state=LoadState.READY
+            )
+        self._settle(order)
+
+    def _start_unload(self, order: EngineOrder) -> None:
+        key = f"{order.item.name}@{order.item.version}"
+        if key not in self.items:
+            self._settle(order)
+            return
+        self.cut_requests += self.running.pop(key, 0)
+        self.items[key] = LoadedItem(
+            item=order.item, state=LoadState.UNLOADING
+        )
+        self._note_change()
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self.unload_s, self._end_unload, self.generation, key, order
+        )
+
+    def _end_unload(
+        self, generation: int, key: str, order: EngineOrder
+    ) -> None:
+        if generation == self.generation:
+            self.items.pop(key, None)
+            self._settle(order)
+
+    def _settle(self, order: EngineOrder) -> None:
+        self._settled.append(order.order_id)
+        del self._settled[:-SETTLED_KEPT]
+        self._note_change()
+
+    def _note_change(self) -> None:
+        self.sequence += 1
+        now = asyncio.get_running_loop().time()
+        self._history.append((now, self._create_inventory()))
+
+    def _answer(self, status: OrderStatus) -> OrderAnswer:
+        return OrderAnswer(
+            status=status, fencing_number=FencingNumber(self.fencing_number)
+        )
+
+    def _create_inventory(self) -> Inventory:
+        items = [
+            LoadedItem(
+                item=loaded.item,
+                state=loaded.state,
+                running=self.running.get(key, 0),
+            )
+            for key, loaded in self.items.items()
+        ]
+        return Inventory(
+            target=self.info.target,
+            incarnation=f"life-{self.generation}",
+            memory_mb=self.memory_mb,
+            kv_reserved_mb=self.kv_mb,
+            role=EngineRole.MIXED,
+            fencing_number=FencingNumber(self.fencing_number),
+            items=items,
+            running=sum(self.running.values()),
+            waiting=0,
+            leaving=self.leaving,
+            sequence=self.sequence,
+            settled_orders=list(self._settled),
+        )
+
+
+class EngineLink(Engine):
+    """One VM's way to an engine, with the engine's faults on it."""
+
+    def __init__(self, engine: TrueEngine, seed: int) -> None:
+        self._engine = engine
+        self._random = random_module.Random(f"{seed}/{engine.info.target}")
+        self.gate = anyio.Event()
+        """Orders wait for it; a frozen process has it unset."""
+        self.gate.set()
+        self.cut = False
+
+    @property
+    def target(self) -> TargetId:
+        return self._engine.info.target
+
+    async def fetch_inventory(self, timeout: timedelta) -> Inventory:
+        await self.gate.wait()
+        await anyio.sleep(0.002)
+        if self.cut or not self._engine.up:
+            raise TargetConnectFailed("no way to the engine", "wait")
+        return self._engine.report()
+
+    async def send_order(
+        self, order: EngineOrder, timeout: timedelta
+    ) -> OrderAnswer:
+        # A frozen process sends the order when it wakes.
+        with anyio.CancelScope(shield=not self.gate.is_set()):
+            await self.gate.wait()
+            return await self._pass(order)
+
+    async def _pass(self, order: EngineOrder) -> OrderAnswer:
+        if self.cut:
+            raise TargetConnectFailed("no way to the engine", "wait")
+        faults = self._engine.faults
+        if self._random.random() < faults.duplicated:
+            self._deliver_later(order, faults.late_max_s)
+        if self._random.random() < faults.lost:
+            raise TargetBroken("order lost", "wait")
+        if self._random.random() < faults.late:
+            self._deliver_later(order, faults.late_max_s)
+            raise TargetBroken("no answer", "wait")
+        await anyio.sleep(0.002)
+        answer = await self._engine.take_order(order)
+        if self._random.random() < faults.answer_lost:
+            raise TargetBroken("answer lost", "wait")
+        return answer
+
+    def _deliver_later(self, order: EngineOrder, late_max_s: float) -> None:
+        delay_s = self._random.uniform(0, late_max_s)
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            delay_s, lambda: loop.create_task(self._deliver(order))
+        )
+
+    async def _deliver(self, order: EngineOrder) -> None:
+        try:
+            await self._engine.take_order(order)
+        except TargetConnectFailed:
+            return
+
+    async def fetch_load(self, timeout: timedelta) -> EngineLoad:
+        raise NotImplementedError
+
+    async def fetch_cache_events(self, after, timeout):
+        return []
+
+    async def transfer_prefix(self, block, source, timeout) -> None:
+        raise NotImplementedError
+
+    async def close(self) -> None:
+        return
+
+
+class FixedSheet(SheetSource):
+    """A sheet that the test sets."""
+
+    def __init__(self) -> None:
+        self._revision = EMPTY_SHEET
+        self._callbacks: list[Callable[[SheetRevision], None]] = []
+
+    def set_rows(self, rows: list[SheetRow]) -> None:
+        self._revision = SheetRevision(
+            revision=self._revision.revision + 1,
+            number=self._revision.number + 1,
+            digest="",
+            rows=tuple(rows),
+        )
+        for callback in self._callbacks:
+            callback(self._revision)
+
+    def current(self) -> SheetRevision:
+        return self._revision
+
+    def subscribe(self, callback: Callable[[SheetRevision], None]) -> None:
+        self._callbacks.append(callback)
+
+
+class FixedDemand(DemandSource):
+    """Demand that the test sets, for each reading anew."""
+
+    def __init__(self) -> None:
+        self.arrivals: dict[str, int] = {}
+        self.waiting: dict[str, int] = {}
+
+    def read_demand(self) -> dict[str, ItemDemand]:
+        names = self.arrivals.keys() | self.waiting.keys()
+        return {
+            name: ItemDemand(
+                arrivals=self.arrivals.get(name, 0),
+                waiting=self.waiting.get(name, 0),
+            )
+            for name in names
+        }
+
+
+class FreezableClock(LoopClock):
+    """A clock whose sleepers stay asleep while the process is frozen."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.gate = anyio.Event()
+        self.gate.set()
+
+    async def sleep(self, duration: timedelta) -> None:
+        await super().sleep(duration)
+        await self.gate.wait()
+
+
+class Node:
+    """One VM's membership and placement."""
+
+    def __init__(self, world: "World", info: VmInfo) -> None:
+        self.info = info
+        self.clock = FreezableClock()
+        self.network = world.network.join(info.vm)
+        world.lives += 1
+        seed = f"{world.seed}/{info.vm}/{world.lives}"
+        self.links = {
+            target: EngineLink(engine, seed)
+            for target, engine in world.engines.items()
+            if engine.info.failure_domain == info.failure_domain
+        }
+        random = random_module.Random(seed)
+        self.demand = world.demands[info.vm]
+        self.membership = create_membership(
+            world.membership_settings,
+            self.network,
+            info,
+            world.vms,
+            [e.info for e in world.engines.values()],
+            self.links,
+            world.platform,
+            self.clock,
+            random,
+        )
+        self.placement = create_placement(
+            world.placement_settings,
+            self.network,
+            info,
+            world.vms,
+            self.membership,
+            self.links,
+            world.sheet,
+            self.demand,
+            self.clock,
+            random,
+        )
+        self.scope = anyio.CancelScope()
+
+    async def run(self) -> None:
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.membership.run)
+                tasks.start_soon(self.placement.run)
+
+    def freeze(self) -> None:
+        self.clock.gate = anyio.Event()
+        for link in self.links.values():
+            link.gate = anyio.Event()
+
+    def thaw(self) -> None:
+        self.clock.gate.set()
+        for link in self.links.values():
+            link.gate.set()
+
+
+class World:
+    """Some failure domains with VMs and engines on one event loop."""
+
+    def __init__(
+        self,
+        domains: int = 1,
+        vms: int = 3,
+        targets: int = 3,
+        seed: int = 1,
+        fencing: Fencing = Fencing.ENFORCED,
+        placement: dict | None = None,
+        platform=None,
+    ) -> None:
+        self.seed = seed
+        self.lives = 0
+        self.platform = platform
+        names = [f"d{d}" for d in range(domains)]
+        self.vms = [
+            create_vm(f"{d}-v{v}", d) for d in names for v in range(vms)
+        ]
+        self.network = create_standin_network([v.vm for v in self.vms], seed)
+        infos = [
+            create_target(f"{d}-t{t}", d, fencing)
+            for d in names
+            for t in range(targets)
+        ]
+        self.engines = {i.target: TrueEngine(i, seed) for i in infos}
+        self.sheet = FixedSheet()
+        self.demands = {v.vm: FixedDemand() for v in self.vms}
+        self.membership_settings = MembershipSettings()
+        options = {
+            "order_late_limit_s": 40.0,
+            "minimum_residence_s": 5.0,
+            "loads_per_s": 10.0,
+        }
+        self.placement_settings = PlacementSettings(
+            **(options | (placement or {}))
+        )
+        self.nodes: dict[VmId, Node] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self, scenario: Callable) -> None:
+        """Start all VMs, run the scenario, stop them."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            for info in self.vms:
+                self.start(info.vm)
+            await scenario(self)
+            tasks.cancel_scope.cancel()
+        await self.network.close()
+
+    def start(self, vm: VmId) -> Node:
+        """Start a VM with nothing."""
+        info = next(v for v in self.vms if v.vm == vm)
+        self.nodes[vm] = Node(self, info)
+        self._tasks.start_soon(self.nodes[vm].run)
+        return self.nodes[vm]
+
+    def stop(self, vm: VmId) -> None:
+        """Kill a VM: nothing that it does is heard any more."""
+        self.network.leave(vm)
+        for link in self.nodes[vm].links.values():
+            link.cut = True
+        self.nodes.pop(vm).scope.cancel()
+
+    def holders(self, domain: str = "d0") -> list[Node]:
+        return [
+            node
+            for node in self.nodes.values()
+            if node.info.failure_domain == domain
+            and node.placement.lease.is_held()
+        ]
+
+    def ready(self, domain: str | None = None) -> set[str]:
+        """Return the items that are ready at an engine, in truth."""
+        return {
+            key
+            for engine in self.engines.values()
+            if domain in (None, engine.info.failure_domain)
+            for key, loaded in engine.items.items()
+            if loaded.state is LoadState.READY
+        }
+
+    def count_copies(self, key: str) -> int:
+        return sum(key in engine.items for engine in self.engines.values())
+
+    def over_commits(self) -> int:
+        return sum(e.over_commits for e in self.engines.values())
+
+    async def wait_for(
+        self, condition: Callable[[], bool], limit_s: float = 120.0
+    ) -> float:
+        """Wait in virtual time; returns the seconds that it took."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        while not condition():
+            if loop.time() - started > limit_s:
+                raise AssertionError(f"not reached within {limit_s} s")
+            await anyio.sleep(0.05)
+        return loop.time() - started
+
+
+def create_vm(name: str, domain: str) -> VmInfo:
+    return VmInfo(
+        vm=VmId(name),
+        business="both",
+        failure_domain=domain,
+        region=f"r-{domain}",
+        host="127.0.0.1",
+        port=1,
+    )
+
+
+def create_target(name: str, domain: str, fencing: Fencing) -> TargetInfo:
+    return TargetInfo(
+        target=TargetId(name),
+        kind=TargetKind.ENGINE,
+        business="both",
+        failure_domain=domain,
+        region=f"r-{domain}",
+        host="127.0.0.1",
+        port=1,
+        fencing=fencing,
+    )
+
+
+def create_row(name: str, memory_mb: int = 200, **options) -> SheetRow:
+    values = {
+        "kind": ItemKind.MODEL,
+        "business": "both",
+        "version": "1",
+        "memory_mb": memory_mb,
+    }
+    return SheetRow(name=name, **(values | options))
+
+
+def create_adapter(name: str, base: str, memory_mb: int = 20) -> SheetRow:
+    return create_row(name, memory_mb, kind=ItemKind.ADAPTER, base=base)
