Add settings, the operators' listener and the command-line tool

Cause: the product shell that the other parts grow in. Change: typed INI settings checked as a whole; structlog set-up with recent events kept; the operators' listener with a bearer token and a body limit; the dotterelbridge tool with its exit statuses; the event catalogue and its page, compared by a test.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 
 docs: install ## write the generated pages (docs/EVENTS.md)
 	$(BIN)/python -m dotterelbridge.cli.program events \
-		--output markdown > docs/EVENTS.md
+		--markdown > docs/EVENTS.md
 
 clean: ## remove the virtual environment and caches
 	rm -rf $(VENV) .pytest_cache .ruff_cache .hypothesis run
--- /dev/null
+++ b/dotterelbridge/cli/environment.py
@@ -0,0 +1,35 @@
+"""What a program takes from the world around it."""
+
+from collections.abc import Mapping
+import os
+import sys
+from typing import TextIO
+
+import httpx
+
+from dotterelbridge import clock
+
+
+class Environment:
+    """Streams, variables and clock of one run; tests pass their own."""
+
+    def __init__(
+        self,
+        stdin: TextIO | None = None,
+        stdout: TextIO | None = None,
+        stderr: TextIO | None = None,
+        variables: Mapping[str, str] | None = None,
+        transport: httpx.BaseTransport | None = None,
+        time: clock.Clock | None = None,
+    ) -> None:
+        self.stdin = stdin or sys.stdin
+        self.stdout = stdout or sys.stdout
+        self.stderr = stderr or sys.stderr
+        self.variables = os.environ if variables is None else variables
+        self.transport = transport
+        """Carries HTTP requests; None for real connections."""
+        self.time = time or clock.create_clock()
+
+    def print_error(self, program: str, message: str) -> None:
+        """Write one error for a person."""
+        self.stderr.write(f"{program}: error: {message}\n")
--- /dev/null
+++ b/dotterelbridge/cli/state_commands.py
@@ -0,0 +1,110 @@
+"""Commands that read the state of a daemon."""
+
+import argparse
+import logging
+
+from dotterelbridge import catalogue
+from dotterelbridge.cli import output
+from dotterelbridge.cli.client import create_client
+from dotterelbridge.cli.environment import Environment
+from dotterelbridge.cli.exit_status import ExitStatus
+
+TARGET_COLUMNS = (
+    "target",
+    "failure_domain",
+    "state",
+    "memory_mb",
+    "committed_mb",
+    "items",
+    "ordered",
+    "running",
+    "fencing_number",
+)
+MODEL_COLUMNS = ("name", "business", "kind", "reachable", "ready_at", "reason")
+
+
+def show_status(args: argparse.Namespace, env: Environment) -> ExitStatus:
+    """Print a summary of each part of the daemon."""
+    record = create_client(args, env).get("/operators/v1/status")
+    output.print_record(env, args.output, record)
+    return ExitStatus.OK
+
+
+def list_targets(args: argparse.Namespace, env: Environment) -> ExitStatus:
+    """Print the targets with their memory and state."""
+    rows = create_client(args, env).get("/operators/v1/targets")
+    output.print_rows(env, args.output, TARGET_COLUMNS, rows)
+    return ExitStatus.OK
+
+
+def list_models(args: argparse.Namespace, env: Environment) -> ExitStatus:
+    """Print the models and adapters and where they are ready."""
+    rows = create_client(args, env).get("/operators/v1/models")
+    output.print_rows(env, args.output, MODEL_COLUMNS, rows)
+    return ExitStatus.OK
+
+
+def dump_state(args: argparse.Namespace, env: Environment) -> ExitStatus:
+    """Print the state of one part or of all; always JSON."""
+    path = "/operators/v1/dump"
+    if args.part:
+        path += f"/{args.part}"
+    output.print_json(env, create_client(args, env).get(path))
+    return ExitStatus.OK
+
+
+def print_metrics(args: argparse.Namespace, env: Environment) -> ExitStatus:
+    """Print the metrics in the Prometheus text format."""
+    env.stdout.write(create_client(args, env).call("GET", "/metrics").text)
+    return ExitStatus.OK
+
+
+def list_events(args: argparse.Namespace, env: Environment) -> ExitStatus:
+    """Print the event catalogue, or the newest events of a daemon."""
+    if args.recent:
+        lines = create_client(args, env).get("/operators/v1/events")
+        columns = ("timestamp", "event_number", "level", "event")
+        output.print_rows(env, args.output, columns, lines)
+        return ExitStatus.OK
+    if args.markdown:
+        env.stdout.write(catalogue.render_markdown())
+        return ExitStatus.OK
+    rows = [
+        {
+            "number": event.number,
+            "name": event.name.lower(),
+            "level": logging.getLevelName(event.level).lower(),
+            "meaning": event.meaning,
+        }
+        for event in catalogue.list_events()
+    ]
+    columns = ("number", "name", "level", "meaning")
+    output.print_rows(env, args.output, columns, rows)
+    return ExitStatus.OK
+
+
+def begin_drain(args: argparse.Namespace, env: Environment) -> ExitStatus:
+    """Send no new work to a VM or target from now on."""
+    return _change_drain(args, env, "POST")
+
+
+def end_drain(args: argparse.Namespace, env: Environment) -> ExitStatus:
+    """End a drain that an operator began."""
+    return _change_drain(args, env, "DELETE")
+
+
+def pause_moves(args: argparse.Namespace, env: Environment) -> ExitStatus:
+    """Pause or resume the loads and unloads of placement."""
+    path = f"/operators/v1/moves/{args.subcommand}"
+    record = create_client(args, env).call("POST", path).json()
+    output.print_record(env, args.output, record)
+    return ExitStatus.OK
+
+
+def _change_drain(
+    args: argparse.Namespace, env: Environment, method: str
+) -> ExitStatus:
+    path = f"/operators/v1/drain/{args.name}"
+    record = create_client(args, env).call(method, path).json()
+    output.print_record(env, args.output, record)
+    return ExitStatus.OK
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,91 @@
+"""Settings: every fault in one go, with what is allowed."""
+
+import pytest
+
+from dotterelbridge.errors import SettingsError
+from dotterelbridge.settings import SettingsFaults
+from dotterelbridge.settings import load_settings
+
+GOOD = """
+[daemon]
+vm = vm-1
+operator_token_file = token
+peer_secret_file = secret
+data_folder = data
+
+[failure_domain:dublin-a]
+business = liffeyside
+region = dublin
+
+[vm:vm-1]
+failure_domain = dublin-a
+address = 127.0.0.1
+peer_port = 9001
+voter = true
+
+[target:engine-1]
+kind = engine
+failure_domain = dublin-a
+address = 127.0.0.1
+port = 9101
+fencing = ignored
+"""
+
+
+@pytest.fixture
+def write(tmp_path):
+    def write_settings(text):
+        path = tmp_path / "settings.ini"
+        path.write_text(text)
+        return str(path)
+
+    return write_settings
+
+
+def find_faults(path):
+    with pytest.raises(SettingsFaults) as caught:
+        load_settings(path)
+    return [str(fault) for fault in caught.value.faults]
+
+
+def test_good_settings_load(write):
+    settings = load_settings(write(GOOD))
+    assert settings.own_vm().region == "dublin"
+    assert settings.targets()[0].port == 9101
+    assert settings.voters() == ["vm-1"]
+
+
+def test_all_faults_are_reported_together(write):
+    text = (
+        GOOD.replace("port = 9101", "port = many")
+        .replace("fencing = ignored", "fencing = maybe")
+        .replace("vm = vm-1", "vm = vm-1\nspeed = 3")
+    )
+    faults = find_faults(write(text))
+    assert len(faults) == 3
+    assert faults[0].startswith("[daemon] speed: found an unknown option")
+    assert "at least 0 and at most 65535" in faults[1]
+    assert "enforced or ignored" in faults[2]
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "expected"),
+    [
+        ("address = 127.0.0.1\nport", "address = host\nport", "an IP number"),
+        ("port = 9101", "port = 9001", "a second time"),
+        ("voter = true", "voter = false", "an odd number"),
+        ("data_folder = data", "", "this VM is a voter"),
+        ("kind = engine", "kind = service", "the service's name"),
+        ("vm = vm-1", "vm = vm-2", "[vm:NAME] section"),
+        ("[failure_domain:dublin-a]", "[failure_domain:x]", "[failure_domain"),
+        ("[target:engine-1]", "[tagret:engine-1]", "an unknown section"),
+    ],
+)
+def test_contradictions_name_what_is_allowed(write, old, new, expected):
+    faults = find_faults(write(GOOD.replace(old, new)))
+    assert any(expected in fault for fault in faults), faults
+
+
+def test_unreadable_file_names_the_remedy():
+    with pytest.raises(SettingsError, match="name a file that exists"):
+        load_settings("/nowhere/settings.ini")
