--- a/dotterelbridge/events.py
+++ b/dotterelbridge/events.py
@@ -60,6 +60,12 @@
         logging.INFO,
         "The state was written to the file that the line names.",
     )
+    DUMP_FAILED = (
+        1007,
+        logging.ERROR,
+        "The dump file could not be written; check [daemon] dump_file and "
+        "free space.",
+    )
     PART_FAILED = (
         1006,
         logging.ERROR,
