Serve callers from targets: client, router, application, listener

The thin path of serving. targets/client.py keeps one small pool for each target over asyncio and httptools; serving/listener.py runs the ASGI application under hypercorn for now.

Factories, for the daemon: create_router(membership, sheet, clock, settings, rng, targets_settings, failure_domain, region) with run(); create_caller_app(router, claims, clock, settings, routing_settings, rng); create_caller_listener(app, settings, clock) with run(), drain() and port; create_engine(info, settings, clock). Sections: [serving], [routing], [targets].

What still lacks tests: queues, limits, ejection, keyed calls, resumption.

--- /dev/null
+++ b/dotterelbridge/serving/answer.py
@@ -0,0 +1,120 @@
+"""Answers to callers, written through ASGI."""
+
+from collections.abc import Iterable
+
+from dotterelbridge.claims.service import RecordedAnswer
+from dotterelbridge.ids import RequestId
+from dotterelbridge.ids import RunStatus
+from dotterelbridge.serving.errors import Failure
+
+REQUEST_ID_HEADER = b"dotterelbridge-request-id"
+RUN_HEADER = b"dotterelbridge-run"
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+"""Headers that concern one connection and are written anew for the next."""
+
+_HIDDEN_HEADERS = HOP_HEADERS | {b"x-request-id", b"date", b"server"}
+_EMPTY_STATUSES = (204, 304)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class AnswerWriter:
+    """Writes the one answer of a request."""
+
+    def __init__(self, send, request: RequestId) -> None:
+        self._send = send
+        self._request = request
+        self.started = False
+        self.status = 0
+        self.run: RunStatus | None = None
+
+    async def send_failure(self, failure: Failure) -> None:
+        """Send an error as JSON."""
+        headers = [(b"content-type", b"application/json")]
+        seconds = failure.retry_after_s()
+        if seconds is not None:
+            headers.append((b"retry-after", b"%d" % seconds))
+        body = failure.encode_body()
+        await self.send_whole(failure.status, headers, body, failure.run)
+
+    async def send_recorded(
+        self, answer: RecordedAnswer, run: RunStatus = RunStatus.YES
+    ) -> None:
+        """Send a target's whole answer."""
+        headers = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in answer.headers
+        ]
+        await self.send_whole(answer.status, headers, answer.body, run)
+
+    async def send_whole(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        run: RunStatus | None,
+    ) -> None:
+        """Send an answer whose length is known."""
+        if status not in _EMPTY_STATUSES:
+            headers = headers + [(b"content-length", b"%d" % len(body))]
+        await self.start(status, headers, run)
+        await self.send_body(body, more=False)
+
+    async def start(
+        self, status: int, headers: Headers, run: RunStatus | None
+    ) -> None:
+        """Send status and headers."""
+        self.started = True
+        self.status = status
+        self.run = run
+        own = [(REQUEST_ID_HEADER, self._request.encode())]
+        if run is not None:
+            own.append((RUN_HEADER, run.value.encode()))
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers + own,
+            }
+        )
+
+    async def send_body(self, data: bytes, more: bool = True) -> None:
+        """Send part of the body; waits while the caller reads slowly."""
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": more}
+        )
+
+
+def list_relayed_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return a target's headers without those of its connection."""
+    listed = list(headers)
+    named = _list_connection_options(listed)
+    return [
+        (name, value)
+        for name, value in listed
+        if name not in _HIDDEN_HEADERS
+        and name not in named
+        and not name.startswith(b"dotterelbridge-")
+    ]
+
+
+def _list_connection_options(headers: Headers) -> set[bytes]:
+    return {
+        option.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for option in value.split(b",")
+    }
--- /dev/null
+++ b/dotterelbridge/serving/callers.py
@@ -0,0 +1,467 @@
+"""The callers' HTTP interface, as an ASGI application."""
+
+from datetime import timedelta
+import random
+from typing import Any
+
+import anyio
+import msgspec
+import structlog
+
+from dotterelbridge import events
+from dotterelbridge.claims.service import ClaimService
+from dotterelbridge.clock import Clock
+from dotterelbridge.dump import Dumpable
+from dotterelbridge.errors import RequestRefused
+from dotterelbridge.errors import TargetError
+from dotterelbridge.ids import AttemptId
+from dotterelbridge.ids import ItemKind
+from dotterelbridge.ids import RunStatus
+from dotterelbridge.routing.call import Call
+from dotterelbridge.routing.errors import ItemUnknown
+from dotterelbridge.routing.errors import QueueFull
+from dotterelbridge.routing.errors import RoutingRefused
+from dotterelbridge.routing.router import Router
+from dotterelbridge.routing.settings import RoutingSettings
+from dotterelbridge.routing.target import Slot
+from dotterelbridge.serving.answer import HOP_HEADERS
+from dotterelbridge.serving.answer import AnswerWriter
+from dotterelbridge.serving.attempts import AttemptLog
+from dotterelbridge.serving.attempts import AttemptRunner
+from dotterelbridge.serving.attempts import TargetFailed
+from dotterelbridge.serving.attempts import judge_run
+from dotterelbridge.serving.errors import AnswerIncomplete
+from dotterelbridge.serving.errors import CallerGone
+from dotterelbridge.serving.errors import Failure
+from dotterelbridge.serving.errors import RequestMalformed
+from dotterelbridge.serving.errors import RequestTooLarge
+from dotterelbridge.serving.events import ServingEvent
+from dotterelbridge.serving.keyed import ClaimRefused
+from dotterelbridge.serving.keyed import KeyedCall
+from dotterelbridge.serving.keyed import KeyedRunner
+from dotterelbridge.serving.request import CallerRequest
+from dotterelbridge.serving.request import InferenceBody
+from dotterelbridge.serving.request import parse_inference
+from dotterelbridge.serving.request import read_request
+from dotterelbridge.serving.settings import ServingSettings
+from dotterelbridge.serving.stream import StreamRelay
+from dotterelbridge.sheet.rows import SheetRow
+from dotterelbridge.targets.client import ExchangeRequest
+
+INFERENCE_PATHS = ("/v1/chat/completions", "/v1/completions")
+MODELS_PATH = "/v1/models"
+SERVICES_PREFIX = "/services/"
+_BYTES_PER_KB = 1024
+_JSON = [(b"content-type", b"application/json")]
+_WITHHELD_HEADERS = HOP_HEADERS | {b"host", b"expect", b"x-request-id"}
+
+_log = structlog.get_logger(__name__)
+
+
+class CallerApp(Dumpable):
+    """Takes callers' requests; knows how many are in flight."""
+
+    def __init__(
+        self,
+        router: Router,
+        claims: ClaimService,
+        clock: Clock,
+        settings: ServingSettings,
+        routing_settings: RoutingSettings,
+        rng: random.Random,
+    ) -> None:
+        self._router = router
+        self._clock = clock
+        self._settings = settings
+        self._routing_settings = routing_settings
+        self._runner = AttemptRunner(router, settings, clock, rng)
+        self._keyed = KeyedRunner(claims)
+        self._calls: dict[Call, float] = {}
+        self._requests = 0
+        self._draining = False
+        self._all_answered = anyio.Event()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have no whole answer yet."""
+        return self._requests
+
+    def start_draining(self) -> None:
+        """Turn /readyz false."""
+        if self._draining:
+            return
+        self._draining = True
+        events.log(_log, ServingEvent.DRAIN_STARTED, in_flight=self._requests)
+
+    async def wait_until_answered(self) -> None:
+        """Return once no request is in flight."""
+        while self._requests:
+            self._all_answered = anyio.Event()
+            await self._all_answered.wait()
+
+    def dump(self) -> dict[str, Any]:
+        now = self._clock.monotonic()
+        return {
+            "draining": self._draining,
+            "in_flight": self._requests,
+            "calls": [
+                {
+                    "request": call.request,
+                    "item": call.item,
+                    "priority": call.priority.value,
+                    "age_s": round(now - started_at, 3),
+                    "attempts": call.attempts,
+                }
+                for call, started_at in self._calls.items()
+            ],
+        }
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        path = scope["path"]
+        if path in ("/healthz", "/readyz"):
+            await self._serve_health(path, send)
+            return
+        self._requests += 1
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self._requests -= 1
+            if not self._requests:
+                self._all_answered.set()
+
+    async def _serve_health(self, path: str, send) -> None:
+        ready = path == "/healthz" or not self._draining
+        writer = AnswerWriter(send, "")
+        await writer.send_whole(
+            200 if ready else 503,
+            _JSON,
+            b'{"ready": true}' if ready else b'{"ready": false}',
+            None,
+        )
+
+    async def _serve(self, scope, receive, send) -> None:
+        writer = AnswerWriter(send, "")
+        try:
+            request = await read_request(
+                scope,
+                receive,
+                self._settings.body_limit_kb * _BYTES_PER_KB,
+                timedelta(seconds=self._settings.body_timeout_s),
+            )
+            writer = AnswerWriter(send, request.request)
+            await self._route(request, receive, writer)
+        except CallerGone:
+            return
+        except RequestRefused as error:
+            await _fail(writer, _describe_refusal(error))
+        except AnswerIncomplete:
+            # The connection is closed without the stream's end, which
+            # tells the caller that it isn't whole.
+            raise
+        except Exception as error:
+            events.log(
+                _log,
+                ServingEvent.REQUEST_FAILED,
+                error=repr(error),
+                exc_info=True,
+            )
+            await _fail(writer, _INTERNAL_FAILURE)
+
+    async def _route(
+        self, request: CallerRequest, receive, writer: AnswerWriter
+    ) -> None:
+        if request.path in INFERENCE_PATHS:
+            if request.method != "POST":
+                await writer.send_failure(_METHOD_FAILURE)
+                return
+            await self._serve_inference(request, receive, writer)
+        elif request.path == MODELS_PATH and request.method == "GET":
+            await self._serve_models(writer)
+        elif request.path.startswith(SERVICES_PREFIX):
+            await self._serve_service(request, receive, writer)
+        else:
+            await writer.send_failure(_PATH_FAILURE)
+
+    async def _serve_models(self, writer: AnswerWriter) -> None:
+        rows = self._router.rows()
+        names = [r.name for r in rows if r.kind is not ItemKind.SERVICE]
+        entries = [{"id": n, "object": "model"} for n in sorted(names)]
+        body = msgspec.json.encode({"object": "list", "data": entries})
+        await writer.send_whole(200, _JSON, body, None)
+
+    async def _serve_inference(
+        self, request: CallerRequest, receive, writer: AnswerWriter
+    ) -> None:
+        wanted = parse_inference(request.body)
+        row = self._find_row(wanted.model, is_service=False)
+        call = self._create_call(request, row, wanted.version)
+
+        def create_request(slot: Slot, attempt: AttemptId):
+            return self._create_inference(request, wanted, slot, attempt)
+
+        if wanted.stream and not self._is_keyed(request, row):
+            await self._run_stream(call, receive, writer, create_request)
+            return
+        await self._run_whole(request, call, receive, writer, create_request)
+
+    async def _serve_service(
+        self, request: CallerRequest, receive, writer: AnswerWriter
+    ) -> None:
+        rest = request.path.removeprefix(SERVICES_PREFIX)
+        name, _, path = rest.partition("/")
+        row = self._find_row(name, is_service=True)
+        call = self._create_call(request, row, None)
+
+        def create_request(slot: Slot, attempt: AttemptId):
+            return _create_service_request(request, path, call, attempt)
+
+        await self._run_whole(request, call, receive, writer, create_request)
+
+    def _find_row(self, name: str, is_service: bool) -> SheetRow:
+        row = self._router.find_row(name)
+        if row is None or (row.kind is ItemKind.SERVICE) != is_service:
+            raise ItemUnknown(
+                f"{name!r} is not on the sheet in force",
+                "check the name; GET /v1/models lists the models",
+            )
+        return row
+
+    def _create_call(
+        self, request: CallerRequest, row: SheetRow, version: str | None
+    ) -> Call:
+        deadline = request.deadline or timedelta(milliseconds=row.deadline_ms)
+        now = self._clock.monotonic()
+        call = Call(
+            request=request.request,
+            row=row,
+            version=version,
+            priority=request.priority or row.priority,
+            deadline_at=now + deadline.total_seconds(),
+            body_size=len(request.body),
+        )
+        self._router.start_call(call)
+        return call
+
+    def _is_keyed(self, request: CallerRequest, row: SheetRow) -> bool:
+        # An idempotent call may run again, so its key needs no claim.
+        return request.key is not None and not row.idempotent
+
+    async def _run_stream(
+        self, call: Call, receive, writer: AnswerWriter, create_request
+    ) -> None:
+        log = AttemptLog()
+        relay = StreamRelay(
+            self._router,
+            self._runner,
+            self._settings,
+            self._routing_settings,
+            self._clock,
+            writer,
+            call,
+            create_request,
+            log,
+        )
+        await self._run(call, receive, writer, log, relay.run)
+
+    async def _run_whole(
+        self,
+        request: CallerRequest,
+        call: Call,
+        receive,
+        writer: AnswerWriter,
+        create_request,
+    ) -> None:
+        log = AttemptLog()
+
+        async def attempt():
+            return await self._runner.run_whole(call, create_request, log)
+
+        async def run() -> None:
+            if self._is_keyed(request, call.row):
+                keyed = KeyedCall(
+                    business=call.row.business,
+                    key=request.key,
+                    digest=request.digest(),
+                )
+                answer = await self._keyed.run(keyed, attempt, log)
+            else:
+                answer = await attempt()
+            await writer.send_recorded(answer, judge_run(answer.status))
+
+        await self._run(call, receive, writer, log, run)
+
+    async def _run(
+        self, call: Call, receive, writer: AnswerWriter, log, run
+    ) -> None:
+        self._calls[call] = self._clock.monotonic()
+        try:
+            if call.idempotent:
+                await _run_until_hang_up(receive, run)
+            else:
+                await run()
+        except ClaimRefused as error:
+            await _fail(writer, error.failure)
+        except TargetFailed as error:
+            run_status = judge_run(error.answer.status)
+            await writer.send_recorded(error.answer, run_status)
+        except RoutingRefused as error:
+            await _fail(writer, _describe_refusal(error, log.run))
+        except TargetError as error:
+            await _fail(writer, _describe_target_error(error, log.run))
+        finally:
+            del self._calls[call]
+
+    def _create_inference(
+        self,
+        request: CallerRequest,
+        wanted: InferenceBody,
+        slot: Slot,
+        attempt: AttemptId,
+    ) -> ExchangeRequest:
+        return ExchangeRequest(
+            attempt=attempt,
+            method="POST",
+            path=request.path,
+            headers=[
+                (b"content-type", b"application/json"),
+                (b"x-priority", slot.call.priority.value.encode()),
+            ],
+            body=wanted.encode_for(slot.model),
+            fresh_connection=not slot.call.idempotent,
+        )
+
+
+def _create_service_request(
+    request: CallerRequest, path: str, call: Call, attempt: AttemptId
+) -> ExchangeRequest:
+    query = "?" + request.query.decode("latin-1") if request.query else ""
+    return ExchangeRequest(
+        attempt=attempt,
+        method=request.method,
+        path=f"/{path}{query}",
+        headers=[
+            (name, value)
+            for name, value in request.headers
+            if name not in _WITHHELD_HEADERS
+            and not name.startswith(b"dotterelbridge-")
+        ],
+        body=request.body,
+        fresh_connection=not call.idempotent,
+    )
+
+
+async def _run_until_hang_up(receive, run) -> None:
+    """Run, or cancel the run once the caller's connection is gone."""
+    failure: list[Exception] = []
+    async with anyio.create_task_group() as group:
+        group.start_soon(_watch_hang_up, receive, group.cancel_scope)
+        try:
+            await run()
+        except Exception as error:
+            # Kept out of the group, which would wrap it.
+            failure.append(error)
+        group.cancel_scope.cancel()
+    if failure:
+        raise failure[0]
+
+
+async def _watch_hang_up(receive, scope: anyio.CancelScope) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            scope.cancel()
+            return
+
+
+async def _serve_lifespan(receive, send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _fail(writer: AnswerWriter, failure: Failure) -> None:
+    if writer.started:
+        raise AnswerIncomplete(failure.message, failure.remedy)
+    await writer.send_failure(failure)
+
+
+_PATH_FAILURE = Failure(
+    status=404,
+    kind="path_unknown",
+    message="nothing is served at this path",
+    remedy="use /v1/chat/completions, /v1/completions, /v1/models or "
+    "/services/NAME/PATH",
+    run=RunStatus.NO,
+)
+_METHOD_FAILURE = Failure(
+    status=405,
+    kind="method_not_allowed",
+    message="this path takes POST only",
+    remedy="send it with POST",
+    run=RunStatus.NO,
+)
+_INTERNAL_FAILURE = Failure(
+    status=500,
+    kind="internal",
+    message="a fault of this program",
+    remedy="report it with the value of Dotterelbridge-Request-Id",
+    run=RunStatus.UNKNOWN,
+)
+
+
+def _describe_refusal(
+    error: RequestRefused, run: RunStatus = RunStatus.NO
+) -> Failure:
+    status, kind = 503, "not_run"
+    if isinstance(error, RequestTooLarge):
+        status, kind = 413, "too_large"
+    elif isinstance(error, RequestMalformed):
+        status, kind = 400, "malformed"
+    elif isinstance(error, ItemUnknown):
+        status, kind = 404, "item_unknown"
+    elif isinstance(error, QueueFull):
+        status, kind = 429, "queue_full"
+    elif isinstance(error, RoutingRefused):
+        status, kind = 503, "no_place"
+    return Failure(
+        status=status,
+        kind=kind,
+        message=error.problem,
+        remedy=error.remedy,
+        run=run,
+        retry_after=getattr(error, "retry_after", None),
+    )
+
+
+def _describe_target_error(error: TargetError, run: RunStatus) -> Failure:
+    not_run = run is RunStatus.NO
+    return Failure(
+        status=503 if not_run else 502,
+        kind="target_unavailable" if not_run else "target_broke",
+        message=error.problem,
+        remedy="send it again after the time in Retry-After"
+        if not_run
+        else "send it again only if running it twice does no harm",
+        run=run,
+        retry_after=timedelta(seconds=1) if not_run else None,
+    )
+
+
+def create_caller_app(
+    router: Router,
+    claims: ClaimService,
+    clock: Clock,
+    settings: ServingSettings,
+    routing_settings: RoutingSettings,
+    rng: random.Random,
+) -> CallerApp:
+    """Return the callers' application."""
+    return CallerApp(router, claims, clock, settings, routing_settings, rng)
--- /dev/null
+++ b/dotterelbridge/serving/keyed.py
@@ -0,0 +1,195 @@
+"""Calls with an idempotency key: claimed before they run."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from datetime import timedelta
+import uuid
+
+import anyio
+import msgspec
+import structlog
+
+from dotterelbridge import events
+from dotterelbridge.claims.service import ClaimReply
+from dotterelbridge.claims.service import ClaimService
+from dotterelbridge.claims.service import ClaimState
+from dotterelbridge.claims.service import RecordedAnswer
+from dotterelbridge.errors import CommitUnknown
+from dotterelbridge.errors import DotterelbridgeError
+from dotterelbridge.errors import NotCommitted
+from dotterelbridge.errors import RequestRefused
+from dotterelbridge.errors import TargetError
+from dotterelbridge.ids import AttemptId
+from dotterelbridge.ids import Business
+from dotterelbridge.ids import IdempotencyKey
+from dotterelbridge.ids import RunStatus
+from dotterelbridge.serving.attempts import AttemptLog
+from dotterelbridge.serving.attempts import TargetFailed
+from dotterelbridge.serving.errors import Failure
+from dotterelbridge.serving.events import ServingEvent
+
+_RETRY = timedelta(seconds=1)
+_log = structlog.get_logger(__name__)
+
+
+class ClaimRefused(DotterelbridgeError):
+    """A keyed call was not run by this request."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.message, failure.remedy)
+        self.failure = failure
+
+
+class KeyedCall(msgspec.Struct, frozen=True, kw_only=True):
+    """The key of a call and what it is bound to."""
+
+    business: Business
+    key: IdempotencyKey
+    digest: str
+
+
+class KeyedRunner:
+    """Runs a keyed call at most once."""
+
+    def __init__(self, claims: ClaimService) -> None:
+        self._claims = claims
+
+    async def run(
+        self,
+        keyed: KeyedCall,
+        run: Callable[[], Awaitable[RecordedAnswer]],
+        log: AttemptLog,
+    ) -> RecordedAnswer:
+        """Return the answer of the key's one run, now or earlier.
+
+        :param run: makes the attempts and notes them in ``log``.
+        :raises ClaimRefused: the key does not allow a run now.
+        """
+        attempt = AttemptId(uuid.uuid4().hex)
+        reply = await self._begin(keyed, attempt)
+        if reply.state is ClaimState.RECORDED:
+            return reply.answer
+        if reply.state is not ClaimState.GRANTED:
+            raise ClaimRefused(_REFUSALS[reply.state])
+        # A caller that hangs up ends neither the run nor its record.
+        with anyio.CancelScope(shield=True):
+            return await self._run_claimed(keyed, attempt, run, log)
+
+    async def _begin(self, keyed: KeyedCall, attempt: AttemptId) -> ClaimReply:
+        try:
+            return await self._claims.begin(
+                keyed.business, keyed.key, keyed.digest, attempt
+            )
+        except NotCommitted as error:
+            raise ClaimRefused(
+                Failure(
+                    status=503,
+                    kind="claim_unavailable",
+                    message=str(error),
+                    remedy="send it again with the same key",
+                    run=RunStatus.NO,
+                    retry_after=_RETRY,
+                )
+            ) from error
+        except CommitUnknown as error:
+            await self._release(keyed, attempt)
+            raise ClaimRefused(
+                Failure(
+                    status=503,
+                    kind="claim_unknown",
+                    message=str(error),
+                    remedy="send it again with the same key; it was not run",
+                    run=RunStatus.NO,
+                    retry_after=_RETRY,
+                )
+            ) from error
+
+    async def _run_claimed(
+        self,
+        keyed: KeyedCall,
+        attempt: AttemptId,
+        run: Callable[[], Awaitable[RecordedAnswer]],
+        log: AttemptLog,
+    ) -> RecordedAnswer:
+        try:
+            answer = await run()
+        except TargetFailed as error:
+            await self._record(keyed, attempt, error.answer)
+            raise
+        except (RequestRefused, TargetError):
+            if log.run is RunStatus.NO:
+                await self._release(keyed, attempt)
+            else:
+                await self._abandon(keyed, attempt)
+            raise
+        except BaseException:
+            await self._abandon(keyed, attempt)
+            raise
+        await self._record(keyed, attempt, answer)
+        return answer
+
+    async def _record(
+        self, keyed: KeyedCall, attempt: AttemptId, answer: RecordedAnswer
+    ) -> None:
+        try:
+            await self._claims.record(
+                keyed.business, keyed.key, attempt, answer
+            )
+        except DotterelbridgeError as error:
+            _log_failure(attempt, error)
+
+    async def _release(self, keyed: KeyedCall, attempt: AttemptId) -> None:
+        try:
+            await self._claims.release(keyed.business, keyed.key, attempt)
+        except DotterelbridgeError as error:
+            _log_failure(attempt, error)
+
+    async def _abandon(self, keyed: KeyedCall, attempt: AttemptId) -> None:
+        try:
+            await self._claims.abandon(keyed.business, keyed.key, attempt)
+        except DotterelbridgeError as error:
+            _log_failure(attempt, error)
+
+
+def _log_failure(attempt: AttemptId, error: DotterelbridgeError) -> None:
+    events.log(
+        _log,
+        ServingEvent.RECORD_FAILED,
+        attempt=attempt,
+        error=str(error),
+    )
+
+
+_REFUSALS = {
+    ClaimState.IN_PROGRESS: Failure(
+        status=409,
+        kind="in_progress",
+        message="another attempt with this key is in progress",
+        remedy="send it again with the same key after Retry-After to get "
+        "its answer",
+        run=RunStatus.UNKNOWN,
+        retry_after=_RETRY,
+    ),
+    ClaimState.UNKNOWN: Failure(
+        status=409,
+        kind="outcome_unknown",
+        message="whether the call with this key ran cannot be known",
+        remedy="look the result up at the service; send it with a new key "
+        "only if it did not run",
+        run=RunStatus.UNKNOWN,
+    ),
+    ClaimState.EXPIRED: Failure(
+        status=410,
+        kind="answer_expired",
+        message="the call with this key ran and its answer is gone",
+        remedy="look the result up at the service",
+        run=RunStatus.YES,
+    ),
+    ClaimState.MISMATCH: Failure(
+        status=422,
+        kind="key_reused",
+        message="this key is bound to another request",
+        remedy="send a new key with a new request",
+        run=RunStatus.NO,
+    ),
+}
--- /dev/null
+++ b/dotterelbridge/serving/request.py
@@ -0,0 +1,184 @@
+"""A caller's request, read from ASGI and checked."""
+
+from datetime import timedelta
+import hashlib
+import uuid
+
+import anyio
+import msgspec
+
+from dotterelbridge.ids import IdempotencyKey
+from dotterelbridge.ids import Priority
+from dotterelbridge.ids import RequestId
+from dotterelbridge.serving.errors import CallerGone
+from dotterelbridge.serving.errors import RequestMalformed
+from dotterelbridge.serving.errors import RequestTooLarge
+
+PRIORITY_HEADER = b"dotterelbridge-priority"
+DEADLINE_HEADER = b"dotterelbridge-deadline"
+KEY_HEADER = b"idempotency-key"
+_KEY_LENGTH_LIMIT = 255
+_DEADLINE_LIMIT_MS = 24 * 60 * 60 * 1000
+
+
+class CallerRequest(msgspec.Struct, kw_only=True):
+    """A whole request."""
+
+    request: RequestId
+    method: str
+    path: str
+    query: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    priority: Priority | None = None
+    deadline: timedelta | None = None
+    key: IdempotencyKey | None = None
+
+    def digest(self) -> str:
+        """Return the hash that binds an idempotency key to the request."""
+        digest = hashlib.sha256()
+        for part in (
+            self.method.encode(),
+            self.path.encode(),
+            self.query,
+            self.body,
+        ):
+            digest.update(b"%d:" % len(part))
+            digest.update(part)
+        return digest.hexdigest()
+
+
+class _Inference(msgspec.Struct):
+    """The fields of an inference body that concern routing."""
+
+    model: str
+    stream: bool = False
+
+
+class InferenceBody(msgspec.Struct, frozen=True, kw_only=True):
+    """What an inference request asks for."""
+
+    model: str
+    version: str | None
+    stream: bool
+    fields: dict[str, msgspec.Raw]
+
+    def encode_for(self, model: str) -> bytes:
+        """Return the body with the model that a target has loaded."""
+        fields = self.fields | {"model": msgspec.Raw(_encode(model))}
+        return _encode(fields)
+
+
+_encode = msgspec.json.Encoder().encode
+_decode_inference = msgspec.json.Decoder(_Inference).decode
+_decode_fields = msgspec.json.Decoder(dict[str, msgspec.Raw]).decode
+
+
+async def read_request(
+    scope, receive, body_limit: int, timeout: timedelta
+) -> CallerRequest:
+    """Read and check a request.
+
+    :param body_limit: bytes.
+    :raises RequestRefused: it is malformed or too large.
+    :raises CallerGone: the caller hung up.
+    """
+    headers = [(name.lower(), value) for name, value in scope["headers"]]
+    values = dict(headers)
+    request = CallerRequest(
+        request=RequestId(uuid.uuid4().hex),
+        method=scope["method"],
+        path=scope["raw_path"].partition(b"?")[0].decode("ascii", "replace"),
+        query=scope["query_string"],
+        headers=headers,
+        body=b"",
+        priority=_parse_priority(values.get(PRIORITY_HEADER)),
+        deadline=_parse_deadline(values.get(DEADLINE_HEADER)),
+        key=_parse_key(values.get(KEY_HEADER)),
+    )
+    try:
+        with anyio.fail_after(timeout.total_seconds()):
+            request.body = await _read_body(receive, body_limit)
+    except TimeoutError:
+        raise RequestMalformed(
+            "the body did not arrive in time",
+            "send it faster, or in several requests",
+        ) from None
+    return request
+
+
+def parse_inference(body: bytes) -> InferenceBody:
+    """Return what an inference body asks for.
+
+    :raises RequestMalformed: it is no JSON object with a model.
+    """
+    try:
+        wanted = _decode_inference(body)
+        fields = _decode_fields(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise RequestMalformed(
+            f"the body is no inference request ({error})",
+            'send a JSON object with a "model"',
+        ) from None
+    model, _, version = wanted.model.partition("@")
+    return InferenceBody(
+        model=model,
+        version=version or None,
+        stream=wanted.stream,
+        fields=fields,
+    )
+
+
+async def _read_body(receive, limit: int) -> bytes:
+    chunks = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGone
+        chunk = message.get("body", b"")
+        size += len(chunk)
+        if size > limit:
+            raise RequestTooLarge(
+                f"the body exceeds {limit} bytes",
+                "send less, or have body_limit_kb in [serving] raised",
+            )
+        chunks.append(chunk)
+        if not message.get("more_body", False):
+            return b"".join(chunks)
+
+
+def _parse_priority(value: bytes | None) -> Priority | None:
+    if value is None:
+        return None
+    try:
+        return Priority(value.decode("ascii", "replace").strip().lower())
+    except ValueError:
+        raise RequestMalformed(
+            "Dotterelbridge-Priority is unknown",
+            "send urgent, normal or background",
+        ) from None
+
+
+def _parse_deadline(value: bytes | None) -> timedelta | None:
+    if value is None:
+        return None
+    text = value.decode("ascii", "replace").strip()
+    if not text.isdecimal() or not 0 < int(text) <= _DEADLINE_LIMIT_MS:
+        raise RequestMalformed(
+            "Dotterelbridge-Deadline is no number of milliseconds",
+            f"send a whole number from 1 to {_DEADLINE_LIMIT_MS}",
+        )
+    return timedelta(milliseconds=int(text))
+
+
+def _parse_key(value: bytes | None) -> IdempotencyKey | None:
+    if value is None:
+        return None
+    text = value.decode("ascii", "replace").strip()
+    if not 0 < len(text) <= _KEY_LENGTH_LIMIT:
+        raise RequestMalformed(
+            "Idempotency-Key is empty or too long",
+            f"send 1 to {_KEY_LENGTH_LIMIT} characters",
+        )
+    return IdempotencyKey(text)
--- /dev/null
+++ b/dotterelbridge/targets/connection.py
@@ -0,0 +1,273 @@
+"""One HTTP/1.1 connection to a target: one exchange at a time.
+
+httptools parses; the bytes of a body are handed on as they arrive, joined
+when several chunks were read at once. Neither a task, a lock nor a timer
+is spent on a chunk, which is what decides the cost of a relayed token
+(docs/design/serving.md).
+"""
+
+import asyncio
+
+import httptools
+
+from dotterelbridge.clock import Clock
+from dotterelbridge.errors import TargetBroken
+from dotterelbridge.errors import TargetError
+from dotterelbridge.targets.errors import AnswerMalformed
+from dotterelbridge.targets.errors import CrossedAnswer
+from dotterelbridge.targets.errors import TargetSilent
+
+REQUEST_ID_HEADER = b"x-request-id"
+_BODILESS_STATUSES = (204, 304)
+
+
+class TargetConnection(asyncio.Protocol):
+    """Parses answers and holds at most a bounded part of a body."""
+
+    def __init__(
+        self, clock: Clock, head_limit: int, buffer_limit: int
+    ) -> None:
+        self._clock = clock
+        self._head_limit = head_limit
+        self._buffer_limit = buffer_limit
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._error: TargetError | None = None
+        self._paused = False
+        self._head_size = 0
+        self._buffered = 0
+        self._chunks: list[bytes] = []
+        self._attempt = b""
+        self._bodiless = False
+        self._ends_with_connection = False
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.headers_done = False
+        self.complete = False
+        self.in_exchange = False
+        self.exchanges = 0
+        self.unsolicited = False
+        self.opened_at = clock.monotonic()
+        self.last_byte_at = self.opened_at
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection can no longer carry an exchange."""
+        return self._transport is None or self._transport.is_closing()
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the last exchange ended cleanly and left nothing over."""
+        return (
+            not self.closed
+            and self.complete
+            and not self.unsolicited
+            and self._error is None
+            and self._parser is not None
+            and self._parser.should_keep_alive()
+            and not self._ends_with_connection
+            and not self._bodiless
+        )
+
+    def start(self, head: bytes, body: bytes, attempt: str, method: str):
+        """Write a request; from here on a byte may have left."""
+        self._parser = httptools.HttpResponseParser(self)
+        self._error = None
+        self._chunks = []
+        self._buffered = 0
+        self._head_size = 0
+        self._attempt = attempt.encode()
+        self._bodiless = method == "HEAD"
+        self._ends_with_connection = False
+        self.status = 0
+        self.headers = []
+        self.headers_done = False
+        self.complete = False
+        self.in_exchange = True
+        self.exchanges += 1
+        self.last_byte_at = self._clock.monotonic()
+        self._transport.write(head + body)
+
+    async def read_head(self) -> None:
+        """Wait for the status and headers."""
+        while not self.headers_done:
+            if self._error is not None:
+                raise self._error
+            await self._wait()
+        if isinstance(self._error, CrossedAnswer):
+            raise self._error
+
+    async def read_body(self) -> bytes:
+        """Return what has arrived of the body, or b"" at its end."""
+        while not self._chunks:
+            if self.complete:
+                return b""
+            if self._error is not None:
+                raise self._error
+            await self._wait()
+        chunks = self._chunks
+        data = chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        self._chunks = []
+        self._buffered = 0
+        if self._paused:
+            self._paused = False
+            # Silence is counted anew: the pause was this side's.
+            self.last_byte_at = self._clock.monotonic()
+            self._transport.resume_reading()
+        return data
+
+    def is_silent(self, first_byte_limit: float, limit: float) -> bool:
+        """Whether the exchange carried no byte for its limit (seconds)."""
+        if not self.in_exchange or self.complete or self._paused:
+            return False
+        allowed = limit if self.headers_done else first_byte_limit
+        return self._clock.monotonic() - self.last_byte_at > allowed
+
+    def fail_silent(self) -> None:
+        """End the exchange because of silence."""
+        self._fail(
+            TargetSilent(
+                "the connection carried no byte for longer than its limit",
+                "try again on a new connection",
+            )
+        )
+
+    def finish(self) -> bool:
+        """End the exchange; return whether the connection may be kept."""
+        self.in_exchange = False
+        if self.reusable:
+            return True
+        self.abort()
+        return False
+
+    def abort(self) -> None:
+        """Close at once, which cancels a running request at the target."""
+        self.in_exchange = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Called by the event loop.
+
+    def connection_made(self, transport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        if not self.in_exchange:
+            self.unsolicited = True
+            self.abort()
+            return
+        self.last_byte_at = self._clock.monotonic()
+        if not self.headers_done:
+            self._head_size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(
+                AnswerMalformed(
+                    f"the answer breaks HTTP ({error!r})",
+                    "report the target to its owner",
+                )
+            )
+            return
+        if not self.headers_done and self._head_size > self._head_limit:
+            self._fail(
+                AnswerMalformed(
+                    f"the answer's head exceeds {self._head_limit} bytes",
+                    "raise head_limit_kb in [targets], or report the "
+                    "target to its owner",
+                )
+            )
+            return
+        if self._buffered > self._buffer_limit and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        if not self.in_exchange or self.complete:
+            return
+        if exc is None and self.headers_done and self._ends_with_connection:
+            self.complete = True
+            self._wake()
+            return
+        self._fail(
+            TargetBroken(
+                "the target closed the connection before its answer was "
+                f"whole ({exc!r})",
+                "try again if the call is idempotent",
+            )
+        )
+
+    # Called by the parser.
+
+    def on_message_begin(self) -> None:
+        if self.complete:
+            self.unsolicited = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.complete:
+            self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        if self.complete:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            self.headers = []
+            return
+        self.status = status
+        self._check_echo()
+        names = {name for name, _ in self.headers}
+        framed = b"content-length" in names or b"transfer-encoding" in names
+        self._ends_with_connection = (
+            not framed and status not in _BODILESS_STATUSES
+        )
+        self.headers_done = True
+        if self._bodiless:
+            self.complete = True
+
+    def on_body(self, body: bytes) -> None:
+        if self.complete:
+            self.unsolicited = True
+            return
+        self._chunks.append(body)
+        self._buffered += len(body)
+
+    def on_message_complete(self) -> None:
+        if self.headers_done:
+            self.complete = True
+
+    def _check_echo(self) -> None:
+        for name, value in self.headers:
+            if name == REQUEST_ID_HEADER and value != self._attempt:
+                self._fail(
+                    CrossedAnswer(
+                        "the answer carries another request's id",
+                        "report the target to its owner",
+                    )
+                )
+                return
+
+    def _fail(self, error: TargetError) -> None:
+        if self._error is None:
+            self._error = error
+        self._wake()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _wake(self) -> None:
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
--- /dev/null
+++ b/dotterelbridge/targets/errors.py
@@ -0,0 +1,15 @@
+"""Errors of exchanges with targets, beside those of the root module."""
+
+from dotterelbridge.errors import TargetBroken
+
+
+class TargetSilent(TargetBroken):
+    """The connection carried no byte for longer than its limit."""
+
+
+class CrossedAnswer(TargetBroken):
+    """The answer carries the id of another request."""
+
+
+class AnswerMalformed(TargetBroken):
+    """The answer breaks HTTP or its size limits."""
--- /dev/null
+++ b/dotterelbridge/targets/settings.py
@@ -0,0 +1,29 @@
+"""Settings of the connections to targets."""
+
+from typing import Annotated
+
+import msgspec
+
+from dotterelbridge.settings_schema import Section
+
+_Positive = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class TargetsSettings(Section, frozen=True, kw_only=True):
+    """Section ``[targets]``."""
+
+    connect_timeout_ms: _Positive = 1000
+    first_byte_limit_ms: _Positive = 30000
+    """Silence before the first byte of an answer that ends the exchange."""
+    silence_limit_ms: _Positive = 5000
+    """Silence within an answer that ends the exchange."""
+    idle_limit_ms: _Positive = 30000
+    """Age at which an unused connection is closed."""
+    connections_limit: _Positive = 512
+    """Open connections to one target."""
+    idle_connections_limit: _Positive = 32
+    """Unused connections kept to one target."""
+    head_limit_kb: _Positive = 64
+    """Size of an answer's status line and headers."""
+    buffer_limit_kb: _Positive = 128
+    """Body bytes held for a caller that reads slowly."""
--- /dev/null
+++ b/tests/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of routing."""
--- /dev/null
+++ b/tests/serving/fakes.py
@@ -0,0 +1,441 @@
+"""Fakes at the interfaces of serving: targets, membership, sheet, claims.
+
+A fake target speaks real HTTP over a socket; what it does with each
+request is a coroutine that the test gives.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import random
+
+import anyio
+
+from dotterelbridge.claims.service import ClaimReply
+from dotterelbridge.claims.service import ClaimService
+from dotterelbridge.claims.service import ClaimState
+from dotterelbridge.clock import SystemClock
+from dotterelbridge.ids import Business
+from dotterelbridge.ids import FailureDomain
+from dotterelbridge.ids import ItemKind
+from dotterelbridge.ids import ItemName
+from dotterelbridge.ids import Region
+from dotterelbridge.ids import Revision
+from dotterelbridge.ids import SheetNumber
+from dotterelbridge.ids import TargetId
+from dotterelbridge.membership.view import MembershipView
+from dotterelbridge.membership.view import MemberState
+from dotterelbridge.membership.view import TargetInfo
+from dotterelbridge.membership.view import TargetKind
+from dotterelbridge.membership.view import TargetView
+from dotterelbridge.routing.router import create_router
+from dotterelbridge.routing.settings import RoutingSettings
+from dotterelbridge.serving.callers import create_caller_app
+from dotterelbridge.serving.listener import create_caller_listener
+from dotterelbridge.serving.settings import ServingSettings
+from dotterelbridge.sheet.rows import SheetRevision
+from dotterelbridge.sheet.rows import SheetRow
+from dotterelbridge.sheet.source import SheetSource
+from dotterelbridge.targets.settings import TargetsSettings
+
+DOMAIN = FailureDomain("dublin-1")
+REGION = Region("dublin")
+BUSINESS = Business("liffeyside")
+
+
+@dataclasses.dataclass
+class Received:
+    """One request as a fake target got it."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    @property
+    def offset(self) -> int:
+        """Tokens to leave out of the stream."""
+        return int(self.headers.get("x-resume-offset", "0"))
+
+    async def answer(
+        self,
+        body: bytes,
+        status: int = 200,
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        """Send a whole answer."""
+        fields = {"content-type": "application/json"} | (headers or {})
+        fields["content-length"] = str(len(body))
+        await self.send_head(status, fields)
+        await self.send(body)
+
+    async def start_stream(self, headers: dict[str, str] | None = None):
+        """Send the head of an event stream."""
+        fields = {
+            "content-type": "text/event-stream",
+            "transfer-encoding": "chunked",
+        }
+        await self.send_head(200, fields | (headers or {}))
+
+    async def send_head(self, status: int, fields: dict[str, str]) -> None:
+        echo = {"x-request-id": self.headers["x-request-id"]}
+        lines = [f"HTTP/1.1 {status} Status"]
+        lines += [f"{k}: {v}" for k, v in (echo | fields).items()]
+        await self.send("\r\n".join([*lines, "", ""]).encode())
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Send one HTTP chunk; empty for the last."""
+        await self.send(b"%x\r\n%b\r\n" % (len(data), data))
+
+    async def send_tokens(self, first: int, end: int) -> None:
+        """Send the events of tokens ``first`` to ``end``, exclusive."""
+        for number in range(first, end):
+            await self.send_chunk(token_event(number))
+
+    async def finish_stream(self) -> None:
+        """Send the closing event and the end of the body."""
+        await self.send_chunk(b"data: [DONE]\n\n")
+        await self.send_chunk(b"")
+
+    async def send(self, data: bytes) -> None:
+        self.writer.write(data)
+        await self.writer.drain()
+
+    def reset(self) -> None:
+        """Break the connection."""
+        self.writer.transport.abort()
+
+    async def wait_closed(self) -> None:
+        """Return when the other side closed the connection."""
+        with contextlib.suppress(ConnectionError):
+            while await self.reader.read(65536):
+                pass
+
+
+def token_event(number: int) -> bytes:
+    """Return the event that carries one token."""
+    return b'data: {"choices":[{"delta":{"content":"t%d "}}]}\n\n' % number
+
+
+def stream_body(tokens: int) -> bytes:
+    """Return the whole stream that a caller should get."""
+    events = b"".join(token_event(number) for number in range(tokens))
+    return events + b"data: [DONE]\n\n"
+
+
+Behaviour = Callable[[Received], Awaitable[None]]
+
+
+def stream_tokens(count: int) -> Behaviour:
+    """Return a behaviour that streams ``count`` tokens."""
+
+    async def behave(received: Received) -> None:
+        await received.start_stream()
+        await received.send_tokens(received.offset, count)
+        await received.finish_stream()
+
+    return behave
+
+
+def break_after(delivered: int, count: int) -> Behaviour:
+    """Return a behaviour that resets the connection in mid-stream."""
+
+    async def behave(received: Received) -> None:
+        await received.start_stream()
+        end = min(count, received.offset + delivered)
+        await received.send_tokens(received.offset, end)
+        received.writer.close()
+
+    return behave
+
+
+class FakeTarget:
+    """A target on a port of its own."""
+
+    def __init__(self, name: str, behaviour: Behaviour) -> None:
+        self.name = TargetId(name)
+        self.behaviour = behaviour
+        self.received: list[Received] = []
+        self.connections = 0
+        self.port = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections += 1
+        with contextlib.suppress(ConnectionError):
+            while True:
+                received = await _read_request(reader, writer)
+                if received is None:
+                    break
+                self.received.append(received)
+                await self.behaviour(received)
+        writer.close()
+
+
+async def _read_request(reader, writer) -> Received | None:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    line, *fields = head.decode("latin-1").rstrip().split("\r\n")
+    method, path, _ = line.split(" ")
+    headers = dict(field.split(": ", 1) for field in fields)
+    length = int(headers.get("content-length", "0"))
+    body = await reader.readexactly(length)
+    return Received(method, path, headers, body, reader, writer)
+
+
+class FakeMembership(MembershipView):
+    """Targets as the test sets them."""
+
+    def __init__(self) -> None:
+        self._views: dict[TargetId, TargetView] = {}
+        self._callbacks: list[Callable[[], None]] = []
+
+    def targets(self) -> dict[TargetId, TargetView]:
+        return self._views
+
+    def vm_state(self, vm) -> MemberState:
+        return MemberState.LIVE
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        self._callbacks.append(callback)
+
+    def set(self, view: TargetView) -> None:
+        """Replace one target's view."""
+        self._views = self._views | {view.info.target: view}
+        for callback in self._callbacks:
+            callback()
+
+
+class FakeSheet(SheetSource):
+    """One fixed sheet."""
+
+    def __init__(self, rows: tuple[SheetRow, ...]) -> None:
+        self._revision = SheetRevision(
+            revision=Revision(1),
+            number=SheetNumber(1),
+            digest="",
+            rows=rows,
+        )
+
+    def current(self) -> SheetRevision:
+        return self._revision
+
+    def subscribe(self, callback) -> None:
+        pass
+
+
+class FakeClaims(ClaimService):
+    """Claims in a dict; the states are those of the interface."""
+
+    def __init__(self) -> None:
+        self.claims: dict = {}
+        self.begin_error: Exception | None = None
+        self.begins = 0
+
+    async def begin(self, business, key, digest, attempt) -> ClaimReply:
+        self.begins += 1
+        if self.begin_error is not None:
+            raise self.begin_error
+        held = self.claims.get((business, key))
+        if held is None:
+            self.claims[(business, key)] = (
+                digest,
+                ClaimReply(state=ClaimState.IN_PROGRESS),
+            )
+            return ClaimReply(state=ClaimState.GRANTED)
+        if held[0] != digest:
+            return ClaimReply(state=ClaimState.MISMATCH)
+        return held[1]
+
+    async def record(self, business, key, attempt, answer) -> None:
+        self._settle(
+            business,
+            key,
+            ClaimReply(state=ClaimState.RECORDED, answer=answer),
+        )
+
+    async def release(self, business, key, attempt) -> None:
+        self.claims.pop((business, key), None)
+
+    async def abandon(self, business, key, attempt) -> None:
+        self._settle(business, key, ClaimReply(state=ClaimState.UNKNOWN))
+
+    def _settle(self, business, key, reply: ClaimReply) -> None:
+        digest, _ = self.claims[(business, key)]
+        self.claims[(business, key)] = (digest, reply)
+
+
+def model_row(name: str = "quote", **fields) -> SheetRow:
+    """Return a row of a model."""
+    defaults = {
+        "kind": ItemKind.MODEL,
+        "business": BUSINESS,
+        "name": ItemName(name),
+        "version": "1",
+        "memory_mb": 1000,
+        "deadline_ms": 5000,
+    }
+    return SheetRow(**(defaults | fields))
+
+
+def service_row(name: str = "booking", **fields) -> SheetRow:
+    """Return a row of a plain service."""
+    defaults = {"kind": ItemKind.SERVICE, "memory_mb": 0}
+    return model_row(name, **(defaults | fields))
+
+
+def engine_view(
+    name: str,
+    port: int,
+    items: tuple[str, ...] = ("quote@1",),
+    state: MemberState = MemberState.LIVE,
+    domain: str = DOMAIN,
+    region: str = REGION,
+    **fields,
+) -> TargetView:
+    """Return the view of an engine on the loopback address."""
+    info = TargetInfo(
+        target=TargetId(name),
+        kind=TargetKind.ENGINE,
+        business=BUSINESS,
+        failure_domain=FailureDomain(domain),
+        region=Region(region),
+        host="127.0.0.1",
+        port=port,
+    )
+    return TargetView(
+        info=info,
+        state=state,
+        ready_items=frozenset(ItemName(item) for item in items),
+        **fields,
+    )
+
+
+def service_view(name: str, port: int, service: str = "booking") -> TargetView:
+    """Return the view of a plain service on the loopback address."""
+    info = TargetInfo(
+        target=TargetId(name),
+        kind=TargetKind.SERVICE,
+        business=BUSINESS,
+        failure_domain=DOMAIN,
+        region=REGION,
+        host="127.0.0.1",
+        port=port,
+        service=ItemName(service),
+    )
+    return TargetView(info=info, state=MemberState.LIVE)
+
+
+@dataclasses.dataclass
+class World:
+    """One VM's serving side, with fakes around it."""
+
+    membership: FakeMembership
+    router: object
+    app: object
+    listener: object
+    claims: FakeClaims
+    clock: object
+    targets: dict[str, FakeTarget]
+
+    @property
+    def port(self) -> int:
+        """Port of the callers' listener."""
+        return self.listener.port
+
+    async def add_engine(self, name: str, behaviour: Behaviour, **fields):
+        """Start a fake engine and make it known."""
+        target = await self._start(name, behaviour)
+        self.membership.set(engine_view(name, target.port, **fields))
+        return target
+
+    async def add_service(self, name: str, behaviour: Behaviour):
+        """Start a fake service and make it known."""
+        target = await self._start(name, behaviour)
+        self.membership.set(service_view(name, target.port))
+        return target
+
+    async def _start(self, name: str, behaviour: Behaviour) -> FakeTarget:
+        target = FakeTarget(name, behaviour)
+        await target.start()
+        self.targets[name] = target
+        return target
+
+
+@contextlib.asynccontextmanager
+async def run_world(
+    rows: tuple[SheetRow, ...] = (),
+    routing: RoutingSettings | None = None,
+    serving: ServingSettings | None = None,
+    targets: TargetsSettings | None = None,
+    seed: int = 1,
+):
+    """Run the serving side over sockets, on the system's clock."""
+    clock = SystemClock()
+    rng = random.Random(seed)
+    routing = routing or RoutingSettings()
+    serving = serving or ServingSettings(port=0, balancer_lead_s=0)
+    membership = FakeMembership()
+    sheet = FakeSheet(rows or (model_row(), service_row()))
+    router = create_router(
+        membership,
+        sheet,
+        clock,
+        routing,
+        rng,
+        targets or TargetsSettings(),
+        DOMAIN,
+        REGION,
+    )
+    claims = FakeClaims()
+    app = create_caller_app(router, claims, clock, serving, routing, rng)
+    listener = create_caller_listener(app, serving, clock)
+    world = World(membership, router, app, listener, claims, clock, {})
+    async with anyio.create_task_group() as group:
+        group.start_soon(router.run)
+        group.start_soon(listener.run)
+        try:
+            yield world
+        finally:
+            with anyio.move_on_after(5, shield=True):
+                await listener.drain()
+            group.cancel_scope.cancel()
+            for target in world.targets.values():
+                await target.stop()
+
+
+async def wait_until(condition: Callable[[], bool], limit_s: float = 20):
+    """Poll until the condition holds; fail after a generous limit."""
+    with anyio.fail_after(limit_s):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+def run_async(test):
+    """Run a coroutine test on asyncio."""
+
+    def run(*args, **kwargs):
+        async def call():
+            with anyio.fail_after(60):
+                await test(*args, **kwargs)
+
+        anyio.run(call)
+
+    run.__name__ = test.__name__
+    run.__doc__ = test.__doc__
+    return run
