--- /dev/null
+++ b/standins/log.py
@@ -0,0 +1,128 @@
+"""A replicated log without replication, for tests of state machines.
+
+All members share one list of commands. A test decides when answers are
+lost, when there is no majority and which members lag behind.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+import random
+
+import anyio.lowlevel
+
+from dotterelbridge.errors import CommitUnknown
+from dotterelbridge.errors import NotCommitted
+from dotterelbridge.ids import LogIndex
+from dotterelbridge.ids import VmId
+from dotterelbridge.replication.log import ReplicatedLog
+from dotterelbridge.replication.log import StateMachine
+
+_RETRY = "ask again"
+
+
+class SharedLog:
+    """The commands that the members agree on."""
+
+    def __init__(self, seed: int = 0) -> None:
+        self.entries: list[tuple[str, bytes]] = []
+        self.members: dict[VmId, LogMember] = {}
+        self.has_majority = True
+        self.lost_answers = 0.0
+        """Share of committed commands whose answer is lost."""
+        self.refusals = 0.0
+        """Share of commands that are refused as not committed."""
+        self.repetitions = 0.0
+        """Share of commands that are committed once more, later."""
+        self._random = random.Random(seed)
+        self._delayed: list[tuple[str, bytes]] = []
+
+    def add_member(self, vm: VmId) -> "LogMember":
+        """Return a member that has applied nothing yet."""
+        member = LogMember(self, vm)
+        self.members[vm] = member
+        return member
+
+    def commit(self, machine: str, command: bytes) -> int:
+        """Append a command and apply it where nothing lags."""
+        self.entries.append((machine, command))
+        if self._random.random() < self.repetitions:
+            self._delayed.append((machine, command))
+        self.apply_everywhere()
+        return len(self.entries)
+
+    def commit_repetitions(self) -> None:
+        """Commit the delayed repetitions in a random order."""
+        self._random.shuffle(self._delayed)
+        delayed, self._delayed = self._delayed, []
+        for entry in delayed:
+            self.entries.append(entry)
+        self.apply_everywhere()
+
+    def apply_everywhere(self) -> None:
+        """Bring all members up to date that do not lag."""
+        for member in self.members.values():
+            if not member.lagging:
+                member.catch_up()
+
+    def draw(self, share: float) -> bool:
+        """Return True for the given share of the calls."""
+        return self._random.random() < share
+
+
+class LogMember(ReplicatedLog):
+    """One VM's view of the shared log."""
+
+    def __init__(self, shared: SharedLog, vm: VmId) -> None:
+        self._shared = shared
+        self._vm = vm
+        self._machines: dict[str, StateMachine] = {}
+        self._results: dict[int, bytes] = {}
+        self.applied = 0
+        self.lagging = False
+        self.before_answer: Callable[[], None] = lambda: None
+        """Runs after a commit, before the proposer gets its answer."""
+
+    def add_machine(self, name: str, machine: StateMachine) -> None:
+        self._machines[name] = machine
+
+    def leader(self) -> VmId | None:
+        return self._vm if self._shared.has_majority else None
+
+    async def propose(
+        self, machine: str, command: bytes, timeout: timedelta
+    ) -> bytes:
+        await anyio.lowlevel.checkpoint()
+        shared = self._shared
+        if not shared.has_majority or shared.draw(shared.refusals):
+            raise NotCommitted("there is no majority", _RETRY)
+        index = shared.commit(machine, command)
+        self.before_answer()
+        if shared.draw(shared.lost_answers):
+            raise CommitUnknown("the answer was lost", _RETRY)
+        self.catch_up()
+        return self._results[index]
+
+    async def read_barrier(self, timeout: timedelta) -> LogIndex:
+        await anyio.lowlevel.checkpoint()
+        if not self._shared.has_majority:
+            raise NotCommitted("there is no majority", _RETRY)
+        self.catch_up()
+        return LogIndex(self.applied)
+
+    def catch_up(self) -> None:
+        """Apply every committed command."""
+        entries = self._shared.entries
+        while self.applied < len(entries):
+            name, command = entries[self.applied]
+            self.applied += 1
+            machine = self._machines.get(name)
+            if machine is not None:
+                self._results[self.applied] = machine.apply(
+                    LogIndex(self.applied), command
+                )
+
+    def restore_from(self, other: "LogMember") -> None:
+        """Take the other member's snapshots, as after falling behind."""
+        for name, machine in self._machines.items():
+            machine.restore_snapshot(other._machines[name].take_snapshot())
+        self.applied = other.applied
