--- /dev/null
+++ b/dotterelbridge/sheet/storage.py
@@ -0,0 +1,102 @@
+"""Keeps the sheet in force across restarts of a VM with a data folder."""
+
+import abc
+import os
+from pathlib import Path
+import zlib
+
+import msgspec
+
+from dotterelbridge.errors import StorageError
+from dotterelbridge.sheet.rows import EMPTY_SHEET
+from dotterelbridge.sheet.rows import SheetRevision
+
+FILE_NAME = "sheet-in-force"
+_CHECKSUM_BYTES = 4
+_decoder = msgspec.msgpack.Decoder(SheetRevision)
+
+
+class SheetStorage(abc.ABC):
+    """Where the sheet in force is kept."""
+
+    @abc.abstractmethod
+    def load(self) -> SheetRevision:
+        """Return the kept sheet; EMPTY_SHEET when there is none.
+
+        :raises StorageError: what is kept is damaged.
+        """
+
+    @abc.abstractmethod
+    def save(self, sheet: SheetRevision) -> None:
+        """Keep the sheet; it is synced to disk on return.
+
+        :raises StorageError: it could not be written.
+        """
+
+
+class NoStorage(SheetStorage):
+    """For VMs without a disk: nothing is kept."""
+
+    def load(self) -> SheetRevision:
+        return EMPTY_SHEET
+
+    def save(self, sheet: SheetRevision) -> None:
+        return
+
+
+class FileStorage(SheetStorage):
+    """One checksummed file, replaced as a whole."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._path = folder / FILE_NAME
+
+    def load(self) -> SheetRevision:
+        try:
+            content = self._path.read_bytes()
+        except FileNotFoundError:
+            return EMPTY_SHEET
+        except OSError as error:
+            raise self._describe(f"cannot be read ({error})") from error
+        checksum = int.from_bytes(content[:_CHECKSUM_BYTES], "big")
+        encoded = content[_CHECKSUM_BYTES:]
+        if zlib.crc32(encoded) != checksum or not encoded:
+            raise self._describe("is damaged")
+        try:
+            return _decoder.decode(encoded)
+        except msgspec.MsgspecError as error:
+            raise self._describe(f"is damaged ({error})") from error
+
+    def save(self, sheet: SheetRevision) -> None:
+        encoded = msgspec.msgpack.encode(sheet)
+        checksum = zlib.crc32(encoded).to_bytes(_CHECKSUM_BYTES, "big")
+        try:
+            self._replace(checksum + encoded)
+        except OSError as error:
+            raise self._describe(f"cannot be written ({error})") from error
+
+    def _replace(self, content: bytes) -> None:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        temporary = self._path.with_suffix(".new")
+        with open(temporary, "wb") as file:
+            file.write(content)
+            file.flush()
+            os.fsync(file.fileno())
+        temporary.replace(self._path)
+        folder = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def _describe(self, problem: str) -> StorageError:
+        return StorageError(
+            f"{self._path} {problem}",
+            "check the disk; to give up the kept sheet, delete the file: "
+            "the VM then starts without a sheet and gets it from others",
+        )
+
+
+def create_sheet_storage(folder: Path | None) -> SheetStorage:
+    """Return the storage of a data folder, or none without a folder."""
+    return NoStorage() if folder is None else FileStorage(folder)
