Spread the sheet along a tree in each failure domain

A VM polls one source; the source holds the poll until it has news, so a revision travels at once and a silent source shows within 1.5 s. In each failure domain the VMs form a tree of a bounded fan-out below one VM that is fed from another domain. Sources are strictly ordered, so they form no ring. VMs with a data folder keep the sheet in force.

A first try let VMs of later position become regular sources; two VMs then fed each other for 5 s after their relay went silent, until their time without contact passed its limit. They now only give their sheet. Another try asked all sources at once for each choice; VMs in late positions ask the holders of the log less often now, because without a majority all VMs look for sources at the same time.

--- a/dotterelbridge/sheet/feed.py
+++ b/dotterelbridge/sheet/feed.py
@@ -17,7 +17,7 @@
 from dotterelbridge.sheet.rows import SheetRevision
 from dotterelbridge.sheet.settings import SheetSettings
 
-_UNKNOWN_CONTACT_MS = 86_400_000
+UNKNOWN_CONTACT_MS = 86_400_000
 
 
 class Contact:
@@ -36,9 +36,9 @@
     def detached_ms(self) -> int:
         """Return the time since the last contact."""
         if self._at is None:
-            return _UNKNOWN_CONTACT_MS
+            return UNKNOWN_CONTACT_MS
         elapsed = self._clock.monotonic() - self._at
-        return min(_UNKNOWN_CONTACT_MS, int(elapsed * 1000))
+        return min(UNKNOWN_CONTACT_MS, int(elapsed * 1000))
 
 
 class SheetFeed:
--- a/dotterelbridge/sheet/follower.py
+++ b/dotterelbridge/sheet/follower.py
@@ -1,6 +1,6 @@
 """Keeps a VM up to date with the sheet that other VMs hold."""
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 from datetime import timedelta
 
 import anyio
@@ -105,49 +105,60 @@
         news = await self._poll(source, self._hold)
         if news is None:
             events.log(_log, SheetEvent.SOURCE_SILENT, source=source)
-            self._source = None
-        elif news.detached_ms > self._settings.detached_limit_ms:
-            self._source = None
+            await self._survey(silent=source)
+        elif not self._is_attached(news):
+            await self._survey()
 
-    async def _survey(self) -> None:
-        """Ask the sources at the same time and choose among them."""
+    async def _survey(self, silent: VmId | None = None) -> None:
+        """Choose the most preferred source that has contact to the log.
+
+        :param silent: a source that did not answer just before.
+        """
         self._surveyed_at = self._clock.monotonic()
-        answers = await self._ask_all(self._list_connected())
-        limit = self._settings.detached_limit_ms
-        attached = [
-            vm
-            for vm in self._sources.regular + self._sources.last_resorts
-            if vm in answers and answers[vm].detached_ms <= limit
-        ]
         previous = self._source
-        self._source = attached[0] if attached else None
-        if self._source is None and answers:
+        near = [vm for vm in self._sources.near if vm != silent]
+        found = await self._find_attached(near)
+        if found is None and self._is_holders_turn():
+            holders = [vm for vm in self._sources.holders if vm != silent]
+            found = await self._find_attached(holders)
+            if found is None:
+                self._defer_holders()
+        if found is None:
+            await self._ask_all(self._sources.last_resorts)
+        self._source = found
+        if found != previous:
+            self._log_change()
+
+    def _log_change(self) -> None:
+        if self._source is None:
             events.log(_log, SheetEvent.SOURCES_EXHAUSTED)
-        elif self._source != previous:
+        else:
             events.log(_log, SheetEvent.SOURCE_CHANGED, source=self._source)
 
-    def _list_connected(self) -> list[VmId]:
-        asked = self._sources.near + self._sources.last_resorts
-        if self._is_holders_turn():
-            asked = asked + self._sources.holders
-        return [vm for vm in asked if self._network.connected(vm)]
+    def _is_attached(self, news: SheetNews) -> bool:
+        return news.detached_ms <= self._settings.detached_limit_ms
+
+    async def _find_attached(self, sources: Sequence[VmId]) -> VmId | None:
+        answers = await self._ask_all(sources)
+        for source in sources:
+            if source in answers and self._is_attached(answers[source]):
+                return source
+        return None
 
     def _is_holders_turn(self) -> bool:
-        """Return whether to ask the holders of the log as well.
+        return self._clock.monotonic() >= self._holders_due_at
 
-        A later position asks less often: when the log has lost its
-        majority, all VMs look for sources at the same time.
+    def _defer_holders(self) -> None:
+        """Ask the holders again later, the more so in a late position.
+
+        When the log has lost its majority, all VMs look for sources at
+        the same time; the holders have to bear it.
         """
-        now = self._clock.monotonic()
-        if now < self._holders_due_at:
-            return False
-        position_factor = 1 + self._sources.position
-        self._holders_due_at = now + (
-            position_factor * self._hold.total_seconds()
-        )
-        return True
+        factor = 1 + self._sources.position
+        wait = factor * self._hold.total_seconds()
+        self._holders_due_at = self._clock.monotonic() + wait
 
-    async def _ask_all(self, sources: Iterable[VmId]) -> dict[VmId, SheetNews]:
+    async def _ask_all(self, sources: Sequence[VmId]) -> dict[VmId, SheetNews]:
         answers: dict[VmId, SheetNews] = {}
 
         async def ask(source: VmId) -> None:
@@ -157,7 +168,8 @@
 
         async with anyio.create_task_group() as group:
             for source in sources:
-                group.start_soon(ask, source)
+                if self._network.connected(source):
+                    group.start_soon(ask, source)
         return answers
 
     async def _poll(self, source: VmId, hold: timedelta) -> SheetNews | None:
--- a/dotterelbridge/sheet/force.py
+++ b/dotterelbridge/sheet/force.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable
 
 import anyio
-import anyio.to_thread
 import structlog
 
 from dotterelbridge import events
@@ -123,7 +122,7 @@
 
     async def _save(self, sheet: SheetRevision) -> None:
         try:
-            await anyio.to_thread.run_sync(self._storage.save, sheet)
+            await self._storage.save(sheet)
         except StorageError as error:
             events.log(_log, SheetEvent.SHEET_NOT_SAVED, error=str(error))
             raise
--- a/dotterelbridge/sheet/messages.py
+++ b/dotterelbridge/sheet/messages.py
@@ -2,6 +2,8 @@
 
 import enum
 
+import msgspec
+
 from dotterelbridge.ids import FailureDomain
 from dotterelbridge.ids import Revision
 from dotterelbridge.ids import SheetNumber
@@ -23,7 +25,7 @@
     """Longest time to wait for news before an empty answer."""
 
 
-class PackedSheet(Message):
+class PackedSheet(msgspec.Struct, frozen=True, kw_only=True):
     """A whole sheet with its rows compressed."""
 
     revision: Revision
@@ -58,7 +60,8 @@
     """A submission forwarded to a VM that holds the log."""
 
     number: SheetNumber
-    content: bytes
+    content_packed: bytes
+    """The CSV, compressed with zlib."""
     timeout_ms: int
 
 
@@ -72,7 +75,7 @@
     faults: tuple[SheetFault, ...] = ()
 
 
-class VmSheetStatus(Message):
+class VmSheetStatus(msgspec.Struct, frozen=True, kw_only=True):
     """The sheet in force on one VM."""
 
     vm: VmId
--- a/dotterelbridge/sheet/settings.py
+++ b/dotterelbridge/sheet/settings.py
@@ -20,7 +20,7 @@
     """Longest time that a source holds a poll without news."""
     poll_grace_ms: Annotated[int, msgspec.Meta(ge=50)] = 500
     """Time past the hold after which a silent source is replaced."""
-    detached_limit_ms: Annotated[int, msgspec.Meta(ge=100)] = 4000
+    detached_limit_ms: Annotated[int, msgspec.Meta(ge=100)] = 6000
     """A source this long without contact to the log is left for another."""
     preferred_retry_ms: Annotated[int, msgspec.Meta(ge=100)] = 10_000
     """Time after which a VM returns to the sources that it prefers."""
--- a/dotterelbridge/sheet/storage.py
+++ b/dotterelbridge/sheet/storage.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 import zlib
 
+import anyio.to_thread
 import msgspec
 
 from dotterelbridge.errors import StorageError
@@ -27,7 +28,7 @@
         """
 
     @abc.abstractmethod
-    def save(self, sheet: SheetRevision) -> None:
+    async def save(self, sheet: SheetRevision) -> None:
         """Keep the sheet; it is synced to disk on return.
 
         :raises StorageError: it could not be written.
@@ -40,7 +41,7 @@
     def load(self) -> SheetRevision:
         return EMPTY_SHEET
 
-    def save(self, sheet: SheetRevision) -> None:
+    async def save(self, sheet: SheetRevision) -> None:
         return
 
 
@@ -67,7 +68,10 @@
         except msgspec.MsgspecError as error:
             raise self._describe(f"is damaged ({error})") from error
 
-    def save(self, sheet: SheetRevision) -> None:
+    async def save(self, sheet: SheetRevision) -> None:
+        await anyio.to_thread.run_sync(self._write, sheet)
+
+    def _write(self, sheet: SheetRevision) -> None:
         encoded = msgspec.msgpack.encode(sheet)
         checksum = zlib.crc32(encoded).to_bytes(_CHECKSUM_BYTES, "big")
         try:
--- a/dotterelbridge/sheet/store.py
+++ b/dotterelbridge/sheet/store.py
@@ -20,6 +20,7 @@
 from dotterelbridge.sheet.aggregate import Sheet
 from dotterelbridge.sheet.aggregate import SubmitOutcome
 from dotterelbridge.sheet.delta import SheetDelta
+from dotterelbridge.sheet.feed import UNKNOWN_CONTACT_MS
 from dotterelbridge.sheet.feed import Contact
 from dotterelbridge.sheet.feed import SheetFeed
 from dotterelbridge.sheet.follower import SheetFollower
@@ -175,6 +176,9 @@
     def _detached_ms(self) -> int:
         if self._holds_log and self._replicated.leader() is not None:
             self._contact.confirm(0)
+        if not self._holds_log and self._follower.source is None:
+            # VMs fed by this one look elsewhere at once.
+            return UNKNOWN_CONTACT_MS
         return self._contact.detached_ms()
 
 
--- a/dotterelbridge/sheet/submission.py
+++ b/dotterelbridge/sheet/submission.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from datetime import timedelta
 import hashlib
+import zlib
 
 import structlog
 
@@ -29,6 +30,7 @@
 from dotterelbridge.sheet.messages import SheetSubmission
 from dotterelbridge.sheet.messages import SheetSubmitted
 from dotterelbridge.sheet.messages import SubmitFailure
+from dotterelbridge.sheet.parser import BYTES_PER_MB
 from dotterelbridge.sheet.parser import KnownNames
 from dotterelbridge.sheet.parser import SheetFaulty
 from dotterelbridge.sheet.parser import parse_sheet
@@ -105,10 +107,9 @@
     ) -> SheetSubmitted:
         """Answer a submission that a VM without the log forwarded."""
         timeout = timedelta(milliseconds=submission.timeout_ms)
+        content = self._unpack(submission)
         try:
-            outcome = await self.submit(
-                submission.number, submission.content, timeout
-            )
+            outcome = await self.submit(submission.number, content, timeout)
         except SheetFaulty as error:
             return SheetSubmitted(
                 failure=SubmitFailure.FAULTY, faults=tuple(error.faults)
@@ -123,6 +124,13 @@
             )
         return SheetSubmitted(outcome=outcome)
 
+    def _unpack(self, submission: SheetSubmission) -> bytes:
+        """Return the CSV; cut off just past the limit, which is a fault."""
+        limit = self._settings.size_limit_mb * BYTES_PER_MB
+        return zlib.decompressobj().decompress(
+            submission.content_packed, limit + 1
+        )
+
     async def _commit(
         self,
         number: SheetNumber,
@@ -197,7 +205,9 @@
     ) -> SheetSubmitted:
         left = max(0.0, deadline - self._clock.monotonic())
         submission = SheetSubmission(
-            number=number, content=content, timeout_ms=int(left * 1000)
+            number=number,
+            content_packed=zlib.compress(content),
+            timeout_ms=int(left * 1000),
         )
         timeout = timedelta(seconds=left) + FORWARD_GRACE
         return await self._network.request(holder, submission, timeout)
--- /dev/null
+++ b/tests/sheet_cluster.py
@@ -0,0 +1,161 @@
+"""Sheet stores of several VMs over the in-memory network and log."""
+
+from pathlib import Path
+
+import anyio
+
+from dotterelbridge.ids import Business
+from dotterelbridge.ids import FailureDomain
+from dotterelbridge.ids import Region
+from dotterelbridge.ids import Revision
+from dotterelbridge.ids import SheetNumber
+from dotterelbridge.ids import VmId
+from dotterelbridge.membership.view import VmInfo
+from dotterelbridge.sheet.parser import COLUMNS
+from dotterelbridge.sheet.parser import KnownNames
+from dotterelbridge.sheet.settings import SheetSettings
+from dotterelbridge.sheet.store import SheetStore
+from dotterelbridge.sheet.store import create_sheet_store
+from standins.log import SharedLog
+from standins.network import create_standin_network
+from standins.virtual_time import LoopClock
+from standins.virtual_time import run_in_virtual_time
+
+GENEROUS_S = 120
+
+
+def make_csv(*names: str, version: int = 1) -> bytes:
+    """Return a sheet with a model of each name."""
+    lines = [
+        f"model,liffeyside,{name},{version},,100,,,,dublin,yes"
+        for name in names
+    ]
+    return "\n".join((",".join(COLUMNS), *lines)).encode()
+
+
+def make_vms(domains: dict[str, int]) -> list[VmInfo]:
+    """Return VMs DOMAIN-N for each failure domain."""
+    return [
+        VmInfo(
+            vm=VmId(f"{domain}-{number}"),
+            business=Business("liffeyside"),
+            failure_domain=FailureDomain(domain),
+            region=Region(domain),
+            host="127.0.0.1",
+            port=0,
+        )
+        for domain, count in domains.items()
+        for number in range(count)
+    ]
+
+
+class SheetCluster:
+    """Runs stores on one event loop and restarts them."""
+
+    def __init__(
+        self,
+        group: anyio.abc.TaskGroup,
+        domains: dict[str, int],
+        holders: list[str],
+        seed: int = 0,
+        settings: SheetSettings | None = None,
+        data_folder: Path | None = None,
+    ) -> None:
+        self.vms = make_vms(domains)
+        self.holders = [VmId(name) for name in holders]
+        self.network = create_standin_network(
+            [info.vm for info in self.vms], seed
+        )
+        self.log = SharedLog(seed)
+        self.stores: dict[VmId, SheetStore] = {}
+        self.seen: dict[VmId, list[Revision]] = {}
+        """Revisions that came into force in the present life of a VM."""
+        self._settings = settings or SheetSettings()
+        self._data_folder = data_folder
+        self._group = group
+        self._lives: dict[VmId, anyio.CancelScope] = {}
+
+    def start(self, *names: str) -> None:
+        """Start the named VMs; all without a name."""
+        for name in names or [info.vm for info in self.vms]:
+            self._start(VmId(name))
+
+    def stop(self, name: str) -> None:
+        """End a VM as if its process were killed."""
+        vm = VmId(name)
+        self._lives.pop(vm).cancel()
+        self.network.leave(vm)
+        self.log.members.pop(vm, None)
+        del self.stores[vm]
+
+    def revision(self, name: str) -> Revision:
+        """Return the revision in force on a VM."""
+        return self.stores[VmId(name)].current().revision
+
+    def source(self, name: str) -> VmId | None:
+        """Return the VM that feeds a VM."""
+        return self.stores[VmId(name)].dump()["source"]
+
+    async def submit(self, name: str, number: int, content: bytes):
+        """Submit a sheet at a VM."""
+        return await self.stores[VmId(name)].submit(
+            SheetNumber(number), content
+        )
+
+    async def wait_for(self, condition) -> float:
+        """Wait until the condition holds; returns the seconds it took."""
+        clock = LoopClock()
+        start = clock.monotonic()
+        with anyio.fail_after(GENEROUS_S):
+            while not condition():
+                await anyio.sleep(0.01)
+        return clock.monotonic() - start
+
+    async def wait_in_force(self, revision: int, *names: str) -> float:
+        """Wait for a revision on the named VMs; on all without a name."""
+        wanted = names or list(self.stores)
+        return await self.wait_for(
+            lambda: all(self.revision(name) >= revision for name in wanted)
+        )
+
+    def _start(self, vm: VmId) -> None:
+        peers = self.network.join(vm)
+        log = None
+        folder = None
+        if vm in self.holders:
+            log = self.log.add_member(vm)
+            folder = self._data_folder and self._data_folder / vm
+        store = create_sheet_store(
+            log,
+            peers,
+            self._settings,
+            LoopClock(),
+            KnownNames(),
+            self.vms,
+            self.holders,
+            folder,
+        )
+        seen = self.seen[vm] = []
+        store.subscribe(lambda sheet: seen.append(sheet.revision))
+        self.stores[vm] = store
+        scope = self._lives[vm] = anyio.CancelScope()
+        self._group.start_soon(self._live, store, scope)
+        if log is not None:
+            log.catch_up()
+
+    async def _live(self, store: SheetStore, scope: anyio.CancelScope):
+        with scope:
+            await store.run()
+
+
+def run_cluster(scenario, *arguments, **options) -> None:
+    """Run an async scenario with a cluster in virtual time."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as group:
+            cluster = SheetCluster(group, *arguments, **options)
+            await scenario(cluster)
+            group.cancel_scope.cancel()
+        await cluster.network.close()
+
+    run_in_virtual_time(run)
