--- a/dotterelbridge/membership/events.py
+++ b/dotterelbridge/membership/events.py
@@ -38,7 +38,7 @@
         5010,
         logging.WARNING,
         "The platform list could not be read; the last one stays in use. "
-        "Check [membership] platform_url.",
+        "Check [platform] list_url.",
     )
     DOMAIN_SILENT = (
         5011,
--- a/dotterelbridge/membership/platform.py
+++ b/dotterelbridge/membership/platform.py
@@ -62,13 +62,13 @@
         except (httpx.HTTPError, msgspec.MsgspecError) as error:
             raise PlatformListError(
                 f"cannot read {self._url}: {error}",
-                "check [membership] platform_url and the platform's service",
+                "check [platform] list_url and the platform's service",
             ) from error
 
     async def close(self) -> None:
         await self._client.aclose()
 
 
-def create_platform_list(url: str) -> PlatformList | None:
-    """Return the list behind a URL, or None for an empty one."""
+def create_platform_list(url: str | None) -> PlatformList | None:
+    """Return the list behind a URL, or None without one."""
     return HttpPlatformList(url) if url else None
--- a/dotterelbridge/membership/settings.py
+++ b/dotterelbridge/membership/settings.py
@@ -21,8 +21,6 @@
     digest_interval_ms: Milliseconds = 2000
     """Between hash exchanges with each other failure domain."""
     sync_timeout_ms: Milliseconds = 1000
-    platform_url: str = ""
-    """URL of the platform's member list; empty when there is none."""
     platform_interval_ms: Milliseconds = 3000
 
     @property
--- a/dotterelbridge/placement/holder.py
+++ b/dotterelbridge/placement/holder.py
@@ -21,20 +21,24 @@
 from dotterelbridge.clock import Clock
 from dotterelbridge.dump import Dumpable
 from dotterelbridge.errors import LeaseLost
+from dotterelbridge.errors import PeerError
 from dotterelbridge.errors import TargetConnectFailed
 from dotterelbridge.errors import TargetError
+from dotterelbridge.ids import FailureDomain
 from dotterelbridge.ids import FencingNumber
 from dotterelbridge.ids import ItemKind
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import OrderId
 from dotterelbridge.ids import TargetId
 from dotterelbridge.ids import Term
+from dotterelbridge.ids import VmId
 from dotterelbridge.membership.records import LoadsBody
 from dotterelbridge.membership.records import PauseBody
 from dotterelbridge.membership.service import Membership
 from dotterelbridge.membership.view import Fencing
 from dotterelbridge.membership.view import MemberState
 from dotterelbridge.membership.view import VmInfo
+from dotterelbridge.peers.messages import Message
 from dotterelbridge.peers.network import PeerNetwork
 from dotterelbridge.placement.demand import DemandSource
 from dotterelbridge.placement.events import PlacementEvent
@@ -46,6 +50,8 @@
 from dotterelbridge.placement.ledger import MemoryLedger
 from dotterelbridge.placement.ledger import OpenOrder
 from dotterelbridge.placement.ledger import key_of
+from dotterelbridge.placement.messages import PlacementState
+from dotterelbridge.placement.messages import PlacementStateRequest
 from dotterelbridge.placement.messages import RecordChange
 from dotterelbridge.placement.pacing import DomainWish
 from dotterelbridge.placement.pacing import LoadPacer
@@ -72,6 +78,7 @@
 """A planned load that found no room for so long is planned anew."""
 
 MOVES_KEPT = 50
+STATE_TIMEOUT = timedelta(seconds=2)
 INVENTORIES_AT_ONCE = 16
 
 _log = structlog.get_logger(__name__)
@@ -168,7 +175,10 @@
         self._dirty = True
         self.planning_s = 0.0
         """Time that the last plan took."""
+        self._network = network
+        self._vms = {vm.vm: vm for vm in vms}
         sheet.subscribe(self._note_sheet)
+        network.handle(PlacementStateRequest, self._handle_state_request)
 
     # What operators ask.
 
@@ -204,6 +214,19 @@
         """The sheet that placement follows."""
         return self._sheet.current()
 
+    async def fetch_states(self) -> list[PlacementState]:
+        """Return what each failure domain's holder knows, own first.
+
+        A domain that cannot be asked is left out.
+        """
+        states = [await self._fetch_own_state()]
+        domains = self._membership.domains()
+        domains.remove(self._own.failure_domain)
+        async with anyio.create_task_group() as tasks:
+            for domain in domains:
+                tasks.start_soon(self._fetch_state, domain, states)
+        return states
+
     def dump(self) -> dict[str, Any]:
         holding = self.holding
         state = {
@@ -217,7 +240,7 @@
         if holding is None:
             return state
         return state | {
-            "ledger": holding.ledger.dump(),
+            "ledger": msgspec.to_builtins(holding.ledger.describe()),
             "planned_loads": [
                 {
                     "target": intent.load.target,
@@ -869,6 +892,58 @@
         sent_at = holding.sent_at.get(order_id, float("-inf"))
         return now - sent_at >= self._settings.order_resend_s
 
+    # State for operators.
+
+    async def _fetch_own_state(self) -> PlacementState:
+        holder = self.lease.holder
+        if self.holding is not None or holder in (None, self._own.vm):
+            return self._create_state()
+        request = PlacementStateRequest(forward=False)
+        try:
+            return await self._network.request(holder, request, STATE_TIMEOUT)
+        except PeerError:
+            return PlacementState(domain=self._own.failure_domain)
+
+    async def _fetch_state(
+        self, domain: FailureDomain, states: list[PlacementState]
+    ) -> None:
+        request = PlacementStateRequest(forward=True)
+        for vm, info in sorted(self._vms.items()):
+            if info.failure_domain != domain or not self._network.connected(
+                vm
+            ):
+                continue
+            try:
+                states.append(
+                    await self._network.request(vm, request, STATE_TIMEOUT)
+                )
+            except PeerError:
+                continue
+            return
+
+    async def _handle_state_request(
+        self, sender: VmId, message: Message
+    ) -> PlacementState:
+        if message.forward:
+            return await self._fetch_own_state()
+        return self._create_state()
+
+    def _create_state(self) -> PlacementState:
+        holding = self.holding
+        domain = self._own.failure_domain
+        if holding is None:
+            return PlacementState(domain=domain, paused=self.paused)
+        last = self._moves[-1] if self._moves else None
+        return PlacementState(
+            domain=domain,
+            holder=self._own.vm,
+            paused=self.paused,
+            targets=tuple(holding.ledger.describe()),
+            unreachable=holding.plan.unreachable,
+            absent=holding.plan.absent,
+            last_move=_describe_move(last) if last else "",
+        )
+
     # Helpers.
 
     def _create_order(
@@ -924,6 +999,10 @@
         self._dirty = True
 
 
+def _describe_move(move: Move) -> str:
+    return f"{move.at} {move.action} {move.item} {move.target}: {move.reason}"
+
+
 def create_placement(
     settings: PlacementSettings,
     network: PeerNetwork,
--- a/dotterelbridge/placement/ledger.py
+++ b/dotterelbridge/placement/ledger.py
@@ -14,7 +14,6 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
-from typing import Any
 
 import msgspec
 import structlog
@@ -27,6 +26,7 @@
 from dotterelbridge.ids import TargetId
 from dotterelbridge.membership.view import Fencing
 from dotterelbridge.placement.events import PlacementEvent
+from dotterelbridge.placement.messages import TargetState
 from dotterelbridge.targets.engine import EngineItem
 from dotterelbridge.targets.engine import EngineOrder
 from dotterelbridge.targets.engine import EngineRole
@@ -186,6 +186,28 @@
         """Memory that a new load may take."""
         return self.memory_mb - self.committed_mb
 
+    def describe(self) -> TargetState:
+        """Return the account for operators."""
+        return TargetState(
+            target=self.target,
+            memory_mb=self.memory_mb,
+            committed_mb=self.committed_mb,
+            kv_mb=self.kv_mb,
+            fencing=self.fencing.value,
+            fencing_number=self.fencing_number,
+            leaving=self.leaving,
+            overfull=self.overfull,
+            loaded={
+                key: copy.state.value
+                for key, copy in sorted(self.copies.items())
+            },
+            ordered=tuple(
+                f"{order.order.action.value} {order.key}"
+                for order in self.orders.values()
+                if self.may_take_effect(order)
+            ),
+        )
+
     def expire(self, now: float) -> list[OpenOrder]:
         """Drop and return the orders that can no longer arrive."""
         gone = [o for o in self.orders.values() if now >= o.expires_at]
@@ -403,29 +425,11 @@
             for order in account.loads_in_transit()
         ]
 
-    def dump(self) -> dict[str, Any]:
-        """Return the accounts as JSON values."""
-        return {
-            str(target): {
-                "memory_mb": account.memory_mb,
-                "committed_mb": account.committed_mb,
-                "kv_mb": account.kv_mb,
-                "fencing": account.fencing.value,
-                "fencing_number": account.fencing_number,
-                "leaving": account.leaving,
-                "overfull": account.overfull,
-                "loaded": {
-                    key: copy.state.value
-                    for key, copy in sorted(account.copies.items())
-                },
-                "ordered": [
-                    f"{order.order.action.value} {order.key}"
-                    for order in account.orders.values()
-                    if account.may_take_effect(order)
-                ],
-            }
-            for target, account in sorted(self.accounts.items())
-        }
+    def describe(self) -> list[TargetState]:
+        """Return the accounts for operators."""
+        return [
+            account.describe() for _, account in sorted(self.accounts.items())
+        ]
 
     def _open(
         self, account: Account, order: EngineOrder, now: float
--- a/dotterelbridge/placement/messages.py
+++ b/dotterelbridge/placement/messages.py
@@ -2,9 +2,12 @@
 
 import msgspec
 
+from dotterelbridge.ids import FailureDomain
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import MemberId
+from dotterelbridge.ids import TargetId
 from dotterelbridge.ids import Term
+from dotterelbridge.ids import VmId
 from dotterelbridge.peers.messages import Message
 from dotterelbridge.peers.messages import register_message
 
@@ -100,3 +103,42 @@
     whole: bool
     """Whether items that are left out have no demand."""
     rates: dict[ItemName, ItemRate]
+
+
+class TargetState(msgspec.Struct, frozen=True, kw_only=True):
+    """One accelerator as the lease holder's ledger has it."""
+
+    target: TargetId
+    memory_mb: int
+    committed_mb: int
+    kv_mb: int
+    fencing: str
+    fencing_number: int
+    leaving: bool
+    overfull: bool
+    loaded: dict[str, str]
+    """State of each item that is there."""
+    ordered: tuple[str, ...]
+    """Orders that may still take effect."""
+
+
+@register_message("placement_state_request")
+class PlacementStateRequest(Message, frozen=True, kw_only=True):
+    """Asks what the holder of the receiver's failure domain knows."""
+
+    forward: bool
+    """Whether a VM that is not the holder asks the holder."""
+
+
+@register_message("placement_state")
+class PlacementState(Message, frozen=True, kw_only=True):
+    """What the lease holder of a failure domain knows."""
+
+    domain: FailureDomain
+    holder: VmId | None = None
+    """None when the domain has no holder now."""
+    paused: bool = False
+    targets: tuple[TargetState, ...] = ()
+    unreachable: dict[ItemName, str] = {}
+    absent: dict[ItemName, str] = {}
+    last_move: str = ""
--- a/tests/test_placement_world.py
+++ b/tests/test_placement_world.py
@@ -1,9 +1,7 @@
 """Placement as a whole: VMs, engines that know the truth, and faults."""
 
-import anyio
 import pytest
 
-from dotterelbridge.membership.view import Fencing
 from standins.virtual_time import run_in_virtual_time
 from tests.placement_fakes import World
 from tests.placement_fakes import create_adapter
