--- a/dotterelbridge/placement/acceptor.py
+++ b/dotterelbridge/placement/acceptor.py
@@ -43,7 +43,7 @@
         self._ends_at = float("-inf")
         self._record = EMPTY_RECORD
         self._knows_record = False
-        self._least_sequence = 0
+        self._least_position = (Term(0), 0)
         if alone:
             # The only VM of the domain: no one else can hold the lease.
             self._grants_from = now
@@ -94,7 +94,7 @@
         self._grant(holder, message.term, message.lease_ms, now)
         if not self._knows_record:
             # A write from before this VM restarted may still arrive.
-            self._least_sequence = message.sequence
+            self._least_position = (message.term, message.sequence)
         return self._answer(granted=True)
 
     def handle_release(self, holder: VmId, message: LeaseRelease) -> None:
@@ -116,8 +116,9 @@
 
     def _store_whole(self, record: RecordState) -> RecordAnswer:
         old = self._record
-        is_late = (record.term, record.sequence) < (old.term, old.sequence)
-        if is_late or record.sequence < self._least_sequence:
+        position = (record.term, record.sequence)
+        least = max((old.term, old.sequence), self._least_position)
+        if position < least:
             return self._answer_write(stored=False)
         self._store(record)
         return self._answer_write(stored=True)
--- a/dotterelbridge/placement/holder.py
+++ b/dotterelbridge/placement/holder.py
@@ -307,7 +307,13 @@
             for key, value in self.lease.record.entries.items()
             if key != REBUILDING_KEY
         ]
-        ledger.restore(entries, now, self.lease.record_lost)
+        own = self._own.failure_domain
+        ledger.restore(
+            entries,
+            now,
+            record_lost=self.lease.record_lost,
+            has_past=self._membership.find_body(own, "l", own) is not None,
+        )
         self._holding = Holding(self.lease.term, ledger)
         self._adopt_drains(self._holding, now)
         self._dirty = True
@@ -518,10 +524,6 @@
             if place == target and key not in copies:
                 copies[key] = CopyView(item=intent.load.item, ready=False)
                 free_mb -= intent.load.item.memory_mb
-        is_blocked = (
-            account.fencing is Fencing.IGNORED
-            and holding.ledger.is_rebuilding(now)
-        )
         return AcceleratorView(
             target=target,
             usable_mb=account.memory_mb - account.kv_mb,
@@ -529,7 +531,7 @@
             accepts_loads=(
                 age_s <= self._settings.inventory_max_age_s
                 and not account.overfull
-                and not is_blocked
+                and not holding.ledger.is_blocked(account, now)
             ),
             leaving=self._is_leaving(account),
             copies=copies,
--- a/dotterelbridge/placement/lease.py
+++ b/dotterelbridge/placement/lease.py
@@ -50,6 +50,9 @@
 
 CAMPAIGN_WAIT = timedelta(milliseconds=100)
 
+CAMPAIGN_DOUBLINGS = 3
+"""Doublings of the spread of campaigns after as many failures."""
+
 _log = structlog.get_logger(__name__)
 _elections = metrics.meter.create_counter(
     "dotterelbridge.placement.elections",
@@ -88,6 +91,7 @@
         self._ends_at = float("-inf")
         self._highest_term = Term(0)
         self._record = RecordState(Term(0), 0, {})
+        self._failures = 0
         self._write_lock = anyio.Lock()
         self.record_lost = False
         """Whether earlier orders may be missing from the record."""
@@ -236,11 +240,26 @@
             events.log(_log, PlacementEvent.LEASE_LOST, term=self._term)
 
     async def _stand_by(self) -> None:
-        # The jitter keeps two candidates from splitting the votes.
-        wait = CAMPAIGN_WAIT * (1 + self._random.random() * 2)
-        await self._clock.sleep(wait)
-        if self._acceptor.is_free(self._clock.monotonic()):
-            await self.campaign()
+        await self._clock.sleep(self._choose_wait())
+        if not self._acceptor.is_free(self._clock.monotonic()):
+            return
+        if await self.campaign():
+            self._failures = 0
+        else:
+            self._failures += 1
+
+    def _choose_wait(self) -> timedelta:
+        """Return a wait that keeps candidates from splitting the votes.
+
+        A candidate whose campaign waits for a silent VM holds its own
+        vote for the whole timeout; after a failure the waits are spread
+        over several of these.
+        """
+        spread = CAMPAIGN_WAIT * 2
+        if self._failures:
+            doublings = min(self._failures, CAMPAIGN_DOUBLINGS)
+            spread += self._settings.lease_timeout * 2**doublings
+        return CAMPAIGN_WAIT + spread * self._random.random()
 
     async def _take_over(
         self, term: Term, sent_at: float, granted: list[LeaseAnswer]
--- a/dotterelbridge/placement/ledger.py
+++ b/dotterelbridge/placement/ledger.py
@@ -118,13 +118,16 @@
         self._kv_room_percent = kv_room_percent
         self._former: set[str] = set()
         self._sequence = -1
+        self.forgot_fence = False
+        """Whether the engine knew no fencing number when it was first
+        seen in its incarnation."""
 
     def observe(self, inventory: Inventory, asked_at: float) -> bool:
         """Take in an inventory; False when it is older than the last."""
         if inventory.incarnation in self._former:
             return False
         if inventory.incarnation != self.incarnation:
-            self._start_incarnation(inventory.incarnation)
+            self._start_incarnation(inventory)
         if inventory.sequence < self._sequence:
             return False
         contradicts = (
@@ -226,10 +229,11 @@
             return False
         return self.fencing_number <= order.order.fencing_number
 
-    def _start_incarnation(self, incarnation: str) -> None:
+    def _start_incarnation(self, inventory: Inventory) -> None:
         if self.incarnation:
             self._former.add(self.incarnation)
-        self.incarnation = incarnation
+        self.incarnation = inventory.incarnation
+        self.forgot_fence = inventory.fencing_number == 0
         self.fencing_number = FencingNumber(0)
         self.copies.clear()
         self._sequence = -1
@@ -279,16 +283,25 @@
             target: Account(target, kind, kv_room_percent)
             for target, kind in fencing.items()
         }
-        self._ignoring_blocked_until = float("-inf")
+        self._rebuilt_at = float("-inf")
+        self._has_past = False
 
     def restore(
-        self, entries: Iterable[bytes], now: float, record_lost: bool
+        self,
+        entries: Iterable[bytes],
+        now: float,
+        *,
+        record_lost: bool,
+        has_past: bool,
     ) -> None:
         """Start a term from the record of earlier ones.
 
         :param record_lost: orders may be missing from the record; an
             engine that ignores fencing gets no load before the late
             limit has passed.
+        :param has_past: holders before this one are known to have been;
+            an engine that has forgotten their fencing numbers then waits
+            as one that ignores them.
         """
         for entry in entries:
             stored = msgspec.msgpack.decode(entry, type=StoredOrder)
@@ -300,11 +313,20 @@
             )
             account.orders[stored.order.order_id] = order
         if record_lost:
-            self._ignoring_blocked_until = now + self._late_limit_s
+            self._rebuilt_at = now + self._late_limit_s
+            self._has_past = has_past
 
     def is_rebuilding(self, now: float) -> bool:
-        """Whether loads to engines that ignore fencing still wait."""
-        return now < self._ignoring_blocked_until
+        """Whether orders that are missing from the record may arrive."""
+        return now < self._rebuilt_at
+
+    def is_blocked(self, account: Account, now: float) -> bool:
+        """Whether an unknown order of the past may still take effect."""
+        if not self.is_rebuilding(now):
+            return False
+        if account.fencing is Fencing.IGNORED:
+            return True
+        return account.forgot_fence and self._has_past
 
     def observe(self, inventory: Inventory, asked_at: float) -> list[OrderId]:
         """Take in an inventory; returns the orders that it settled."""
@@ -312,6 +334,8 @@
         before = {o.order.order_id for o in self._unsettled(account)}
         if not account.observe(inventory, asked_at):
             return []
+        if account.copies or not account.forgot_fence:
+            self._has_past = True
         self._note_overfull(account)
         after = {o.order.order_id for o in self._unsettled(account)}
         return sorted(before - after)
@@ -340,7 +364,7 @@
             return "a change of role is not settled"
         if self._awaits_fence(account, fencing_number):
             return "the engine has not taken this holder's fencing number"
-        if self._is_blocked(account, now):
+        if self.is_blocked(account, now):
             return "orders from before the record was lost may arrive"
         if account.free_mb < item.memory_mb:
             return "not enough free memory"
@@ -444,10 +468,6 @@
             and account.fencing_number != fencing_number
         )
 
-    def _is_blocked(self, account: Account, now: float) -> bool:
-        ignoring = account.fencing is Fencing.IGNORED
-        return ignoring and self.is_rebuilding(now)
-
     def _unsettled(self, account: Account) -> Iterator[OpenOrder]:
         for order in account.orders.values():
             if account.may_take_effect(order) and not order.seen_ready:
--- a/dotterelbridge/placement/messages.py
+++ b/dotterelbridge/placement/messages.py
@@ -139,6 +139,6 @@
     """None when the domain has no holder now."""
     paused: bool = False
     targets: tuple[TargetState, ...] = ()
-    unreachable: dict[ItemName, str] = {}
-    absent: dict[ItemName, str] = {}
+    unreachable: dict[ItemName, str] = msgspec.field(default_factory=dict)
+    absent: dict[ItemName, str] = msgspec.field(default_factory=dict)
     last_move: str = ""
--- a/tests/placement_fakes.py
+++ b/tests/placement_fakes.py
@@ -255,6 +255,11 @@
     def target(self) -> TargetId:
         return self._engine.info.target
 
+    def hold(self) -> None:
+        """Let nothing through until the gate is set."""
+        if self.gate.is_set():
+            self.gate = anyio.Event()
+
     async def fetch_inventory(self, timeout: timedelta) -> Inventory:
         await self.gate.wait()
         await anyio.sleep(0.002)
@@ -418,7 +423,7 @@
     def freeze(self) -> None:
         self.clock.gate = anyio.Event()
         for link in self.links.values():
-            link.gate = anyio.Event()
+            link.hold()
 
     def thaw(self) -> None:
         self.clock.gate.set()
