Mend the pause of moves, backup polls and the rebuild's block

A pause record was missing from the union of record types, so every message that carried one was refused; the tests' world now fails on any error in a handler. A backup poller polled every third second only, so a target that the first poller can't reach flapped between live and suspect; it now polls each round while it is the one that reaches it. The rebuild took the holder's own loads for those of an earlier holder and stopped loading to enforcing engines; it judges by the first inventory.

--- a/dotterelbridge/membership/records.py
+++ b/dotterelbridge/membership/records.py
@@ -71,7 +71,13 @@
 
 
 AnyBody = (
-    TargetBody | VmBody | MarkBody | PlatformBody | DrainingBody | LoadsBody
+    TargetBody
+    | VmBody
+    | MarkBody
+    | PlatformBody
+    | DrainingBody
+    | LoadsBody
+    | PauseBody
 )
 
 
--- a/dotterelbridge/membership/service.py
+++ b/dotterelbridge/membership/service.py
@@ -68,6 +68,7 @@
         self.running = 0
         self.waiting = 0
         self.reported_at = float("-inf")
+        self.reporter: VmId | None = None
 
 
 class Membership(MembershipView, Dumpable):
@@ -294,7 +295,7 @@
         now = self._clock.monotonic()
         if not self._life.hear(sender, message.incarnation, now):
             return None
-        self._take_loads(message.loads, now)
+        self._take_loads(sender, message.loads, now)
         self._merge(message.records)
         own = self._own.failure_domain
         if message.own_hash != self._table.hash_of(own):
@@ -303,21 +304,24 @@
             self._start_sync(sender, None)
         return None
 
-    def _take_loads(self, loads: tuple[LoadReport, ...], now: float) -> None:
+    def _take_loads(
+        self, sender: VmId, loads: tuple[LoadReport, ...], now: float
+    ) -> None:
         for load in loads:
             target = self._names_by_hash.get(load.target_hash)
             if target is not None:
-                self._note_load(target, load, now)
+                self._note_load(target, load, sender, now)
         if loads:
             self._notify()
 
     def _note_load(
-        self, target: TargetId, load: LoadReport, now: float
+        self, target: TargetId, load: LoadReport, reporter: VmId, now: float
     ) -> None:
         report = self._reports[target]
         report.running = load.running
         report.waiting = load.waiting
         report.reported_at = now
+        report.reporter = reporter
 
     # Digests between domains.
 
@@ -500,8 +504,12 @@
     def _is_backup_due(self, target: TargetId, now: float) -> bool:
         if self._round % BACKUP_POLL_EVERY == 0:
             return True
-        silence_s = now - self._reports[target].reported_at
-        return silence_s > 2 * self._settings.poll_interval_ms / 1000
+        report = self._reports[target]
+        if report.reporter == self._own.vm:
+            # The first poller does not reach the target now.
+            return True
+        silence_s = now - report.reported_at
+        return silence_s > 1.5 * self._settings.poll_interval_ms / 1000
 
     async def _poll_target(self, target: TargetId) -> None:
         try:
@@ -519,7 +527,8 @@
             hash_name(target), inventory.running, inventory.waiting
         )
         self._polled_loads[target] = load
-        self._note_load(target, load, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._note_load(target, load, self._own.vm, now)
         ready = sorted(
             name_item(loaded.item.name, loaded.item.version)
             for loaded in inventory.items
--- a/dotterelbridge/placement/ledger.py
+++ b/dotterelbridge/placement/ledger.py
@@ -332,9 +332,11 @@
         """Take in an inventory; returns the orders that it settled."""
         account = self.accounts[inventory.target]
         before = {o.order.order_id for o in self._unsettled(account)}
+        is_first = not account.incarnation
         if not account.observe(inventory, asked_at):
             return []
-        if account.copies or not account.forgot_fence:
+        if is_first and (account.copies or not account.forgot_fence):
+            # An earlier holder gave orders.
             self._has_past = True
         self._note_overfull(account)
         after = {o.order.order_id for o in self._unsettled(account)}
--- a/tests/placement_fakes.py
+++ b/tests/placement_fakes.py
@@ -474,6 +474,9 @@
 
     async def run(self, scenario: Callable) -> None:
         """Start all VMs, run the scenario, stop them."""
+        faults: list[dict] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: faults.append(context))
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             for info in self.vms:
@@ -481,6 +484,7 @@
             await scenario(self)
             tasks.cancel_scope.cancel()
         await self.network.close()
+        assert not faults, faults[0]
 
     def start(self, vm: VmId) -> Node:
         """Start a VM with nothing."""
--- a/tests/test_placement_world.py
+++ b/tests/test_placement_world.py
@@ -32,9 +32,10 @@
     return {f"{row.name}@{row.version}" for row in rows}
 
 
-async def load_all(world, rows):
+async def load_all(world, rows, limit_s=120):
     world.sheet.set_rows(rows)
-    await world.wait_for(lambda: world.ready() >= keys_of(rows))
+    keys = keys_of(rows)
+    await world.wait_for(lambda: world.ready() >= keys, limit_s)
 
 
 @pytest.mark.parametrize("vms", [1, 2, 3, 5])
@@ -229,10 +230,7 @@
             engine.faults.answer_lost = 0.2
         for turn in range(3):
             rows = [create_row(f"m{turn}-{i}", 280) for i in range(6)]
-            world.sheet.set_rows(rows)
-            await world.wait_for(
-                lambda: world.ready() >= keys_of(rows), limit_s=900
-            )
+            await load_all(world, rows, limit_s=900)
 
     run(scenario, fencing=fencing, targets=2)
 
