Send an order again only to the engine life it was meant for

Seeded storms (tests/test_placement_random.py) found an over-commit: an engine restarted, and the holder sent the loads that the restart had made unsettled again, all of them, though newer ones had taken their room. Orders now carry the engine's incarnation; only one that left no trace in it is sent again, and a holder whose own earlier orders could return at a restarted enforcing engine takes a higher term.

--- a/dotterelbridge/placement/holder.py
+++ b/dotterelbridge/placement/holder.py
@@ -286,6 +286,7 @@
     async def _serve_term(self, tasks: anyio.abc.TaskGroup) -> None:
         holding = self._start_term()
         await self._ask_all(holding)
+        self._adopt_drains(holding, self._clock.monotonic())
         while self.lease.is_held() and self.lease.term == holding.term:
             floor = self._find_higher_fence(holding)
             if floor is not None:
@@ -315,7 +316,6 @@
             has_past=self._membership.find_body(own, "l", own) is not None,
         )
         self._holding = Holding(self.lease.term, ledger)
-        self._adopt_drains(self._holding, now)
         self._dirty = True
         return self._holding
 
@@ -326,6 +326,9 @@
             body = self._membership.find_body(domain, "d", target)
             for key in body.items if body else ():
                 holding.drains[target, key] = Drain("drained before", now)
+            account = holding.ledger.accounts[target]
+            for key in account.pending_unloads():
+                holding.drains[target, key] = Drain("unload ordered", now)
 
     async def _step(
         self, tasks: anyio.abc.TaskGroup, holding: Holding
@@ -411,9 +414,11 @@
         if before != after:
             self._dirty = True
         for order_id in settled:
-            self._note_settled(account, order_id)
+            self._note_settled(holding, account, order_id)
 
-    def _note_settled(self, account: Account, order_id: OrderId) -> None:
+    def _note_settled(
+        self, holding: Holding, account: Account, order_id: OrderId
+    ) -> None:
         order = account.orders[order_id]
         events.log(
             _log,
@@ -423,6 +428,8 @@
             item=order.key,
         )
         if not order.is_load:
+            del account.orders[order_id]
+            holding.unrecorded.append(order.record_key)
             return
         if order.key in account.copies:
             self._pacer.note_success(account.target, order.key)
@@ -434,11 +441,14 @@
     # Terms and the record.
 
     def _find_higher_fence(self, holding: Holding) -> int | None:
-        highest = max(
-            (a.fencing_number for a in holding.ledger.accounts.values()),
-            default=0,
-        )
-        return highest if highest > holding.term else None
+        """Return the number that this holder's term must exceed, if any."""
+        term = holding.term
+        for account in holding.ledger.accounts.values():
+            if account.fencing_number > term:
+                return account.fencing_number
+            if account.has_revenants(term):
+                return term
+        return None
 
     async def _raise_term(self, floor: int) -> None:
         events.log(_log, PlacementEvent.TERM_RAISED, seen=floor)
@@ -881,9 +891,7 @@
         now: float,
     ) -> bool:
         order_id = order.order.order_id
-        if order_id in holding.sending or order.refused or order.seen_ready:
-            return False
-        if order.settled_in == account.incarnation:
+        if order_id in holding.sending or not account.is_unanswered(order):
             return False
         is_present = order.key in account.copies
         if is_present == order.is_load or self._is_leaving(account):
--- a/dotterelbridge/placement/ledger.py
+++ b/dotterelbridge/placement/ledger.py
@@ -46,16 +46,23 @@
 
     target: TargetId
     order: EngineOrder
+    incarnation: str
+    """Incarnation of the engine that the order was meant for."""
 
 
 class OpenOrder:
     """An order that may still take effect."""
 
     def __init__(
-        self, target: TargetId, order: EngineOrder, expires_at: float
+        self,
+        target: TargetId,
+        order: EngineOrder,
+        incarnation: str,
+        expires_at: float,
     ) -> None:
         self.target = target
         self.order = order
+        self.incarnation = incarnation
         self.expires_at = expires_at
         self.settled_in: str | None = None
         """Incarnation of the engine that listed the order as settled."""
@@ -78,7 +85,8 @@
 
     def encode(self) -> bytes:
         """Return the order as the record stores it."""
-        return msgspec.msgpack.encode(StoredOrder(self.target, self.order))
+        stored = StoredOrder(self.target, self.order, self.incarnation)
+        return msgspec.msgpack.encode(stored)
 
 
 class Copy:
@@ -162,10 +170,43 @@
     def loads_in_transit(self) -> Iterator[OpenOrder]:
         """Yield the loads whose outcome is not known yet."""
         for order in self.pending_loads():
-            is_settled = order.settled_in == self.incarnation
-            if not (order.seen_ready or order.refused or is_settled):
+            if self.is_unanswered(order):
                 yield order
 
+    def is_unanswered(self, order: OpenOrder) -> bool:
+        """Whether an order to the engine as it runs now left no trace.
+
+        Only such an order may be sent again: what an engine had before
+        it restarted may not fit together with what it was given since.
+        """
+        return (
+            order.incarnation == self.incarnation
+            and order.settled_in is None
+            and not order.seen_ready
+            and not order.refused
+        )
+
+    def has_revenants(self, fencing_number: int) -> bool:
+        """Whether a higher fencing number would free memory.
+
+        An engine that restarted takes this term's earlier orders again.
+        """
+        return self.fencing is Fencing.ENFORCED and any(
+            order.incarnation != self.incarnation
+            and order.order.fencing_number == fencing_number
+            for order in self.pending_loads()
+        )
+
+    def pending_unloads(self) -> list[str]:
+        """Return the copies whose unload was ordered and is not done."""
+        return [
+            order.key
+            for order in self.orders.values()
+            if order.order.action is OrderAction.UNLOAD
+            and order.key in self.copies
+            and self.may_take_effect(order)
+        ]
+
     def has_pending(self, action: OrderAction, key: str | None) -> bool:
         """Whether an order on the item may still take effect."""
         return any(
@@ -309,7 +350,10 @@
             if account is None:
                 continue
             order = OpenOrder(
-                stored.target, stored.order, now + self._late_limit_s
+                stored.target,
+                stored.order,
+                stored.incarnation,
+                now + self._late_limit_s,
             )
             account.orders[stored.order.order_id] = order
         if record_lost:
@@ -460,7 +504,10 @@
     def _open(
         self, account: Account, order: EngineOrder, now: float
     ) -> OpenOrder:
-        opened = OpenOrder(account.target, order, now + self._late_limit_s)
+        expires_at = now + self._late_limit_s
+        opened = OpenOrder(
+            account.target, order, account.incarnation, expires_at
+        )
         account.orders[order.order_id] = opened
         return opened
 
