Claim idempotency keys on the replicated log

A key is bound to its business and request digest and granted to one attempt. Commands carry attempt ids, so that repetitions, late copies and a release that overtakes its claim are recognised. Limits travel in the commands, so that settings that differ for a while change nothing in the machine. Log time needs two VMs' clocks: one that is ahead cannot make keys expire. Answers are bounded in number, bytes and age; after that twelve bytes remember the key, and a UUIDv7 key is refused for its age alone, so it may be forgotten without a second run.

--- /dev/null
+++ b/dotterelbridge/claims/settings.py
@@ -0,0 +1,44 @@
+"""Settings of the claims that make keyed calls run at most once."""
+
+from typing import Annotated
+
+import msgspec
+
+from dotterelbridge.settings_schema import Section
+
+_Positive = msgspec.Meta(ge=1)
+
+
+class ClaimsSettings(Section):
+    """The ``[claims]`` section."""
+
+    begin_timeout_ms: Annotated[int, msgspec.Meta(ge=50)] = 3000
+    """Time to claim a key; then the call is refused as not run."""
+    settle_timeout_ms: Annotated[int, msgspec.Meta(ge=50)] = 2000
+    """Time that an answer waits for its record; it goes on after that."""
+    attempt_limit_s: Annotated[int, _Positive] = 600
+    """A claim without outcome for so long is unknown for good."""
+    answer_age_s: Annotated[int, _Positive] = 3600
+    """Time that a recorded answer is kept."""
+    answer_limit_kb: Annotated[int, _Positive] = 64
+    """Largest answer that is recorded."""
+    answers_limit_mb: Annotated[int, _Positive] = 16
+    """Memory of all recorded answers; the oldest go first."""
+    answers_limit: Annotated[int, _Positive] = 20_000
+    """Most recorded answers; the oldest go first."""
+    attempts_limit: Annotated[int, _Positive] = 10_000
+    """Most claims without outcome; further calls are refused."""
+    dated_key_age_s: Annotated[int, _Positive] = 86_400
+    """Oldest UUIDv7 key that may still be claimed."""
+    undated_key_age_s: Annotated[int, _Positive] = 30 * 86_400
+    """Time that any other key is remembered once its answer is gone."""
+    remembered_limit: Annotated[int, _Positive] = 1_000_000
+    """Most keys remembered without answer; further calls are refused."""
+    require_dated_keys: bool = False
+    """Whether to refuse keys that are not UUIDv7."""
+    clock_quorum: Annotated[int, _Positive] = 2
+    """VMs whose clocks must have reached a time before it counts."""
+    tick_interval_s: Annotated[int, _Positive] = 30
+    """Longest time between two times that a VM with the log reports."""
+    outbox_limit: Annotated[int, _Positive] = 2000
+    """Outcomes that wait for the log; the oldest go first."""
--- a/dotterelbridge/clock.py
+++ b/dotterelbridge/clock.py
@@ -18,7 +18,8 @@
 
     @abc.abstractmethod
     def now(self) -> datetime:
-        """Return the wall-clock time in UTC; for people and logs only."""
+        """Return the wall-clock time in UTC: for people, logs, and ages
+        of days that VMs must agree on; never for timeouts."""
 
     @abc.abstractmethod
     async def sleep(self, duration: timedelta) -> None:
