Keep a member's state in synced files under one folder

Cause: votes and entries must be durable before they are acknowledged. A torn end is cut; a flipped byte anywhere, also in a whole last frame, and a missing file refuse to start with file, offset and remedy. Ruled out: cutting every bad last frame, since a flipped byte in an acknowledged frame would then lose it unseen.

--- /dev/null
+++ b/dotterelbridge/replication/sealed_file.py
@@ -0,0 +1,64 @@
+"""Small files that are replaced whole and carry a checksum."""
+
+import os
+from pathlib import Path
+import struct
+
+import xxhash
+
+from dotterelbridge.errors import StorageError
+
+_MAGIC = b"DBSEAL1\n"
+_HEADER = struct.Struct("<QQ")
+_HEADER_BYTES = len(_MAGIC) + _HEADER.size
+
+
+def write_sealed(path: Path, payload: bytes) -> None:
+    """Replace a file so that a crash leaves the old or the new one.
+
+    Returns once file and folder are synced.
+    """
+    temporary = path.with_name(path.name + ".new")
+    header = _HEADER.pack(len(payload), xxhash.xxh64_intdigest(payload))
+    with open(temporary, "wb") as file:
+        file.write(_MAGIC + header + payload)
+        file.flush()
+        os.fsync(file.fileno())
+    os.rename(temporary, path)
+    sync_folder(path.parent)
+
+
+def read_sealed(path: Path) -> bytes:
+    """Return the payload.
+
+    :raises StorageError: the file is damaged.
+    """
+    data = path.read_bytes()
+    if len(data) < _HEADER_BYTES or not data.startswith(_MAGIC):
+        raise damage(path, 0, "the header is damaged")
+    size, digest = _HEADER.unpack_from(data, len(_MAGIC))
+    payload = data[_HEADER_BYTES:]
+    if len(payload) != size:
+        raise damage(path, len(data), f"{size} bytes of content expected")
+    if xxhash.xxh64_intdigest(payload) != digest:
+        raise damage(path, _HEADER_BYTES, "the checksum does not match")
+    return payload
+
+
+def sync_folder(folder: Path) -> None:
+    """Sync the names in a folder."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def damage(path: Path, offset: int, found: str) -> StorageError:
+    """Return the error for a damaged file, with the remedy."""
+    return StorageError(
+        f"{path} is damaged at offset {offset}: {found}",
+        "while a majority of the voters runs, move the whole data folder "
+        "away and restart: this VM joins again under a new identity; "
+        "otherwise see 'Losing a majority' in docs/operators/replication.md",
+    )
--- /dev/null
+++ b/dotterelbridge/replication/segment.py
@@ -0,0 +1,177 @@
+"""One file of the log: frames of entries, each with checksums.
+
+A frame carries the entries of one sync. Entries of a later frame replace
+earlier ones from its first index on, so that a conflicting tail is
+replaced in one write. Only the last frame of the last file can be torn by
+a crash: each frame is synced before the next is written.
+"""
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+import itertools
+import os
+from pathlib import Path
+import struct
+
+import msgspec
+import xxhash
+
+from dotterelbridge.replication.entries import Entry
+from dotterelbridge.replication.sealed_file import damage
+from dotterelbridge.replication.sealed_file import sync_folder
+
+MAGIC = b"DBLOG01\n"
+_FRAME = struct.Struct("<IQI")
+"""Payload length, payload checksum, checksum of both and the offset."""
+_CHECKED = struct.Struct("<IQ")
+_SECTOR_BYTES = 512
+_NAME_DIGITS = 12
+
+_decoder = msgspec.msgpack.Decoder(list[Entry])
+
+
+class Segment:
+    """An open file of the log, at whose end frames are added."""
+
+    def __init__(self, path: Path, size: int) -> None:
+        self.path = path
+        self.size = size
+        """Length in bytes."""
+        self._descriptor = os.open(path, os.O_WRONLY)
+        os.lseek(self._descriptor, size, os.SEEK_SET)
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Write one frame and sync it."""
+        frame = _encode_frame(entries, self.size)
+        view = memoryview(frame)
+        while view:
+            written = os.write(self._descriptor, view)
+            view = view[written:]
+        os.fdatasync(self._descriptor)
+        self.size += len(frame)
+
+    def close(self) -> None:
+        """Close the file."""
+        os.close(self._descriptor)
+
+
+def create_segment(folder: Path, sequence: int) -> Segment:
+    """Create the file with a sequence number and sync its name."""
+    path = folder / f"log-{sequence:0{_NAME_DIGITS}d}"
+    with open(path, "wb") as file:
+        file.write(MAGIC)
+        file.flush()
+        os.fsync(file.fileno())
+    sync_folder(folder)
+    return Segment(path, len(MAGIC))
+
+
+def find_segments(folder: Path) -> list[tuple[int, Path]]:
+    """Return the sequence numbers and paths of the log's files."""
+    found = []
+    for path in sorted(folder.glob("log-*")):
+        digits = path.name.removeprefix("log-")
+        if not digits.isdigit():
+            raise damage(path, 0, "the file's name is not one of the log's")
+        found.append((int(digits), path))
+    for (before, _), (number, path) in itertools.pairwise(found):
+        if number != before + 1:
+            raise damage(path, 0, f"the file before it, {before + 1}, is gone")
+    return found
+
+
+class SegmentReader:
+    """Reads a file's frames and finds a torn end."""
+
+    def __init__(self, path: Path, is_last: bool) -> None:
+        self.path = path
+        self.torn_at: int | None = None
+        """Offset of an incomplete last frame, once all is read."""
+        self._is_last = is_last
+        self._data = path.read_bytes()
+
+    def read_frames(self) -> Iterator[tuple[int, list[Entry]]]:
+        """Yield the offset and entries of each frame.
+
+        :raises StorageError: a frame is damaged.
+        """
+        data = self._data
+        if not data.startswith(MAGIC):
+            if not (self._is_last and _is_unwritten(data, 0, MAGIC)):
+                raise damage(self.path, 0, "the header is damaged")
+            self.torn_at = 0
+            return
+        offset = len(MAGIC)
+        while offset < len(data):
+            end = self._check_frame(offset)
+            if end is None:
+                self.torn_at = offset
+                return
+            payload = data[offset + _FRAME.size : end]
+            yield offset, self._decode(offset, payload)
+            offset = end
+
+    def _check_frame(self, offset: int) -> int | None:
+        """Return the frame's end, or None when a crash tore it."""
+        data = self._data
+        body = offset + _FRAME.size
+        if body > len(data):
+            return self._tear(offset, "the frame is cut short")
+        length, digest, header_digest = _FRAME.unpack_from(data, offset)
+        if header_digest != _digest_header(length, digest, offset):
+            if self._is_zero_from(offset):
+                return self._tear(offset, "the frame was never written")
+            raise damage(self.path, offset, "a frame's header is damaged")
+        end = body + length
+        if end > len(data):
+            return self._tear(offset, "the frame is cut short")
+        if xxhash.xxh64_intdigest(data[body:end]) != digest:
+            if end == len(data) and self._ends_unwritten(body):
+                return self._tear(offset, "the frame was not fully written")
+            raise damage(self.path, offset, "a frame's checksum differs")
+        return end
+
+    def _tear(self, offset: int, found: str) -> None:
+        if not self._is_last:
+            raise damage(self.path, offset, found)
+
+    def _is_zero_from(self, offset: int) -> bool:
+        return not any(self._data[offset:])
+
+    def _ends_unwritten(self, body: int) -> bool:
+        """Return whether the file's last sectors hold only zeros.
+
+        A crash can extend the file before its data is written. A flipped
+        byte in a whole frame is damage instead: the frame may have been
+        acknowledged and must not be cut off.
+        """
+        size = len(self._data)
+        last_sector = max(body, (size - 1) // _SECTOR_BYTES * _SECTOR_BYTES)
+        return not any(self._data[last_sector:])
+
+    def _decode(self, offset: int, payload: bytes) -> list[Entry]:
+        try:
+            entries = _decoder.decode(payload)
+        except msgspec.MsgspecError as error:
+            raise damage(self.path, offset, str(error)) from None
+        if not entries:
+            raise damage(self.path, offset, "a frame without entries")
+        return entries
+
+
+def _encode_frame(entries: Sequence[Entry], offset: int) -> bytes:
+    payload = msgspec.msgpack.encode(entries)
+    digest = xxhash.xxh64_intdigest(payload)
+    header_digest = _digest_header(len(payload), digest, offset)
+    return _FRAME.pack(len(payload), digest, header_digest) + payload
+
+
+def _digest_header(length: int, digest: int, offset: int) -> int:
+    checked = _CHECKED.pack(length, digest)
+    return xxhash.xxh32_intdigest(checked, seed=offset & 0xFFFFFFFF)
+
+
+def _is_unwritten(data: bytes, offset: int, wanted: bytes) -> bool:
+    """Return whether the data is a torn beginning of what was wanted."""
+    found = data[offset : offset + len(wanted)]
+    return len(found) < len(wanted) or not any(data[offset:])
