Wire the daemon from its parts

Cause: the whole path needs one process that holds all parts. Hypercorn answers a cancellation with InvalidStateError, so the operators' listener is drained before the parts are cancelled.

--- /dev/null
+++ b/dotterelbridge/assembly.py
@@ -0,0 +1,289 @@
+"""Makes the parts of one daemon and connects them by their interfaces."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from pathlib import Path
+import random
+from typing import Any
+
+import anyio
+import structlog
+
+from dotterelbridge import events
+from dotterelbridge.claims.replicated import create_claim_service
+from dotterelbridge.claims.settings import ClaimsSettings
+from dotterelbridge.clock import Clock
+from dotterelbridge.dump import Dumpable
+from dotterelbridge.dump import DumpRegistry
+from dotterelbridge.events import CoreEvent
+from dotterelbridge.ids import TargetId
+from dotterelbridge.logs import RecentEvents
+from dotterelbridge.membership.platform import create_platform_list
+from dotterelbridge.membership.service import create_membership
+from dotterelbridge.membership.settings import MembershipSettings
+from dotterelbridge.membership.view import TargetKind
+from dotterelbridge.peers.settings import PeersSettings
+from dotterelbridge.peers.websocket_network import create_peer_network
+from dotterelbridge.placement.holder import create_placement
+from dotterelbridge.placement.operators import create_placement_routes
+from dotterelbridge.placement.settings import PlacementSettings
+from dotterelbridge.replication.factory import create_replicated_log
+from dotterelbridge.replication.file_storage import create_file_storage
+from dotterelbridge.replication.settings import ReplicationSettings
+from dotterelbridge.routing.router import create_router
+from dotterelbridge.routing.settings import RoutingSettings
+from dotterelbridge.serving.callers import create_caller_app
+from dotterelbridge.serving.http_listener import create_operator_listener
+from dotterelbridge.serving.listener import create_caller_listener
+from dotterelbridge.serving.operators import create_operator_app
+from dotterelbridge.serving.settings import ServingSettings
+from dotterelbridge.settings import PlatformSettings
+from dotterelbridge.settings import Settings
+from dotterelbridge.settings import read_secret_file
+from dotterelbridge.sheet.parser import KnownNames
+from dotterelbridge.sheet.settings import SheetSettings
+from dotterelbridge.sheet.store import create_sheet_store
+from dotterelbridge.targets.engine import Engine
+from dotterelbridge.targets.http_engine import create_engine
+from dotterelbridge.targets.settings import TargetsSettings
+
+Run = Callable[[], Awaitable[None]]
+
+_log = structlog.get_logger(__name__)
+
+
+class Assembly:
+    """The parts of one daemon, in the order in which they start."""
+
+    def __init__(
+        self, settings: Settings, clock: Clock, recent: RecentEvents
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._registry = DumpRegistry()
+        self._running: list[Run] = []
+        self._rng = random.SystemRandom()
+        self._token = read_secret_file(settings.daemon.operator_token_file)
+        self._recent = recent
+        self._create_network()
+        self._create_log()
+        self._create_sheet()
+        self._create_claims()
+        self._create_membership()
+        self._create_serving()
+        self._create_placement()
+        self._create_operators()
+
+    async def run_parts(self) -> None:
+        """Run all parts until cancelled."""
+        async with anyio.create_task_group() as group:
+            for run in self._running:
+                group.start_soon(run)
+            events.log(
+                _log,
+                CoreEvent.DAEMON_STARTED,
+                vm=self._settings.daemon.vm,
+                caller_port=self._listener.port,
+                operator_port=self._settings.daemon.operator_port,
+            )
+
+    async def drain(self) -> None:
+        """Take no new work; return when all requests are answered."""
+        await self._listener.drain()
+        await self._operators.drain()
+
+    def describe_open_work(self) -> dict[str, int]:
+        """Return the number of requests in flight."""
+        return {"requests": self._app.in_flight}
+
+    def write_dump(self) -> str | None:
+        """Write the state to the dump file; return its path."""
+        path = self._settings.daemon.dump_file
+        if path:
+            self._registry.write(path)
+        return path
+
+    def _add(self, name: str, part: Any) -> None:
+        if isinstance(part, Dumpable):
+            self._registry.add(name, part)
+        self._running.append(part.run)
+
+    def _create_network(self) -> None:
+        settings = self._settings
+        self._network = create_peer_network(
+            settings.section(PeersSettings),
+            settings.own_vm(),
+            settings.vms(),
+            self._clock,
+            read_secret_file(settings.daemon.peer_secret_file),
+        )
+        self._add("peers", self._network)
+
+    def _create_log(self) -> None:
+        settings = self._settings
+        folder = self._data_folder("log")
+        storage = create_file_storage(folder) if folder else None
+        self._log = create_replicated_log(
+            settings.section(ReplicationSettings),
+            self._network,
+            storage,
+            self._clock,
+            settings.voters(),
+            self._rng,
+        )
+        self._holds_log = storage is not None
+        self._add("replication", self._log)
+
+    def _create_claims(self) -> None:
+        settings = self._settings
+        self._claims = create_claim_service(
+            self._log,
+            settings.section(ClaimsSettings),
+            self._clock,
+            settings.daemon.vm,
+            len(settings.vms()),
+            self._holds_log,
+        )
+        self._add("claims", self._claims)
+
+    def _create_sheet(self) -> None:
+        settings = self._settings
+        self._sheet = create_sheet_store(
+            self._log if self._holds_log else None,
+            self._network,
+            settings.section(SheetSettings),
+            self._clock,
+            self._collect_known_names(),
+            settings.vms(),
+            settings.voters(),
+            self._data_folder("sheet"),
+        )
+        self._add("sheet", self._sheet)
+
+    def _create_membership(self) -> None:
+        settings = self._settings
+        own = settings.own_vm()
+        self._engines = self._create_engines()
+        url = settings.section(PlatformSettings).list_url
+        self._membership = create_membership(
+            settings.section(MembershipSettings),
+            self._network,
+            own,
+            settings.vms(),
+            settings.targets(),
+            self._engines,
+            create_platform_list(url or ""),
+            self._clock,
+            self._rng,
+        )
+        self._add("membership", self._membership)
+
+    def _create_engines(self) -> dict[TargetId, Engine]:
+        """Return the engines of the own failure domain."""
+        own_domain = self._settings.own_vm().failure_domain
+        targets = self._settings.section(TargetsSettings)
+        return {
+            info.target: create_engine(info, targets, self._clock)
+            for info in self._settings.targets()
+            if info.kind is TargetKind.ENGINE
+            and info.failure_domain == own_domain
+        }
+
+    def _create_serving(self) -> None:
+        settings = self._settings
+        own = settings.own_vm()
+        routing = settings.section(RoutingSettings)
+        serving = settings.section(ServingSettings)
+        self._router = create_router(
+            self._membership,
+            self._sheet,
+            self._clock,
+            routing,
+            self._rng,
+            settings.section(TargetsSettings),
+            own.failure_domain,
+            own.region,
+        )
+        self._add("routing", self._router)
+        self._app = create_caller_app(
+            self._router,
+            self._claims,
+            self._clock,
+            serving,
+            routing,
+            self._rng,
+        )
+        self._registry.add("serving", self._app)
+        self._listener = create_caller_listener(
+            self._app, serving, self._clock
+        )
+        self._running.append(self._listener.run)
+
+    def _create_placement(self) -> None:
+        settings = self._settings
+        self._placement = create_placement(
+            settings.section(PlacementSettings),
+            self._network,
+            settings.own_vm(),
+            settings.vms(),
+            self._membership,
+            self._engines,
+            self._sheet,
+            self._router,
+            self._clock,
+            self._rng,
+        )
+        self._add("placement", self._placement)
+
+    def _create_operators(self) -> None:
+        app = create_operator_app(
+            self._token,
+            self._registry,
+            self._recent,
+            self._summarize,
+            create_placement_routes(self._placement, self._membership),
+        )
+        daemon = self._settings.daemon
+        self._operators = create_operator_listener(
+            app, daemon.operator_address, daemon.operator_port
+        )
+        self._running.append(self._operators.run)
+
+    def _summarize(self) -> dict[str, Any]:
+        sheet = self._sheet.current()
+        own = self._settings.own_vm()
+        states = [view.state.value for view in self._targets()]
+        return {
+            "vm": own.vm,
+            "failure_domain": own.failure_domain,
+            "business": own.business,
+            "sheet_number": sheet.number,
+            "sheet_revision": sheet.revision,
+            "requests_in_flight": self._app.in_flight,
+            "targets": {
+                state: states.count(state) for state in sorted(set(states))
+            },
+        }
+
+    def _targets(self):
+        return self._membership.targets().values()
+
+    def _collect_known_names(self) -> KnownNames:
+        domains = self._settings.failure_domains().values()
+        targets = self._settings.targets()
+        return KnownNames(
+            businesses=frozenset(domain.business for domain in domains),
+            regions=frozenset(domain.region for domain in domains),
+            services=frozenset(t.service for t in targets if t.service),
+        )
+
+    def _data_folder(self, part: str) -> Path | None:
+        folder = self._settings.daemon.data_folder
+        return Path(folder) / part if folder else None
+
+
+def create_assembly(
+    settings: Settings, clock: Clock, recent: RecentEvents
+) -> Assembly:
+    """Return the parts of the daemon that the settings describe."""
+    return Assembly(settings, clock, recent)
--- a/dotterelbridge/clock.py
+++ b/dotterelbridge/clock.py
@@ -18,8 +18,10 @@
 
     @abc.abstractmethod
     def now(self) -> datetime:
-        """Return the wall-clock time in UTC: for people, logs, and ages
-        of days that VMs must agree on; never for timeouts."""
+        """Return the wall-clock time in UTC; never for timeouts.
+
+        For people, logs, and ages of days that VMs must agree on.
+        """
 
     @abc.abstractmethod
     async def sleep(self, duration: timedelta) -> None:
--- a/dotterelbridge/daemon.py
+++ b/dotterelbridge/daemon.py
@@ -7,6 +7,8 @@
 import anyio
 
 from dotterelbridge import metrics
+from dotterelbridge.assembly import Assembly
+from dotterelbridge.assembly import create_assembly
 from dotterelbridge.cli.definition import create_daemon_parser
 from dotterelbridge.cli.environment import Environment
 from dotterelbridge.cli.exit_status import ExitStatus
--- a/dotterelbridge/settings.py
+++ b/dotterelbridge/settings.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from dotterelbridge.claims.settings import ClaimsSettings
 from dotterelbridge.errors import SettingsError
 from dotterelbridge.ids import Business
 from dotterelbridge.ids import FailureDomain
@@ -17,13 +18,21 @@
 from dotterelbridge.ids import Region
 from dotterelbridge.ids import TargetId
 from dotterelbridge.ids import VmId
+from dotterelbridge.membership.settings import MembershipSettings
 from dotterelbridge.membership.view import Fencing
 from dotterelbridge.membership.view import TargetInfo
 from dotterelbridge.membership.view import TargetKind
 from dotterelbridge.membership.view import VmInfo
+from dotterelbridge.peers.settings import PeersSettings
+from dotterelbridge.placement.settings import PlacementSettings
+from dotterelbridge.replication.settings import ReplicationSettings
+from dotterelbridge.routing.settings import RoutingSettings
+from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.settings_schema import Fault
 from dotterelbridge.settings_schema import Section
 from dotterelbridge.settings_schema import read_section
+from dotterelbridge.sheet.settings import SheetSettings
+from dotterelbridge.targets.settings import TargetsSettings
 
 MAX_PORT = 65535
 LOOPBACK = "127.0.0.1"
@@ -123,6 +132,15 @@
     "logs": LogSettings,
     "metrics": MetricsSettings,
     "platform": PlatformSettings,
+    "serving": ServingSettings,
+    "routing": RoutingSettings,
+    "targets": TargetsSettings,
+    "peers": PeersSettings,
+    "replication": ReplicationSettings,
+    "sheet": SheetSettings,
+    "claims": ClaimsSettings,
+    "membership": MembershipSettings,
+    "placement": PlacementSettings,
 }
 """Sections that appear once."""
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -33,8 +33,6 @@
 SETTINGS = """\
 [daemon]
 vm = dublin-vm-1
-caller_address = 127.0.0.1
-caller_port = {caller}
 operator_port = {operator}
 operator_token_file = {folder}/token
 peer_secret_file = {folder}/secret
@@ -45,7 +43,9 @@
 format = json
 
 [serving]
-balancer_lead_ms = 0
+host = 127.0.0.1
+port = {caller}
+balancer_lead_s = 0
 
 [failure_domain:dublin]
 business = liffeyside
