--- a/dotterelbridge/cli/program.py
+++ b/dotterelbridge/cli/program.py
@@ -6,6 +6,7 @@
 import sys
 
 from dotterelbridge.cli import config_commands
+from dotterelbridge.cli import sheet_commands
 from dotterelbridge.cli import state_commands
 from dotterelbridge.cli.client import CommandFailed
 from dotterelbridge.cli.definition import create_tool_parser
@@ -19,6 +20,11 @@
 
 COMMANDS: dict[tuple[str, str | None], Command] = {
     ("config", "check"): config_commands.check_config,
+    ("sheet", "check"): sheet_commands.check_sheet,
+    ("sheet", "submit"): sheet_commands.submit_sheet,
+    ("sheet", "show"): sheet_commands.show_sheet,
+    ("sheet", "diff"): sheet_commands.diff_sheet,
+    ("sheet", "status"): sheet_commands.show_sheet_status,
     ("status", None): state_commands.show_status,
     ("targets", None): state_commands.list_targets,
     ("models", None): state_commands.list_models,
--- a/dotterelbridge/sheet/settings.py
+++ b/dotterelbridge/sheet/settings.py
@@ -14,7 +14,7 @@
     """Largest CSV that is read, in mebibytes."""
     row_limit: Annotated[int, msgspec.Meta(ge=1)] = 20_000
     """Most rows in one sheet."""
-    submit_timeout_ms: Annotated[int, msgspec.Meta(ge=100)] = 10_000
+    submit_timeout_ms: Annotated[int, msgspec.Meta(ge=100)] = 8000
     """Time within which a submission is answered."""
     poll_hold_ms: Annotated[int, msgspec.Meta(ge=50)] = 1000
     """Longest time that a source holds a poll without news."""
