Ask the log again by way of another VM after a bounded time

Found by a test on the real log: a submission forwarded to a leader that had just been cut off waited for its whole time (8 s) for that one VM. Commands of sheets and claims are recognised when they repeat, so they are sent again after 1.5 s and 1 s.

--- a/dotterelbridge/claims/replicated.py
+++ b/dotterelbridge/claims/replicated.py
@@ -86,6 +86,7 @@
         self._reports_time = reports_time
         self._machine = ClaimMachine()
         log.add_machine(MACHINE_NAME, self._machine)
+        self._try_timeout = _milliseconds(settings.try_timeout_ms)
         self._settle_timeout = _milliseconds(settings.settle_timeout_ms)
         self._outbox = Outbox(self._settle, settings.outbox_limit, clock)
 
@@ -220,8 +221,9 @@
             raise NotCommitted(
                 "the key could not be claimed in time", "send the call again"
             )
-        encoded = encode_command(command)
-        result = await self._replicated.propose(MACHINE_NAME, encoded, left)
+        result = await self._replicated.propose(
+            MACHINE_NAME, encode_command(command), min(left, self._try_timeout)
+        )
         return decode_result(result)
 
     async def _pause(self, deadline: float, error: ReplicationError) -> None:
--- a/dotterelbridge/claims/settings.py
+++ b/dotterelbridge/claims/settings.py
@@ -14,6 +14,8 @@
 
     begin_timeout_ms: Annotated[int, msgspec.Meta(ge=50)] = 3000
     """Time to claim a key; then the call is refused as not run."""
+    try_timeout_ms: Annotated[int, msgspec.Meta(ge=50)] = 1000
+    """Time after which the log is asked again, by way of another VM."""
     settle_timeout_ms: Annotated[int, msgspec.Meta(ge=50)] = 2000
     """Time that an answer waits for its record; it goes on after that."""
     attempt_limit_s: Annotated[int, _Positive] = 600
--- a/dotterelbridge/sheet/settings.py
+++ b/dotterelbridge/sheet/settings.py
@@ -16,6 +16,8 @@
     """Most rows in one sheet."""
     submit_timeout_ms: Annotated[int, msgspec.Meta(ge=100)] = 8000
     """Time within which a submission is answered."""
+    try_timeout_ms: Annotated[int, msgspec.Meta(ge=50)] = 1500
+    """Time after which the log is asked again, by way of another VM."""
     poll_hold_ms: Annotated[int, msgspec.Meta(ge=50)] = 1000
     """Longest time that a source holds a poll without news."""
     poll_grace_ms: Annotated[int, msgspec.Meta(ge=50)] = 500
--- a/dotterelbridge/sheet/submission.py
+++ b/dotterelbridge/sheet/submission.py
@@ -77,6 +77,7 @@
         self._source = source
         self._known = known
         self._settings = settings
+        self._try_timeout = timedelta(milliseconds=settings.try_timeout_ms)
         self._clock = clock
 
     async def submit(
@@ -161,7 +162,7 @@
         if left <= timedelta(0):
             raise NotCommitted("the time is up", "submit the sheet again")
         result = await self._replicated.propose(
-            MACHINE_NAME, encode_command(command), left
+            MACHINE_NAME, encode_command(command), min(left, self._try_timeout)
         )
         return decode_outcome(result)
 
--- a/tests/sheet_cluster.py
+++ b/tests/sheet_cluster.py
@@ -1,9 +1,16 @@
-"""Sheet stores of several VMs over the in-memory network and log."""
+"""Sheets and claims on several VMs over the in-memory network.
+
+The log is the real one, or for speed a shared list of commands.
+"""
 
 from pathlib import Path
+import random
 
 import anyio
 
+from dotterelbridge.claims.replicated import ReplicatedClaimService
+from dotterelbridge.claims.replicated import create_claim_service
+from dotterelbridge.claims.settings import ClaimsSettings
 from dotterelbridge.ids import Business
 from dotterelbridge.ids import FailureDomain
 from dotterelbridge.ids import Region
@@ -11,6 +18,12 @@
 from dotterelbridge.ids import SheetNumber
 from dotterelbridge.ids import VmId
 from dotterelbridge.membership.view import VmInfo
+from dotterelbridge.peers.network import PeerNetwork
+from dotterelbridge.replication.factory import create_replicated_log
+from dotterelbridge.replication.log import ReplicatedLog
+from dotterelbridge.replication.settings import ReplicationSettings
+from dotterelbridge.replication.storage import LogStorage
+from dotterelbridge.replication.storage import create_memory_storage
 from dotterelbridge.sheet.parser import COLUMNS
 from dotterelbridge.sheet.parser import KnownNames
 from dotterelbridge.sheet.settings import SheetSettings
@@ -60,6 +73,8 @@
         seed: int = 0,
         settings: SheetSettings | None = None,
         data_folder: Path | None = None,
+        real_log: bool = False,
+        claims: ClaimsSettings | None = None,
     ) -> None:
         self.vms = make_vms(domains)
         self.holders = [VmId(name) for name in holders]
@@ -67,12 +82,18 @@
             [info.vm for info in self.vms], seed
         )
         self.log = SharedLog(seed)
+        self.members: dict[VmId, ReplicatedLog] = {}
+        self.claims: dict[VmId, ReplicatedClaimService] = {}
         self.stores: dict[VmId, SheetStore] = {}
         self.seen: dict[VmId, list[Revision]] = {}
         """Revisions that came into force in the present life of a VM."""
         self._settings = settings or SheetSettings()
         self._data_folder = data_folder
         self._group = group
+        self._real_log = real_log
+        self._claims_settings = claims or ClaimsSettings()
+        self._storages: dict[VmId, LogStorage] = {}
+        self._random = random.Random(seed)
         self._lives: dict[VmId, anyio.CancelScope] = {}
 
     def start(self, *names: str) -> None:
@@ -86,8 +107,17 @@
         self._lives.pop(vm).cancel()
         self.network.leave(vm)
         self.log.members.pop(vm, None)
+        self.members.pop(vm, None)
+        self.claims.pop(vm, None)
         del self.stores[vm]
 
+    def leader(self) -> VmId | None:
+        """Return the VM whose real log leads with a lease."""
+        for vm, member in self.members.items():
+            if vm in self.holders and member.leads():
+                return vm
+        return None
+
     def revision(self, name: str) -> Revision:
         """Return the revision in force on a VM."""
         return self.stores[VmId(name)].current().revision
@@ -120,10 +150,9 @@
 
     def _start(self, vm: VmId) -> None:
         peers = self.network.join(vm)
-        log = None
+        log = self._create_log(vm, peers)
         folder = None
         if vm in self.holders:
-            log = self.log.add_member(vm)
             folder = self._data_folder and self._data_folder / vm
         store = create_sheet_store(
             log,
@@ -138,18 +167,56 @@
         seen = self.seen[vm] = []
         store.subscribe(lambda sheet: seen.append(sheet.revision))
         self.stores[vm] = store
-        scope = self._lives[vm] = anyio.CancelScope()
-        self._group.start_soon(self._live, store, scope)
+        runs = [store.run]
         if log is not None:
+            self.claims[vm] = create_claim_service(
+                log,
+                self._claims_settings,
+                LoopClock(),
+                vm,
+                len(self.vms),
+                vm in self.holders,
+            )
+            runs.append(self.claims[vm].run)
+        if self._real_log:
+            self.members[vm] = log
+            runs.append(log.run)
+        elif log is not None:
             log.catch_up()
-
-    async def _live(self, store: SheetStore, scope: anyio.CancelScope):
+        scope = self._lives[vm] = anyio.CancelScope()
+        self._group.start_soon(self._live, runs, scope)
+
+    def _create_log(
+        self, vm: VmId, peers: PeerNetwork
+    ) -> ReplicatedLog | None:
+        if self._real_log:
+            return create_replicated_log(
+                ReplicationSettings(),
+                peers,
+                self._find_storage(vm),
+                LoopClock(),
+                self.holders,
+                random.Random(self._random.random()),
+            )
+        return self.log.add_member(vm) if vm in self.holders else None
+
+    def _find_storage(self, vm: VmId) -> LogStorage | None:
+        if vm not in self.holders:
+            return None
+        if vm not in self._storages:
+            life = f"{vm}-life{len(self._storages)}"
+            self._storages[vm] = create_memory_storage(life)
+        return self._storages[vm]
+
+    async def _live(self, runs, scope: anyio.CancelScope) -> None:
         with scope:
-            await store.run()
+            async with anyio.create_task_group() as group:
+                for run in runs:
+                    group.start_soon(run)
 
 
 def run_cluster(scenario, *arguments, **options) -> None:
-    """Run an async scenario with a cluster in virtual time."""
+    """Run an async scenario with a SheetCluster in virtual time."""
 
     async def run() -> None:
         async with anyio.create_task_group() as group:
