Test the log under partitions, lost disks and lost voters

Found: a member that knew no leader sent commands to the next voter blindly; over a silent cut the answer was then 'unknown' although nobody led. It now asks who leads first (test: leader cut off with a minority).

--- a/dotterelbridge/replication/forwarding.py
+++ b/dotterelbridge/replication/forwarding.py
@@ -16,8 +16,11 @@
 from dotterelbridge.replication.messages import ProposeRequest
 from dotterelbridge.replication.messages import ReadReply
 from dotterelbridge.replication.messages import ReadRequest
+from dotterelbridge.replication.messages import StatusReply
+from dotterelbridge.replication.messages import StatusRequest
 
 _RETRY_PAUSE = timedelta(milliseconds=20)
+_STATUS_TIMEOUT = timedelta(milliseconds=500)
 _NO_LEADER = "no leader of the replicated log could be reached"
 _NO_LEADER_REMEDY = (
     "try again; if it lasts, check that a majority of the voters runs and "
@@ -64,11 +67,15 @@
         """Note whom another VM called leader; None when it knows none."""
         self.leader = vm if vm != self._network.own_id else None
 
-    def choose(self) -> VmId | None:
-        """Return the leader, or the next voter to ask for it."""
-        if self.leader:
-            return self.leader
-        return next(self._rotation) if self._rotation else None
+    async def find_leader(self, deadline: Deadline) -> VmId | None:
+        """Return the leader; without one, ask the next voter for it.
+
+        A command goes only to a VM that is called leader, so that it is
+        certainly not in the log while there is none.
+        """
+        if self.leader is None and self._rotation:
+            await self._ask_for_leader(next(self._rotation), deadline)
+        return self.leader
 
     async def propose_once(
         self, machine: str, command: bytes, deadline: Deadline
@@ -81,7 +88,7 @@
         :raises NotCommitted: the leader refused it.
         :raises CommitUnknown: it was sent and no answer came.
         """
-        vm = self.choose()
+        vm = await self.find_leader(deadline)
         if vm is None:
             return None
         request = ProposeRequest(
@@ -107,7 +114,7 @@
 
     async def read_once(self, deadline: Deadline) -> ReadReply | None:
         """Ask for the read index once; None when another must be asked."""
-        vm = self.choose()
+        vm = await self.find_leader(deadline)
         if vm is None:
             return None
         request = ReadRequest(log=self._log_name, timeout_ms=_to_ms(deadline))
@@ -132,6 +139,16 @@
             raise NotCommitted(_NO_LEADER, _NO_LEADER_REMEDY)
         await self._clock.sleep(min(_RETRY_PAUSE, deadline.remaining()))
 
+    async def _ask_for_leader(self, vm: VmId, deadline: Deadline) -> None:
+        request = StatusRequest(log=self._log_name)
+        timeout = min(_STATUS_TIMEOUT, deadline.remaining())
+        try:
+            reply = await self._network.request(vm, request, timeout)
+        except PeerError:
+            return
+        if isinstance(reply, StatusReply):
+            self.learn_leader(reply.leader)
+
     def _read_reply(self, reply: object) -> bytes | None:
         if not isinstance(reply, ProposeReply):
             raise CommitUnknown(
--- a/standins/network.py
+++ b/standins/network.py
@@ -44,6 +44,8 @@
         self.vms = sorted(vms)
         self.conditions = Conditions()
         self.delivered = 0
+        self.failures: list[Exception] = []
+        """What handlers raised; a test should find it empty."""
         self._random = random_module.Random(seed)
         self._ends: dict[VmId, _StandinPeerNetwork] = {}
         self._cuts: set[tuple[VmId, VmId]] = set()
@@ -130,7 +132,7 @@
     def _finish(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception():
-            raise task.exception()
+            self.failures.append(task.exception())
 
 
 class _StandinPeerNetwork(PeerNetwork):
--- a/tests/replication_support.py
+++ b/tests/replication_support.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 
+from dotterelbridge import invariants
 from dotterelbridge.errors import ReplicationError
 from dotterelbridge.replication.factory import create_replicated_log
 from dotterelbridge.replication.log import StateMachine
@@ -21,12 +22,21 @@
 
 
 class HistoryMachine(StateMachine):
-    """Keeps every command; its result is the command's position."""
+    """Keeps every command; its result is the command's position.
 
-    def __init__(self) -> None:
+    :param committed: by index, what any member of the group ever applied.
+    """
+
+    def __init__(self, committed: dict[int, bytes]) -> None:
         self.commands: list[bytes] = []
+        self._committed = committed
 
     def apply(self, index: int, command: bytes) -> bytes:
+        invariants.check(
+            self._committed.setdefault(index, command) == command,
+            "committed_entries_never_change",
+            index=index,
+        )
         self.commands.append(command)
         return str(len(self.commands)).encode()
 
@@ -58,6 +68,7 @@
         self.random = random.Random(seed)
         self.storages = {}
         self.nodes: dict[str, Node] = {}
+        self.committed: dict[int, bytes] = {}
         self.lives = 0
         self._tasks = tasks
 
@@ -134,6 +145,21 @@
         await self.wait_until(equal)
         return next(iter(self.nodes.values())).machine.commands
 
+    def is_whole(self) -> bool:
+        """Return whether all voters are the VMs' present identities."""
+        leader = self.find_leader()
+        if leader is None:
+            return False
+        log = self.nodes[leader].log
+        state = log.dump()
+        return {m.member for m in log.configuration.voters()} == {
+            storage.open().member
+            for vm, storage in self.storages.items()
+            if vm in self.vms
+        } == {m["member"] for m in state["members"]} and (
+            state["last_index"] == state["commit_index"]
+        )
+
     def _run(self, vm, storage, clock) -> Node:
         self.kill(vm)
         log = create_replicated_log(
@@ -144,7 +170,7 @@
             self.vms,
             random.Random(self.random.random()),
         )
-        machine = HistoryMachine()
+        machine = HistoryMachine(self.committed)
         log.add_machine("history", machine)
         node = Node(log, machine, anyio.CancelScope())
         self.nodes[vm] = node
@@ -168,8 +194,7 @@
     async with anyio.create_task_group() as tasks:
         group = Group(tasks, size, seed, settings)
         group.start_all()
-        try:
-            yield group
-        finally:
-            await group.network.close()
-            tasks.cancel_scope.cancel()
+        yield group
+        await group.network.close()
+        tasks.cancel_scope.cancel()
+        assert group.network.failures == []
--- /dev/null
+++ b/tests/test_replication_faults.py
@@ -0,0 +1,385 @@
+"""The replicated log while VMs, disks and links fail."""
+
+from datetime import timedelta
+import functools
+
+import anyio
+import pytest
+
+from dotterelbridge.errors import CommitUnknown
+from dotterelbridge.errors import NotCommitted
+from dotterelbridge.errors import ReplicationError
+from dotterelbridge.errors import StorageError
+from dotterelbridge.replication.settings import ReplicationSettings
+from dotterelbridge.replication.storage import Ballot
+from standins.virtual_time import run_in_virtual_time
+from tests.replication_support import TIMEOUT
+from tests.replication_support import run_group
+
+LONG_S = 300
+SHORT = timedelta(milliseconds=500)
+
+
+def in_virtual_time(function):
+    """Run an async test in virtual time."""
+
+    @functools.wraps(function)
+    def run(**arguments):
+        async def call():
+            await function(**arguments)
+
+        run_in_virtual_time(call)
+
+    return run
+
+
+def _term(group, vm):
+    return group.nodes[vm].log.dump()["term"]
+
+
+def _others(group, *excluded):
+    return [vm for vm in group.vms if vm not in excluded]
+
+
+@in_virtual_time
+async def test_voter_isolated_for_long_does_not_disturb():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        isolated = _others(group, leader)[0]
+        group.network.isolate([isolated])
+        await group.propose(leader, b"while away")
+        before = _term(group, leader)
+        await anyio.sleep(LONG_S)
+        group.network.heal()
+        await group.wait_equal()
+        assert group.find_leader() == leader
+        assert _term(group, leader) == before
+
+
+@in_virtual_time
+async def test_voter_that_returns_with_a_high_term_loses_nothing():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        away = _others(group, leader)[0]
+        group.kill(away)
+        await group.propose(leader, b"while away")
+        group.storages[away].write_ballot(Ballot(500, None))
+        group.start(away)
+        await group.wait_until(lambda: _term(group, leader) >= 500)
+        await group.propose_until_committed(leader, b"after")
+        assert await group.wait_equal() == [b"while away", b"after"]
+
+
+@in_virtual_time
+async def test_leader_cut_off_with_a_minority_stops_leading():
+    async with run_group(5) as group:
+        old = await group.wait_leader()
+        await group.propose(old, b"before")
+        minority = [old, _others(group, old)[0]]
+        group.network.isolate(minority)
+        with pytest.raises(ReplicationError):
+            await group.propose(old, b"lost or late")
+        await group.wait_until(
+            lambda: group.find_leader() not in (None, *minority)
+        )
+        new = group.find_leader()
+        await group.propose(new, b"majority")
+        with pytest.raises(NotCommitted):
+            await group.propose(old, b"refused")
+        with pytest.raises(NotCommitted):
+            await group.nodes[old].log.read_barrier(SHORT)
+        group.network.heal()
+        commands = await group.wait_equal()
+        assert commands[:2] == [b"before", b"majority"]
+        assert b"refused" not in commands
+
+
+@in_virtual_time
+async def test_leader_that_hears_nobody_stops_leading():
+    async with run_group(3) as group:
+        old = await group.wait_leader()
+        for vm in _others(group, old):
+            group.network.cut(vm, old)
+        await group.wait_until(lambda: group.find_leader() not in (None, old))
+        await group.propose(group.find_leader(), b"new")
+        group.network.heal()
+        assert await group.wait_equal() == [b"new"]
+
+
+@in_virtual_time
+async def test_leader_that_reaches_nobody_stops_leading():
+    async with run_group(3) as group:
+        old = await group.wait_leader()
+        for vm in _others(group, old):
+            group.network.cut(old, vm)
+        await group.wait_until(lambda: group.find_leader() not in (None, old))
+        group.network.heal()
+        await group.propose_until_committed(old, b"new")
+        assert set(await group.wait_equal()) == {b"new"}
+
+
+@in_virtual_time
+async def test_voter_that_misses_the_leader_alone_does_not_disturb():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        deaf = _others(group, leader)[0]
+        group.network.cut(leader, deaf)
+        before = _term(group, leader)
+        await anyio.sleep(60)
+        assert group.find_leader() == leader
+        assert _term(group, leader) == before
+
+
+@in_virtual_time
+async def test_empty_disk_returns_under_a_new_identity():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        wiped = _others(group, leader)[0]
+        await group.propose(leader, b"before")
+        old = group.nodes[wiped].log.member
+        group.wipe(wiped)
+        await group.propose(leader, b"while away")
+        group.start(wiped)
+        assert not group.nodes[wiped].log.dump()["voter"]
+        await group.wait_until(group.is_whole)
+        assert group.nodes[wiped].log.member != old
+        assert await group.wait_equal() == [b"before", b"while away"]
+
+
+@in_virtual_time
+async def test_empty_disk_does_not_vote_for_who_lacks_commits():
+    """A wiped voter must not help a voter that missed a commit to lead."""
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        wiped, behind = _others(group, leader)
+        group.kill(behind)
+        await group.propose(leader, b"on two of three")
+        group.wipe(wiped)
+        group.kill(leader)
+        group.start(behind)
+        group.start(wiped)
+        await anyio.sleep(60)
+        assert group.find_leader() is None
+        group.start(leader)
+        await group.wait_until(group.is_whole)
+        assert await group.wait_equal() == [b"on two of three"]
+
+
+@pytest.mark.parametrize("seed", range(10))
+@in_virtual_time
+async def test_second_voter_lost_right_after_a_replacement(seed):
+    async with run_group(3, seed) as group:
+        leader = await group.wait_leader()
+        first, second = _others(group, leader)
+        group.kill(second)
+        await group.propose(leader, b"on leader and first")
+        group.wipe(first)
+        group.start(second)
+        group.start(first)
+        await group.wait_until(group.is_whole)
+        group.wipe(group.find_leader())
+        await group.wait_leader()
+        await group.propose_until_committed(second, b"after")
+        for vm in _others(group, *group.nodes):
+            group.start(vm)
+        await group.wait_until(group.is_whole)
+        commands = await group.wait_equal()
+        assert commands[0] == b"on leader and first"
+
+
+@in_virtual_time
+async def test_no_second_group_beside_one_that_lost_its_majority():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        await group.propose(leader, b"kept")
+        for vm in _others(group, leader):
+            group.wipe(vm)
+            group.start(vm)
+        await anyio.sleep(LONG_S)
+        assert group.find_leader() is None
+        assert group.nodes[leader].machine.commands == [b"kept"]
+
+
+@in_virtual_time
+async def test_group_forms_only_when_all_voters_are_there():
+    async with run_group(3) as group:
+        group.wipe("v1")
+        await anyio.sleep(60)
+        assert group.find_leader() is None
+        group.start("v1")
+        await group.wait_leader()
+
+
+@in_virtual_time
+async def test_member_far_behind_catches_up_by_snapshot():
+    settings = ReplicationSettings(
+        snapshot_entries=50, tail_entries=10, snapshot_chunk_kb=1
+    )
+    async with run_group(3, settings=settings) as group:
+        leader = await group.wait_leader()
+        away = _others(group, leader)[0]
+        group.kill(away)
+        for number in range(500):
+            await group.propose(leader, b"%06d" % number)
+        group.start(away)
+        commands = await group.wait_equal()
+        assert commands == [b"%06d" % number for number in range(500)]
+        state = group.nodes[away].log.dump()
+        assert state["base_index"] > 400
+        group.kill(away)
+        group.start(away)
+        assert len(await group.wait_equal()) == 500
+
+
+@in_virtual_time
+async def test_learner_follows_and_does_not_count():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        group.start("spare")
+        log = group.nodes["spare"].log
+        await group.wait_until(lambda: log.configuration.find(log.member))
+        await group.propose(leader, b"one")
+        assert await group.wait_equal() == [b"one"]
+        for vm in _others(group, leader):
+            group.kill(vm)
+        with pytest.raises(ReplicationError):
+            await group.propose(leader, b"two")
+
+
+@in_virtual_time
+async def test_voter_is_replaced_by_another_vm():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        retired = _others(group, leader)[0]
+        group.start("spare")
+        spare = group.nodes["spare"].log
+        log = group.nodes[leader].log
+        await group.wait_until(lambda: spare.configuration.find(spare.member))
+        with anyio.fail_after(60):
+            await log.promote(spare.member)
+            await log.remove(group.nodes[retired].log.member)
+        group.kill(retired)
+        await group.propose(leader, b"one")
+        voters = {member.vm for member in log.configuration.voters()}
+        assert voters == {"spare", *_others(group, retired)}
+
+
+@in_virtual_time
+async def test_leader_that_removes_itself_hands_over():
+    async with run_group(3) as group:
+        old = await group.wait_leader()
+        log = group.nodes[old].log
+        await log.remove(log.member)
+        await group.wait_until(lambda: group.find_leader() not in (None, old))
+        await group.propose(group.find_leader(), b"one")
+
+
+@in_virtual_time
+async def test_two_voters_do_not_change_at_once():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        log = group.nodes[leader].log
+        leadership = log._leadership
+        new = log.configuration
+        for vm in _others(group, leader):
+            new = new.without(group.nodes[vm].log.member)
+        with pytest.raises(NotCommitted, match="one at a time"):
+            await leadership.change_configuration(new)
+
+
+@in_virtual_time
+async def test_full_queue_refuses_at_once_and_truly():
+    settings = ReplicationSettings(pending_limit=5)
+    async with run_group(3, settings=settings) as group:
+        leader = await group.wait_leader()
+        outcomes = []
+
+        async def propose(number):
+            try:
+                await group.propose(leader, b"%d" % number)
+            except NotCommitted:
+                outcomes.append(number)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(20):
+                tasks.start_soon(propose, number)
+        assert len(outcomes) == 15
+        commands = await group.wait_equal()
+        refused = {b"%d" % number for number in outcomes}
+        assert len(commands) == 5
+        assert not refused & set(commands)
+
+
+@in_virtual_time
+async def test_failing_disk_hands_over_and_acknowledges_nothing():
+    async with run_group(3) as group:
+        old = await group.wait_leader()
+
+        def fail(entries):
+            raise StorageError("no space left", "free space")
+
+        group.storages[old].append = fail
+        with pytest.raises(CommitUnknown):
+            await group.propose(old, b"unknown")
+        await group.wait_until(lambda: group.find_leader() not in (None, old))
+        assert group.nodes[old].log.dump()["role"] == "failed"
+        result = await group.propose(old, b"forwarded", TIMEOUT * 2)
+        assert result in (b"1", b"2")
+
+
+@in_virtual_time
+async def test_damaged_command_fails_its_proposer_alone():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+
+        def fail(index, command):
+            raise ValueError("bad command")
+
+        good = {}
+        for vm, node in group.nodes.items():
+            good[vm] = node.machine.apply
+            node.machine.apply = fail
+        with pytest.raises(CommitUnknown, match="bad command"):
+            await group.propose(leader, b"bad")
+        for vm, node in group.nodes.items():
+            await node.log.read_barrier(TIMEOUT)
+            node.machine.apply = good[vm]
+        await group.propose(leader, b"good")
+        assert await group.wait_equal() == [b"good"]
+
+
+@in_virtual_time
+async def test_large_command_is_refused():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        limit = group.settings.command_limit_kb * 1024
+        with pytest.raises(NotCommitted, match="command_limit_kb"):
+            await group.propose(leader, bytes(limit + 1))
+
+
+@in_virtual_time
+async def test_read_barrier_holds_earlier_commits_on_every_member():
+    async with run_group(3) as group:
+        await group.wait_leader()
+        for number in range(20):
+            writer = group.vms[number % 3]
+            reader = group.vms[(number + 1) % 3]
+            await group.propose(writer, b"%d" % number)
+            await group.nodes[reader].log.read_barrier(TIMEOUT)
+            assert len(group.nodes[reader].machine.commands) == number + 1
+
+
+@in_virtual_time
+async def test_write_follows_the_leaders_death_within_two_seconds():
+    """The bound is the target's; virtual time leaves out the processor."""
+    clock_s = anyio.current_time
+    async with run_group(5) as group:
+        for number in range(20):
+            leader = await group.wait_leader()
+            writer = _others(group, leader)[number % 4]
+            group.kill(leader)
+            died_at = clock_s()
+            await group.propose_until_committed(writer, b"%d" % number)
+            assert clock_s() - died_at < 2
+            group.start(leader)
+            await group.wait_equal()
