--- a/dotterelbridge/replication/client.py
+++ b/dotterelbridge/replication/client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from datetime import timedelta
+import random as random_module
 from typing import Any
 
 import anyio
@@ -76,8 +77,9 @@
     network: PeerNetwork,
     clock: Clock,
     voters: Sequence[VmId],
+    random: random_module.Random,
     log_name: str = "main",
 ) -> LogClient:
     """Return the log of a VM without storage."""
-    forwarder = Forwarder(log_name, network, clock, voters)
+    forwarder = Forwarder(log_name, network, clock, voters, random)
     return LogClient(settings, clock, forwarder)
--- a/dotterelbridge/replication/factory.py
+++ b/dotterelbridge/replication/factory.py
@@ -36,7 +36,9 @@
         the file, the offset and the remedy.
     """
     if storage is None:
-        return create_log_client(settings, network, clock, voters, log_name)
+        return create_log_client(
+            settings, network, clock, voters, random, log_name
+        )
     return create_log_member(
         settings, network, storage, clock, voters, random, log_name
     )
--- a/dotterelbridge/replication/forwarding.py
+++ b/dotterelbridge/replication/forwarding.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from datetime import timedelta
 import itertools
+import random as random_module
 
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import CommitUnknown
@@ -21,6 +22,7 @@
 
 _RETRY_PAUSE = timedelta(milliseconds=20)
 _STATUS_TIMEOUT = timedelta(milliseconds=500)
+_ATTEMPT_BITS = 62
 _NO_LEADER = "no leader of the replicated log could be reached"
 _NO_LEADER_REMEDY = (
     "try again; if it lasts, check that a majority of the voters runs and "
@@ -54,12 +56,14 @@
         network: PeerNetwork,
         clock: Clock,
         voters: Sequence[VmId],
+        random: random_module.Random,
     ) -> None:
         self.leader: VmId | None = None
         """The leader that another VM named last."""
         self._log_name = log_name
         self._network = network
         self._clock = clock
+        self._random = random
         others = [vm for vm in voters if vm != network.own_id]
         self._rotation = itertools.cycle(others) if others else None
 
@@ -93,6 +97,7 @@
             return None
         request = ProposeRequest(
             log=self._log_name,
+            attempt=self._random.getrandbits(_ATTEMPT_BITS),
             machine=machine,
             command=command,
             timeout_ms=_to_ms(deadline),
--- a/dotterelbridge/replication/member.py
+++ b/dotterelbridge/replication/member.py
@@ -16,6 +16,7 @@
 from dotterelbridge.ids import MemberId
 from dotterelbridge.ids import VmId
 from dotterelbridge.peers.network import PeerNetwork
+from dotterelbridge.replication.answers import AnswerCache
 from dotterelbridge.replication.context import Context
 from dotterelbridge.replication.disk import Disk
 from dotterelbridge.replication.election import Elector
@@ -63,6 +64,7 @@
         self._follower = Follower(context)
         self._joiner = Joiner(context)
         self._leadership: Leadership | None = None
+        self._answers = AnswerCache()
         self._pending = 0
         self._pending_bytes = 0
 
@@ -355,7 +357,12 @@
 
     async def _on_propose(
         self, sender: VmId, request: ProposeRequest
-    ) -> ProposeReply:
+    ) -> ProposeReply | None:
+        return await self._answers.answer(
+            sender, request.attempt, lambda: self._answer_propose(request)
+        )
+
+    async def _answer_propose(self, request: ProposeRequest) -> ProposeReply:
         deadline = Deadline(
             self._context.clock, timedelta(milliseconds=request.timeout_ms)
         )
@@ -427,4 +434,5 @@
         machines=MachineHost(settings, state, disk),
         initial_voters=tuple(voters),
     )
-    return LogMember(context, Forwarder(log_name, network, clock, voters))
+    forwarder = Forwarder(log_name, network, clock, voters, random)
+    return LogMember(context, forwarder)
--- a/dotterelbridge/replication/messages.py
+++ b/dotterelbridge/replication/messages.py
@@ -127,6 +127,8 @@
 class ProposeRequest(GroupMessage, frozen=True, kw_only=True, array_like=True):
     """Forwards a command to the leader."""
 
+    attempt: int
+    """Tells the attempts of one VM apart; a repeated one is not run."""
     machine: str
     command: bytes
     timeout_ms: int
--- a/tests/replication_support.py
+++ b/tests/replication_support.py
@@ -130,20 +130,22 @@
     async def wait_equal(self) -> list[bytes]:
         """Wait until all members that run hold the same, and return it."""
 
+        def list_members():
+            return [n for vm, n in self.nodes.items() if vm != "client"]
+
         def equal():
-            members = [n for vm, n in self.nodes.items() if vm != "client"]
             states = {
                 (n.log.applied_index, tuple(n.machine.commands))
-                for n in members
+                for n in list_members()
             }
             lags = {
                 n.log.applied_index < n.log.dump()["last_index"]
-                for n in members
+                for n in list_members()
             }
             return len(states) == 1 and lags == {False}
 
         await self.wait_until(equal)
-        return next(iter(self.nodes.values())).machine.commands
+        return list_members()[0].machine.commands
 
     def is_whole(self) -> bool:
         """Return whether all voters are the VMs' present identities."""
--- a/tests/test_replication_faults.py
+++ b/tests/test_replication_faults.py
@@ -310,6 +310,18 @@
         assert not refused & set(commands)
 
 
+@in_virtual_time
+async def test_doubled_message_is_run_once():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        group.network.conditions.duplication = 1.0
+        writer = _others(group, leader)[0]
+        for number in range(20):
+            await group.propose(writer, b"%d" % number)
+        commands = await group.wait_equal()
+        assert commands == [b"%d" % number for number in range(20)]
+
+
 @in_virtual_time
 async def test_failing_disk_hands_over_and_acknowledges_nothing():
     async with run_group(3) as group:
