--- a/dotterelbridge/replication/forwarding.py
+++ b/dotterelbridge/replication/forwarding.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from datetime import timedelta
 import itertools
+import random as random_module
 
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import CommitUnknown
@@ -16,8 +17,12 @@
 from dotterelbridge.replication.messages import ProposeRequest
 from dotterelbridge.replication.messages import ReadReply
 from dotterelbridge.replication.messages import ReadRequest
+from dotterelbridge.replication.messages import StatusReply
+from dotterelbridge.replication.messages import StatusRequest
 
 _RETRY_PAUSE = timedelta(milliseconds=20)
+_STATUS_TIMEOUT = timedelta(milliseconds=500)
+_ATTEMPT_BITS = 62
 _NO_LEADER = "no leader of the replicated log could be reached"
 _NO_LEADER_REMEDY = (
     "try again; if it lasts, check that a majority of the voters runs and "
@@ -51,12 +56,14 @@
         network: PeerNetwork,
         clock: Clock,
         voters: Sequence[VmId],
+        random: random_module.Random,
     ) -> None:
         self.leader: VmId | None = None
         """The leader that another VM named last."""
         self._log_name = log_name
         self._network = network
         self._clock = clock
+        self._random = random
         others = [vm for vm in voters if vm != network.own_id]
         self._rotation = itertools.cycle(others) if others else None
 
@@ -64,11 +71,15 @@
         """Note whom another VM called leader; None when it knows none."""
         self.leader = vm if vm != self._network.own_id else None
 
-    def choose(self) -> VmId | None:
-        """Return the leader, or the next voter to ask for it."""
-        if self.leader:
-            return self.leader
-        return next(self._rotation) if self._rotation else None
+    async def find_leader(self, deadline: Deadline) -> VmId | None:
+        """Return the leader; without one, ask the next voter for it.
+
+        A command goes only to a VM that is called leader, so that it is
+        certainly not in the log while there is none.
+        """
+        if self.leader is None and self._rotation:
+            await self._ask_for_leader(next(self._rotation), deadline)
+        return self.leader
 
     async def propose_once(
         self, machine: str, command: bytes, deadline: Deadline
@@ -81,11 +92,12 @@
         :raises NotCommitted: the leader refused it.
         :raises CommitUnknown: it was sent and no answer came.
         """
-        vm = self.choose()
+        vm = await self.find_leader(deadline)
         if vm is None:
             return None
         request = ProposeRequest(
             log=self._log_name,
+            attempt=self._random.getrandbits(_ATTEMPT_BITS),
             machine=machine,
             command=command,
             timeout_ms=_to_ms(deadline),
@@ -107,7 +119,7 @@
 
     async def read_once(self, deadline: Deadline) -> ReadReply | None:
         """Ask for the read index once; None when another must be asked."""
-        vm = self.choose()
+        vm = await self.find_leader(deadline)
         if vm is None:
             return None
         request = ReadRequest(log=self._log_name, timeout_ms=_to_ms(deadline))
@@ -132,6 +144,16 @@
             raise NotCommitted(_NO_LEADER, _NO_LEADER_REMEDY)
         await self._clock.sleep(min(_RETRY_PAUSE, deadline.remaining()))
 
+    async def _ask_for_leader(self, vm: VmId, deadline: Deadline) -> None:
+        request = StatusRequest(log=self._log_name)
+        timeout = min(_STATUS_TIMEOUT, deadline.remaining())
+        try:
+            reply = await self._network.request(vm, request, timeout)
+        except PeerError:
+            return
+        if isinstance(reply, StatusReply):
+            self.learn_leader(reply.leader)
+
     def _read_reply(self, reply: object) -> bytes | None:
         if not isinstance(reply, ProposeReply):
             raise CommitUnknown(
