--- a/dotterelbridge/routing/router.py
+++ b/dotterelbridge/routing/router.py
@@ -186,6 +186,8 @@
             target = slot.target
             target.speed.record_first_token(elapsed, now)
             target.limit.record_first_token(elapsed, target.in_flight, now)
+            if target.has_room:
+                self._dispatch_target(target)
         slot.tokens += count
 
     def release(self, slot: Slot, outcome: Outcome) -> None:
--- a/dotterelbridge/routing/settings.py
+++ b/dotterelbridge/routing/settings.py
@@ -27,7 +27,7 @@
     """Share of free slots for background work that is over that limit."""
     background_cancellations_limit: _Positive = 3
     """Times that one background stream makes room for urgent work."""
-    initial_concurrency: _Positive = 32
+    initial_concurrency: _Positive = 64
     concurrency_limit: _Positive = 512
     """Upper bound of a target's adaptive limit."""
     attempts_limit: _Positive = 4
--- a/dotterelbridge/serving/listener.py
+++ b/dotterelbridge/serving/listener.py
@@ -67,7 +67,9 @@
 
 def _create_socket(settings: ServingSettings) -> socket.socket:
     family = socket.AF_INET6 if ":" in settings.host else socket.AF_INET
-    listening = socket.socket(family, socket.SOCK_STREAM)
+    listening = socket.socket(
+        family, socket.SOCK_STREAM, socket.IPPROTO_TCP
+    )
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listening.bind((settings.host, settings.port))
     listening.listen(settings.backlog)
