--- a/bench/relay.py
+++ b/bench/relay.py
@@ -6,7 +6,7 @@
 token of direct calls to the engine is measured in the same run, so that
 the figure is what the relay adds.
 
-    python -m bench.relay --streams 10,100,300 --path serving --loop uvloop
+    python -m bench.relay --streams 10,100,300 --path serving,bare
 """
 
 import argparse
@@ -27,7 +27,6 @@
 import httpx
 from hypercorn.asyncio import serve as serve_hypercorn
 from hypercorn.config import Config
-import uvloop
 
 from dotterelbridge.clock import SystemClock
 from dotterelbridge.ids import Business
@@ -353,7 +352,6 @@
     process = subprocess.Popen(
         [sys.executable, "-m", "bench.relay", *arguments],
         stdout=subprocess.PIPE,
-        env=os.environ | {"UV_USE_IO_URING": "0"},
     )
     try:
         yield process.pid, int(process.stdout.readline())
@@ -381,22 +379,20 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
-def measure(path: str, loop: str, streams: int, duration_s: float) -> dict:
+def measure(path: str, streams: int, duration_s: float) -> dict:
     """Run one measurement."""
     with (
         start_process("--role", "engine") as (engine_pid, engine_port),
         start_process(
             "--role",
             path,
-            "--loop",
-            loop,
             "--engine-port",
             str(engine_port),
         ) as (relay_pid, relay_port),
     ):
         _wait_for_port(relay_port)
-        direct, _ = uvloop.run(run_load(engine_port, 10, 1, 5, engine_pid))
-        load, window = uvloop.run(
+        direct, _ = asyncio.run(run_load(engine_port, 10, 1, 5, engine_pid))
+        load, window = asyncio.run(
             run_load(
                 relay_port,
                 streams,
@@ -409,7 +405,6 @@
     direct_s = statistics.median(direct.first_token_s)
     return {
         "path": path,
-        "loop": loop,
         "streams": streams,
         "tokens_per_s": round(window.tokens / window.elapsed_s),
         "cpu_us_per_token": round(window.processor_s / window.tokens * 1e6, 1),
@@ -446,9 +441,7 @@
         "serving": lambda: serve_serving(arguments.engine_port),
         "bare": lambda: serve_bare(arguments.engine_port),
     }
-    use_uvloop = arguments.loop == "uvloop" or arguments.role == "engine"
-    runner = uvloop.run if use_uvloop else asyncio.run
-    runner(roles[arguments.role]())
+    asyncio.run(roles[arguments.role]())
 
 
 def run() -> None:
@@ -456,7 +449,6 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--streams", default="10,100,300")
     parser.add_argument("--path", default="serving")
-    parser.add_argument("--loop", default="asyncio")
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--role", help=argparse.SUPPRESS)
     parser.add_argument("--engine-port", type=int, help=argparse.SUPPRESS)
@@ -465,10 +457,9 @@
         _run_role(arguments)
         return
     for path in arguments.path.split(","):
-        for loop in arguments.loop.split(","):
-            for streams in map(int, arguments.streams.split(",")):
-                result = measure(path, loop, streams, arguments.seconds)
-                print(json.dumps(result), flush=True)
+        for streams in map(int, arguments.streams.split(",")):
+            result = measure(path, streams, arguments.seconds)
+            print(json.dumps(result), flush=True)
 
 
 if __name__ == "__main__":
