--- a/dotterelbridge/serving/settings.py
+++ b/dotterelbridge/serving/settings.py
@@ -34,5 +34,7 @@
     """Size of one server-sent event."""
     write_buffer_kb: _Positive = 64
     """Bytes held for a caller that reads slowly, before the relay waits."""
+    stall_limit_s: _Positive = 60
+    """Time without progress after which such a caller is cut off."""
     balancer_lead_s: _Natural = 5
     """Time between /readyz turning false and the end of new connections."""
