--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -40,6 +40,7 @@
 from dotterelbridge.settings import PlatformSettings
 from dotterelbridge.settings import Settings
 from dotterelbridge.settings import read_secret_file
+from dotterelbridge.sheet.operators import create_sheet_routes
 from dotterelbridge.sheet.parser import KnownNames
 from dotterelbridge.sheet.settings import SheetSettings
 from dotterelbridge.sheet.store import create_sheet_store
@@ -241,7 +242,10 @@
             self._registry,
             self._recent,
             self._summarize,
-            create_placement_routes(self._placement, self._membership),
+            [
+                *create_sheet_routes(self._sheet),
+                *create_placement_routes(self._placement, self._membership),
+            ],
         )
         daemon = self._settings.daemon
         self._operators = create_operator_listener(
