--- /dev/null
+++ b/dotterelbridge/serving/listener.py
@@ -0,0 +1,72 @@
+"""The callers' listener: serves the application until it is drained."""
+
+from datetime import timedelta
+import socket
+
+import anyio
+import structlog
+
+from dotterelbridge import events
+from dotterelbridge.clock import Clock
+from dotterelbridge.serving.callers import CallerApp
+from dotterelbridge.serving.events import ServingEvent
+from dotterelbridge.serving.server import HttpServer
+from dotterelbridge.serving.settings import ServingSettings
+
+_log = structlog.get_logger(__name__)
+_SWEEP_INTERVAL = timedelta(seconds=1)
+
+
+class CallerListener:
+    """Binds at once, so that the port is known before ``run``."""
+
+    def __init__(
+        self, app: CallerApp, settings: ServingSettings, clock: Clock
+    ) -> None:
+        self._app = app
+        self._settings = settings
+        self._clock = clock
+        self._server = HttpServer(app, settings, clock)
+        self._socket = _create_socket(settings)
+
+    @property
+    def port(self) -> int:
+        """Port that the listener is bound to."""
+        return self._socket.getsockname()[1]
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        await self._server.start(self._socket)
+        try:
+            while True:
+                await self._clock.sleep(_SWEEP_INTERVAL)
+                self._server.sweep()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._server.abort()
+
+    async def drain(self) -> None:
+        """Turn /readyz false, then answer all that is in flight."""
+        self._app.start_draining()
+        lead = timedelta(seconds=self._settings.balancer_lead_s)
+        await self._clock.sleep(lead)
+        self._server.stop_accepting()
+        await self._app.wait_until_answered()
+        events.log(_log, ServingEvent.DRAIN_FINISHED)
+
+
+def _create_socket(settings: ServingSettings) -> socket.socket:
+    family = socket.AF_INET6 if ":" in settings.host else socket.AF_INET
+    listening = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.bind((settings.host, settings.port))
+    listening.listen(settings.backlog)
+    listening.setblocking(False)
+    return listening
+
+
+def create_caller_listener(
+    app: CallerApp, settings: ServingSettings, clock: Clock
+) -> CallerListener:
+    """Return a listener that is bound and not yet accepting."""
+    return CallerListener(app, settings, clock)
