Prove the whole path by real processes

Cause: whole answers, one run for a key, truthful refusals and a shutdown that cuts nothing need a proof from outside. Change: features/path.feature and its steps, on the processes of standins.demo: byte-for-byte streams, keyed resends, one key with two bodies, SIGTERM under 40 half-received streams, a dump by SIGUSR1.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -83,24 +83,29 @@
     """The processes of the demonstration and what talks to them."""
 
     def __init__(self, folder: pathlib.Path) -> None:
-        self._folder = folder
+        self.folder = folder
         self._processes: list[subprocess.Popen] = []
         names = ("caller", "operator", "peer", "engine1", "engine2", "service")
         self.ports = dict(zip(names, find_free_ports(len(names)), strict=True))
         self.caller_url = f"http://127.0.0.1:{self.ports['caller']}"
 
+    @property
+    def daemon(self) -> subprocess.Popen:
+        """The process of the daemon, the last one to start."""
+        return self._processes[-1]
+
     def start(self) -> None:
         """Write the files and start all processes."""
-        (self._folder / "token").write_text("demo-operator-token")
-        (self._folder / "secret").write_text("demo-peer-secret")
-        (self._folder / "sheet.csv").write_text(SHEET)
-        settings = SETTINGS.format(folder=self._folder, **self.ports)
-        (self._folder / "settings.ini").write_text(settings)
+        (self.folder / "token").write_text("demo-operator-token")
+        (self.folder / "secret").write_text("demo-peer-secret")
+        (self.folder / "sheet.csv").write_text(SHEET)
+        settings = SETTINGS.format(folder=self.folder, **self.ports)
+        (self.folder / "settings.ini").write_text(settings)
         for number in (1, 2):
             fencing = "enforced" if number == 1 else "ignored"
             self._start_engine(number, fencing)
         self._start("standins.service", "--port", self.ports["service"])
-        config = self._folder / "settings.ini"
+        config = self.folder / "settings.ini"
         self._start("dotterelbridge.daemon", "--config", config)
         self._wait_until_ready()
 
@@ -123,7 +128,7 @@
 
     def _start(self, module: str, *arguments: object) -> None:
         command = [sys.executable, "-m", module, *map(str, arguments)]
-        log = (self._folder / f"{len(self._processes)}.log").open("wb")
+        log = (self.folder / f"{len(self._processes)}.log").open("wb")
         self._processes.append(
             subprocess.Popen(command, stdout=log, stderr=log)
         )
@@ -135,7 +140,7 @@
         for process in self._processes:
             if process.poll() is not None:
                 raise SystemExit(
-                    f"{process.args} ended early; see {self._folder}"
+                    f"{process.args} ended early; see {self.folder}"
                 )
         try:
             return httpx.get(f"{self.caller_url}/readyz").is_success
@@ -146,13 +151,13 @@
         """Run the command-line tool against the daemon."""
         print(f"\n$ dotterelbridge {' '.join(arguments)}", flush=True)
         server = f"http://127.0.0.1:{self.ports['operator']}"
-        token = str(self._folder / "token")
+        token = str(self.folder / "token")
         common = ["--server", server, "--token-file", token]
         return run_tool([*common, *arguments], Environment())
 
     def submit_sheet(self) -> None:
         """Put the sheet in force."""
-        sheet = str(self._folder / "sheet.csv")
+        sheet = str(self.folder / "sheet.csv")
         self.run_tool("sheet", "submit", sheet, "--number", "1", "--wait")
 
     def send_chat(self) -> None:
@@ -204,7 +209,7 @@
     def print_hints(self) -> None:
         """Print how to talk to the running set-up."""
         print(
-            f"\nRunning; files in {self._folder}. Try:\n"
+            f"\nRunning; files in {self.folder}. Try:\n"
             f"  curl -N {self.caller_url}/v1/chat/completions "
             '-d \'{"model": "quotes", "stream": true, '
             '"messages": [{"role": "user", "content": "hi"}]}\'\n'
@@ -212,7 +217,7 @@
             "-H 'Idempotency-Key: k-2' -d '{\"day\": \"2026-12-08\"}'\n"
             f"  dotterelbridge --server http://127.0.0.1:"
             f"{self.ports['operator']} --token-file "
-            f"{self._folder}/token status\n"
+            f"{self.folder}/token status\n"
             "Ctrl-C stops everything."
         )
 
--- /dev/null
+++ b/tests/features/path.feature
@@ -0,0 +1,34 @@
+Feature: The whole path through real processes
+  A daemon, two engines and a booking service run as processes of their own.
+
+  Background:
+    Given a running daemon with the sheet in force
+
+  Scenario: A streamed chat completion arrives whole
+    When a caller streams a chat completion of 20 tokens
+    Then the caller has every token once and in order
+    And the answer says that the request ran
+
+  Scenario: A booking that is sent again runs once
+    When a caller sends the same keyed booking 3 times
+    Then every answer is the same
+    And the booking service ran 1 call
+
+  Scenario: One key with two bodies
+    When a caller reuses a key for another booking
+    Then the second booking is refused as not run
+    And the booking service ran 1 call
+
+  Scenario: A model that is not on the sheet
+    When a caller asks for the model "nonsense"
+    Then the request is refused as not run with a remedy
+
+  Scenario: A graceful shutdown cuts off no stream
+    Given 40 callers with half of their streams received
+    When the daemon gets SIGTERM
+    Then every stream arrives whole
+    And the daemon ends with status 0
+
+  Scenario: A state dump by signal
+    When the daemon gets SIGUSR1
+    Then the dump file names all parts
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,214 @@
+"""Steps of features/path.feature: real processes on loopback."""
+
+import concurrent.futures
+import json
+import pathlib
+import signal
+import tempfile
+import threading
+import time
+
+import httpx
+import pytest
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from standins.demo import Demo
+from standins.tokens import expected_tokens
+
+scenarios("features/path.feature")
+
+WAIT_S = 30
+STREAM_TOKENS = 40
+
+
+@pytest.fixture(scope="module")
+def shared():
+    """One daemon for the scenarios that leave it running."""
+    with tempfile.TemporaryDirectory(prefix="dotterelbridge-") as folder:
+        demo = Demo(pathlib.Path(folder))
+        try:
+            demo.start()
+            demo.submit_sheet()
+            yield demo
+        finally:
+            demo.stop()
+
+
+@pytest.fixture
+def results():
+    return {}
+
+
+@given("a running daemon with the sheet in force", target_fixture="demo")
+def start_daemon(shared, request):
+    if "shutdown" not in request.node.name:
+        return shared
+    folder = tempfile.mkdtemp(prefix="dotterelbridge-")
+    demo = Demo(pathlib.Path(folder))
+    request.addfinalizer(demo.stop)
+    demo.start()
+    demo.submit_sheet()
+    return demo
+
+
+def create_body(tokens, text="A walk-in shower for Mrs Byrne"):
+    return {
+        "model": "quotes",
+        "stream": True,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": text}],
+    }
+
+
+def stream_chat(demo, body, on_token=lambda: None):
+    """Return the head and the tokens of one streamed completion."""
+    tokens = []
+    with httpx.stream(
+        "POST",
+        f"{demo.caller_url}/v1/chat/completions",
+        json=body,
+        timeout=WAIT_S,
+    ) as answer:
+        for line in answer.iter_lines():
+            if line.startswith("data: {"):
+                choice = json.loads(line[6:])["choices"][0]
+                tokens.append(choice["delta"]["content"])
+                on_token()
+    return answer, tokens
+
+
+def send_booking(demo, key, day="2026-12-07"):
+    return httpx.post(
+        f"{demo.caller_url}/services/booking/bookings",
+        json={"day": day},
+        headers={"Idempotency-Key": key},
+        timeout=WAIT_S,
+    )
+
+
+def count_runs(demo):
+    port = demo.ports["service"]
+    truth = httpx.get(f"http://127.0.0.1:{port}/standin/truth").json()
+    return sum(truth["keys"].values())
+
+
+@when(parsers.parse("a caller streams a chat completion of {tokens:d} tokens"))
+def stream_one(demo, results, tokens):
+    results["body"] = create_body(tokens)
+    results["answer"], results["tokens"] = stream_chat(demo, results["body"])
+
+
+@then("the caller has every token once and in order")
+def check_tokens(results):
+    assert results["tokens"] == expected_tokens(results["body"])
+
+
+@then("the answer says that the request ran")
+def check_run(results):
+    assert results["answer"].headers["dotterelbridge-run"] == "yes"
+
+
+@when(parsers.parse("a caller sends the same keyed booking {times:d} times"))
+def book_again(demo, results, times):
+    results["runs_before"] = count_runs(demo)
+    results["answers"] = [send_booking(demo, "again") for _ in range(times)]
+
+
+@then("every answer is the same")
+def check_same(results):
+    assert len({a.text for a in results["answers"]}) == 1
+    assert {a.status_code for a in results["answers"]} == {200}
+
+
+@then(parsers.parse("the booking service ran {runs:d} call"))
+def check_runs(demo, results, runs):
+    assert count_runs(demo) - results["runs_before"] == runs
+
+
+@when("a caller reuses a key for another booking")
+def book_other(demo, results):
+    results["runs_before"] = count_runs(demo)
+    send_booking(demo, "reused")
+    results["answer"] = send_booking(demo, "reused", day="2026-12-09")
+
+
+@then("the second booking is refused as not run")
+@then("the request is refused as not run with a remedy")
+def check_refused(results):
+    answer = results["answer"]
+    assert answer.is_client_error
+    assert answer.headers["dotterelbridge-run"] == "no"
+    assert answer.json()["error"]["remedy"]
+
+
+@when(parsers.parse('a caller asks for the model "{model}"'))
+def ask_unknown(demo, results, model):
+    body = {**create_body(5), "model": model, "stream": False}
+    results["answer"] = httpx.post(
+        f"{demo.caller_url}/v1/chat/completions", json=body, timeout=WAIT_S
+    )
+
+
+@given(parsers.parse("{count:d} callers with half of their streams received"))
+def start_streams(demo, results, count, request):
+    pool = concurrent.futures.ThreadPoolExecutor(count)
+    request.addfinalizer(pool.shutdown)
+    half_received = threading.Semaphore(0)
+
+    def stream(index):
+        body = create_body(STREAM_TOKENS, f"caller {index}")
+        received = []
+
+        def count_token():
+            received.append(1)
+            if len(received) == STREAM_TOKENS // 2:
+                half_received.release()
+
+        return body, stream_chat(demo, body, count_token)[1]
+
+    results["streams"] = [pool.submit(stream, i) for i in range(count)]
+    for _ in range(count):
+        assert half_received.acquire(timeout=WAIT_S)
+
+
+@when(parsers.parse("the daemon gets {name}"))
+def send_signal(demo, name):
+    demo.daemon.send_signal(getattr(signal, name))
+
+
+@then("every stream arrives whole")
+def check_streams(results):
+    for future in results["streams"]:
+        body, tokens = future.result(WAIT_S)
+        assert tokens == expected_tokens(body)
+
+
+@then("the daemon ends with status 0")
+def check_status(demo):
+    assert demo.daemon.wait(WAIT_S) == 0
+
+
+@then("the dump file names all parts")
+def check_dump(demo):
+    path = demo.folder / "dump.json"
+    end = time.monotonic() + WAIT_S
+    while time.monotonic() < end:
+        try:
+            parts = set(json.loads(path.read_text()))
+            break
+        except (FileNotFoundError, json.JSONDecodeError):
+            time.sleep(0.05)
+    assert parts >= {
+        "claims",
+        "membership",
+        "peers",
+        "placement",
+        "replication",
+        "routing",
+        "serving",
+        "sheet",
+    }
