--- a/dotterelbridge/replication/entries.py
+++ b/dotterelbridge/replication/entries.py
@@ -107,13 +107,15 @@
             member for member in self.members if member.member != member_id
         )
 
-    def find_replacement(self) -> Member | None:
-        """Return a learner on the VM of an older voter, or None."""
-        for position, member in enumerate(self.members):
-            earlier = self.members[:position]
-            if not member.voter and any(
-                other.voter and other.vm == member.vm for other in earlier
-            ):
+    def find_candidate_voter(self, vms: Iterable[VmId]) -> Member | None:
+        """Return a learner that should vote once it has caught up.
+
+        That is one on a VM that is listed as voter, or on the VM of an
+        older voter; the newest identity of a VM counts.
+        """
+        wanted = set(vms) | {member.vm for member in self.voters()}
+        for member in self.members:
+            if not member.voter and member.vm in wanted:
                 return member
         return None
 
--- a/dotterelbridge/replication/leadership.py
+++ b/dotterelbridge/replication/leadership.py
@@ -382,7 +382,7 @@
     # The members
 
     async def _tend_members(self, group) -> None:
-        """Run one task for each member, and replace those that came back.
+        """Run one task for each member, and give learners their vote.
 
         A VM whose disk was lost returns under a new identity. It is a
         learner until it holds all that is committed, then a voter, and
@@ -426,7 +426,9 @@
         superseded = configuration.find_superseded()
         if superseded:
             return configuration.without(superseded.member)
-        learner = configuration.find_replacement()
+        learner = configuration.find_candidate_voter(
+            self._context.initial_voters
+        )
         if learner and self.has_caught_up(learner.member):
             return configuration.with_voter(learner.member)
         return None
