Read through every VM at the end of a random run; pick out measurements

Cause: a short run with many faults could end without one read, and a test promoted a learner before it had caught up, by chance of timing. Change: each run ends with a read through every member; the test asks again until the learner has caught up; the bench runs one measurement alone, with its own secret, since a second run at the same time could reach a port that the first had just freed.

--- a/bench/replication.py
+++ b/bench/replication.py
@@ -14,6 +14,7 @@
 import logging
 from pathlib import Path
 import random
+import secrets
 import socket
 import statistics
 import subprocess
@@ -45,14 +46,18 @@
 TARGET_RATE = 230
 """Commands a second of one group at the target size."""
 TIMEOUT = timedelta(seconds=10)
-_SECRET = b"bench"
+_SECRET = secrets.token_bytes(32)
+"""Of this run alone: another run may use a port that was free just now."""
 _POLL_S = 0.005
 
 
 class Bench:
     """Voter processes, and a client VM in this process."""
 
-    def __init__(self, voters: int, folder: Path) -> None:
+    def __init__(
+        self, voters: int, folder: Path, settings: ReplicationSettings
+    ) -> None:
+        self.settings = settings
         self.vms = list(_create_vms(voters + 1))
         self.voters = [info.vm for info in self.vms[:voters]]
         self.network = create_peer_network(
@@ -64,7 +69,7 @@
             self.voters,
         )
         self.log = create_replicated_log(
-            ReplicationSettings(),
+            settings,
             self.network,
             None,
             create_clock(),
@@ -82,6 +87,7 @@
             voters=self.voters,
             folder=str(self._folder / vm),
             secret=_SECRET,
+            replication=self.settings,
             keep_commands=False,
         )
         argument = msgspec.json.encode(settings).decode()
@@ -292,27 +298,39 @@
         )
 
 
-async def run_bench(voters: int, folder: Path, quick: bool) -> None:
-    """Run all measurements with a number of voters."""
-    duration_s = 2 if quick else 10
-    bench = Bench(voters, folder)
+class Options(msgspec.Struct, frozen=True):
+    """What to measure."""
+
+    voters: int
+    folder: Path
+    settings: ReplicationSettings
+    duration_s: float
+    kills: int
+    only: str | None
+
+
+async def run_bench(options: Options) -> None:
+    """Run the measurements with a number of voters."""
+    bench = Bench(options.voters, options.folder, options.settings)
+    duration_s = options.duration_s
+    measurements = {
+        "idle": lambda: measure_idle(bench, duration_s),
+        "rate": lambda: measure_rate(bench, TARGET_RATE, duration_s),
+        "one": lambda: measure_throughput(bench, 1, duration_s),
+        "some": lambda: measure_throughput(bench, 64, duration_s),
+        "many": lambda: measure_throughput(bench, 256, duration_s),
+        "failover": lambda: measure_failover(bench, options.kills),
+    }
     for vm in bench.voters:
         bench.start(vm)
     try:
         async with anyio.create_task_group() as group:
             group.start_soon(bench.network.run)
             await bench.wait_ready()
-            measurements = [
-                measure_idle(bench, duration_s),
-                measure_rate(bench, TARGET_RATE, duration_s),
-                measure_throughput(bench, 1, duration_s),
-                measure_throughput(bench, 64, duration_s),
-                measure_throughput(bench, 256, duration_s),
-                measure_failover(bench, 3 if quick else 20),
-            ]
-            for measurement in measurements:
-                result = {"voters": voters} | await measurement
-                print(json.dumps(result), flush=True)
+            for name, measure in measurements.items():
+                if options.only in (None, name):
+                    result = {"voters": options.voters} | await measure()
+                    print(json.dumps(result), flush=True)
             group.cancel_scope.cancel()
     finally:
         bench.kill_all()
@@ -325,14 +343,30 @@
     parser.add_argument(
         "--folder", type=Path, help="where data folders are made"
     )
-    parser.add_argument("--quick", action="store_true")
-    options = parser.parse_args()
+    parser.add_argument("--duration-s", type=float, default=10)
+    parser.add_argument("--kills", type=int, default=20)
+    parser.add_argument("--only", help="name of the one measurement to run")
+    parser.add_argument("--batch-interval-ms", type=int)
+    parsed = parser.parse_args()
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
     )
-    for voters in options.voters:
-        with tempfile.TemporaryDirectory(dir=options.folder) as folder:
-            anyio.run(run_bench, voters, Path(folder), options.quick)
+    settings = ReplicationSettings()
+    if parsed.batch_interval_ms is not None:
+        settings = msgspec.structs.replace(
+            settings, batch_interval_ms=parsed.batch_interval_ms
+        )
+    for voters in parsed.voters:
+        with tempfile.TemporaryDirectory(dir=parsed.folder) as folder:
+            options = Options(
+                voters=voters,
+                folder=Path(folder),
+                settings=settings,
+                duration_s=parsed.duration_s,
+                kills=parsed.kills,
+                only=parsed.only,
+            )
+            anyio.run(run_bench, options)
 
 
 if __name__ == "__main__":
--- a/tests/replication_trial.py
+++ b/tests/replication_trial.py
@@ -173,6 +173,8 @@
         commands = set(await self._group.wait_equal())
         lost = self._acknowledged - commands
         assert not lost, f"acknowledged and lost: {lost}"
+        for vm in self._group.vms:
+            await self._read(vm)
         untrue = self._refused & commands
         assert not untrue, f"refused and committed: {untrue}"
 
--- a/tests/test_replication_faults.py
+++ b/tests/test_replication_faults.py
@@ -41,6 +41,15 @@
     return [vm for vm in group.vms if vm not in excluded]
 
 
+async def _promote_when_caught_up(log, member):
+    while not log.configuration.is_voter(member):
+        try:
+            await log.promote(member)
+        except NotCommitted as error:
+            assert "caught up" in error.problem
+            await anyio.sleep(0.01)
+
+
 @in_virtual_time
 async def test_voter_isolated_for_long_does_not_disturb():
     async with run_group(3) as group:
@@ -256,7 +265,7 @@
         log = group.nodes[leader].log
         await group.wait_until(lambda: spare.configuration.find(spare.member))
         with anyio.fail_after(60):
-            await log.promote(spare.member)
+            await _promote_when_caught_up(log, spare.member)
             await log.remove(group.nodes[retired].log.member)
         group.kill(retired)
         await group.propose(leader, b"one")
