--- a/tests/sheet_cluster.py
+++ b/tests/sheet_cluster.py
@@ -3,8 +3,10 @@
 The log is the real one, or for speed a shared list of commands.
 """
 
+import asyncio
 from pathlib import Path
 import random
+from typing import ClassVar
 
 import anyio
 
@@ -32,6 +34,7 @@
 from standins.log import SharedLog
 from standins.network import create_standin_network
 from standins.virtual_time import LoopClock
+from standins.virtual_time import VirtualTimeLoop
 from standins.virtual_time import run_in_virtual_time
 
 GENEROUS_S = 120
@@ -226,3 +229,68 @@
         await cluster.network.close()
 
     run_in_virtual_time(run)
+
+
+class ClusterRunner:
+    """Nine VMs on the real log, for tests whose steps are synchronous."""
+
+    DOMAINS: ClassVar = {"dublin": 3, "cork": 3, "galway": 3}
+    HOLDERS: ClassVar = ["dublin-0", "cork-0", "galway-0"]
+
+    def __init__(self) -> None:
+        self.cluster: SheetCluster | None = None
+        self._loop = VirtualTimeLoop()
+        self._stop = asyncio.Event()
+        self._task: asyncio.Task | None = None
+
+    def do(self, coroutine):
+        """Run a coroutine on the cluster's loop to its end."""
+        return self._loop.run_until_complete(coroutine)
+
+    def start(self) -> None:
+        """Start all VMs and wait for a leader."""
+        self._task = self._loop.create_task(self._run())
+        self.do(self._wait_ready())
+
+    def stop(self, name: str) -> None:
+        """End a VM as if its process were killed."""
+
+        async def stop() -> None:
+            self.cluster.stop(name)
+
+        self.do(stop())
+
+    def cut_off(self, domain: str) -> None:
+        """Cut a failure domain off from the others."""
+        names = [
+            info.vm
+            for info in self.cluster.vms
+            if info.failure_domain == domain
+        ]
+        self.cluster.network.isolate(names)
+
+    def close(self) -> None:
+        """End all VMs."""
+        self._stop.set()
+        self.do(self._task)
+        self._loop.close()
+
+    async def _run(self) -> None:
+        async with anyio.create_task_group() as group:
+            self.cluster = SheetCluster(
+                group,
+                self.DOMAINS,
+                self.HOLDERS,
+                real_log=True,
+                claims=ClaimsSettings(attempt_limit_s=60, answer_age_s=60),
+            )
+            self.cluster.start()
+            await self._stop.wait()
+            group.cancel_scope.cancel()
+        await self.cluster.network.close()
+
+    async def _wait_ready(self) -> None:
+        while self.cluster is None:
+            await asyncio.sleep(0)
+        await self.cluster.wait_for(self.cluster.leader)
+        await asyncio.sleep(1)
