--- a/tests/placement_fakes.py
+++ b/tests/placement_fakes.py
@@ -255,6 +255,11 @@
     def target(self) -> TargetId:
         return self._engine.info.target
 
+    def hold(self) -> None:
+        """Let nothing through until the gate is set."""
+        if self.gate.is_set():
+            self.gate = anyio.Event()
+
     async def fetch_inventory(self, timeout: timedelta) -> Inventory:
         await self.gate.wait()
         await anyio.sleep(0.002)
@@ -418,7 +423,7 @@
     def freeze(self) -> None:
         self.clock.gate = anyio.Event()
         for link in self.links.values():
-            link.gate = anyio.Event()
+            link.hold()
 
     def thaw(self) -> None:
         self.clock.gate.set()
@@ -469,6 +474,9 @@
 
     async def run(self, scenario: Callable) -> None:
         """Start all VMs, run the scenario, stop them."""
+        faults: list[dict] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: faults.append(context))
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             for info in self.vms:
@@ -476,6 +484,7 @@
             await scenario(self)
             tasks.cancel_scope.cancel()
         await self.network.close()
+        assert not faults, faults[0]
 
     def start(self, vm: VmId) -> Node:
         """Start a VM with nothing."""
