Write each chunk in the step that read it

A relayed chunk woke the request's task, which cost a second turn of the event loop. The body is now handed to a consumer from the connection's own callback; the task wakes only when the caller lags or the stream ends.

--- a/dotterelbridge/serving/answer.py
+++ b/dotterelbridge/serving/answer.py
@@ -1,5 +1,6 @@
 """Answers to callers, written through ASGI."""
 
+import abc
 from collections.abc import Iterable
 
 from dotterelbridge.claims.service import RecordedAnswer
@@ -9,6 +10,9 @@
 
 REQUEST_ID_HEADER = b"dotterelbridge-request-id"
 RUN_HEADER = b"dotterelbridge-run"
+SINK_EXTENSION = "dotterelbridge.sink"
+"""Name of the AnswerSink among a scope's extensions."""
+
 HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -31,11 +35,27 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+class AnswerSink(abc.ABC):
+    """Where an answer goes: the caller's connection.
+
+    Beside ASGI's ``send``, since a stream is written from the step that
+    read it, without a task.
+    """
+
+    @abc.abstractmethod
+    def write(self, message: dict) -> bool:
+        """Take an ASGI message whole; False when the caller lags."""
+
+    @abc.abstractmethod
+    async def wait_writable(self) -> None:
+        """Return when the caller has taken enough of what was written."""
+
+
 class AnswerWriter:
     """Writes the one answer of a request."""
 
-    def __init__(self, send, request: RequestId) -> None:
-        self._send = send
+    def __init__(self, sink: AnswerSink, request: RequestId) -> None:
+        self._sink = sink
         self._request = request
         self.started = False
         self.status = 0
@@ -70,20 +90,21 @@
         """Send an answer whose length is known."""
         if status not in _EMPTY_STATUSES:
             headers = headers + [(b"content-length", b"%d" % len(body))]
-        await self.start(status, headers, run)
-        await self.send_body(body, more=False)
+        self.start(status, headers, run)
+        self.write_body(body, more=False)
+        await self.wait_writable()
 
-    async def start(
+    def start(
         self, status: int, headers: Headers, run: RunStatus | None
     ) -> None:
-        """Send status and headers."""
+        """Write status and headers."""
         self.started = True
         self.status = status
         self.run = run
         own = [(REQUEST_ID_HEADER, self._request.encode())]
         if run is not None:
             own.append((RUN_HEADER, run.value.encode()))
-        await self._send(
+        self._sink.write(
             {
                 "type": "http.response.start",
                 "status": status,
@@ -91,12 +112,16 @@
             }
         )
 
-    async def send_body(self, data: bytes, more: bool = True) -> None:
-        """Send part of the body; waits while the caller reads slowly."""
-        await self._send(
+    def write_body(self, data: bytes, more: bool = True) -> bool:
+        """Write part of the body; False when the caller lags."""
+        return self._sink.write(
             {"type": "http.response.body", "body": data, "more_body": more}
         )
 
+    async def wait_writable(self) -> None:
+        """Return when the caller has taken enough."""
+        await self._sink.wait_writable()
+
 
 def list_relayed_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return a target's headers without those of its connection."""
--- a/dotterelbridge/serving/callers.py
+++ b/dotterelbridge/serving/callers.py
@@ -25,6 +25,8 @@
 from dotterelbridge.routing.settings import RoutingSettings
 from dotterelbridge.routing.target import Slot
 from dotterelbridge.serving.answer import HOP_HEADERS
+from dotterelbridge.serving.answer import SINK_EXTENSION
+from dotterelbridge.serving.answer import AnswerSink
 from dotterelbridge.serving.answer import AnswerWriter
 from dotterelbridge.serving.attempts import AttemptLog
 from dotterelbridge.serving.attempts import AttemptRunner
@@ -124,20 +126,21 @@
         if scope["type"] != "http":
             return
         path = scope["path"]
+        sink = scope["extensions"][SINK_EXTENSION]
         if path in ("/healthz", "/readyz"):
-            await self._serve_health(path, send)
+            await self._serve_health(path, sink)
             return
         self._requests += 1
         try:
-            await self._serve(scope, receive, send)
+            await self._serve(scope, receive, sink)
         finally:
             self._requests -= 1
             if not self._requests:
                 self._all_answered.set()
 
-    async def _serve_health(self, path: str, send) -> None:
+    async def _serve_health(self, path: str, sink: AnswerSink) -> None:
         ready = path == "/healthz" or not self._draining
-        writer = AnswerWriter(send, "")
+        writer = AnswerWriter(sink, "")
         await writer.send_whole(
             200 if ready else 503,
             _JSON,
@@ -145,8 +148,8 @@
             None,
         )
 
-    async def _serve(self, scope, receive, send) -> None:
-        writer = AnswerWriter(send, "")
+    async def _serve(self, scope, receive, sink: AnswerSink) -> None:
+        writer = AnswerWriter(sink, "")
         try:
             request = await read_request(
                 scope,
@@ -154,7 +157,7 @@
                 self._settings.body_limit_kb * _BYTES_PER_KB,
                 timedelta(seconds=self._settings.body_timeout_s),
             )
-            writer = AnswerWriter(send, request.request)
+            writer = AnswerWriter(sink, request.request)
             await self._route(request, receive, writer)
         except CallerGone:
             return
--- a/dotterelbridge/serving/server.py
+++ b/dotterelbridge/serving/server.py
@@ -16,6 +16,8 @@
 from dotterelbridge import events
 from dotterelbridge.clock import Clock
 from dotterelbridge.ids import RunStatus
+from dotterelbridge.serving.answer import SINK_EXTENSION
+from dotterelbridge.serving.answer import AnswerSink
 from dotterelbridge.serving.errors import AnswerIncomplete
 from dotterelbridge.serving.errors import Failure
 from dotterelbridge.serving.events import ServingEvent
@@ -46,7 +48,7 @@
         self.dropped = False
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.Protocol, AnswerSink):
     """One caller's connection: one request at a time."""
 
     def __init__(self, server: "HttpServer") -> None:
@@ -270,13 +272,22 @@
             self._receiver = None
 
     async def _send(self, message: dict) -> None:
+        # Written before any wait: a cancelled sender has sent it whole.
+        if not self.write(message):
+            await self.wait_writable()
+
+    # AnswerSink.
+
+    def write(self, message: dict) -> bool:
         if self._transport is None:
-            return
+            return True
         if message["type"] == "http.response.start":
             self._write_start(message["status"], message["headers"])
-            return
-        # Written before any wait: a cancelled sender has sent it whole.
-        self._write_body(message.get("body", b""), message.get("more_body"))
+        else:
+            self._write_body(message["body"], message["more_body"])
+        return self._drained is None
+
+    async def wait_writable(self) -> None:
         if self._drained is not None:
             await asyncio.shield(self._drained)
 
@@ -346,6 +357,7 @@
             "raw_path": path,
             "query_string": query,
             "headers": request.headers,
+            "extensions": {SINK_EXTENSION: self},
         }
 
     def _wake_receiver(self) -> None:
--- a/dotterelbridge/serving/stream.py
+++ b/dotterelbridge/serving/stream.py
@@ -169,20 +169,19 @@
             return
         limit = self._settings.event_limit_kb * _BYTES_PER_KB
         splitter = EventSplitter(limit)
-        while True:
-            data = await exchange.read()
-            if not data:
-                break
+
+        def consume(data: bytes) -> bool:
             whole, tokens = splitter.feed(data)
             if not whole:
-                continue
+                return True
             if tokens:
                 self._router.record_tokens(slot, tokens)
+                self._delivered += tokens
             if not self._writer.started:
-                await self._start(exchange)
-            # Counted first: a caller that hangs up here gets no more.
-            self._delivered += tokens
-            await self._writer.send_body(whole)
+                self._start(exchange)
+            return self._writer.write_body(whole)
+
+        await exchange.relay(consume, self._writer.wait_writable)
         if not splitter.done:
             raise AnswerMalformed(
                 "the stream ended without its closing event",
@@ -190,12 +189,12 @@
             )
         # A displacement has come too late once the stream is whole.
         slot.displace = None
-        await self._writer.send_body(b"", more=False)
+        self._writer.write_body(b"", more=False)
 
-    async def _start(self, exchange: Exchange) -> None:
+    def _start(self, exchange: Exchange) -> None:
         self.first_token_at = self._clock.monotonic()
         headers = list_relayed_headers(exchange.headers)
-        await self._writer.start(exchange.status, headers, RunStatus.YES)
+        self._writer.start(exchange.status, headers, RunStatus.YES)
 
     async def _relay_other(self, exchange: Exchange) -> None:
         """Pass on an answer that is no event stream, such as an error."""
--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -6,6 +6,8 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 from datetime import timedelta
 
@@ -62,6 +64,21 @@
         """
         return await self._connection.read_body()
 
+    async def relay(
+        self,
+        consume: Callable[[bytes], bool],
+        wait_writable: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Hand the body on until its end.
+
+        :param consume: takes bytes at once; False when the receiver has
+            enough for now.
+        :param wait_writable: returns when the receiver takes more.
+        :raises TargetBroken: the answer will not be whole.
+        """
+        while not await self._connection.pump(consume):
+            await wait_writable()
+
 
 class TargetClient:
     """Connections to one target."""
--- a/dotterelbridge/targets/connection.py
+++ b/dotterelbridge/targets/connection.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import httptools
 
@@ -34,6 +35,8 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._error: TargetError | None = None
+        self._consume: Callable[[bytes], bool] | None = None
+        self._accepts = True
         self._paused = False
         self._head_size = 0
         self._buffered = 0
@@ -98,6 +101,38 @@
         if isinstance(self._error, CrossedAnswer):
             raise self._error
 
+    async def pump(self, consume: Callable[[bytes], bool]) -> bool:
+        """Call ``consume`` with what arrives, in the reader's own step.
+
+        Returns True at the end of the body, False once ``consume`` has
+        returned False: then the body waits, in bounded memory, for the
+        next call. Waking a task for each chunk would cost as much as the
+        rest of the relay.
+        """
+        self._consume = consume
+        self._accepts = True
+        try:
+            while True:
+                self._hand_on()
+                if self._error is not None and not self._chunks:
+                    raise self._error
+                if not self._accepts:
+                    return False
+                if self.complete:
+                    return True
+                await self._wait()
+        finally:
+            self._consume = None
+
+    def _hand_on(self) -> None:
+        if not self._chunks or not self._accepts:
+            return
+        data = self._take_chunks()
+        try:
+            self._accepts = self._consume(data)
+        except TargetError as error:
+            self._fail(error)
+
     async def read_body(self) -> bytes:
         """Return what has arrived of the body, or b"" at its end."""
         while not self._chunks:
@@ -106,6 +141,9 @@
             if self._error is not None:
                 raise self._error
             await self._wait()
+        return self._take_chunks()
+
+    def _take_chunks(self) -> bytes:
         chunks = self._chunks
         data = chunks[0] if len(chunks) == 1 else b"".join(chunks)
         self._chunks = []
@@ -179,6 +217,10 @@
                 )
             )
             return
+        if self._consume is not None:
+            self._hand_on()
+            if self._accepts and not self.complete and not self._error:
+                return
         if self._buffered > self._buffer_limit and not self._paused:
             self._paused = True
             self._transport.pause_reading()
