--- a/dotterelbridge/routing/chooser.py
+++ b/dotterelbridge/routing/chooser.py
@@ -100,17 +100,29 @@
             sampled = self._random.sample(sampled, _SAMPLES)
             sampled += self._find_longest_prefix(call, targets, now)
         self._random.shuffle(sampled)
+        # An unknown target counts as fast as the fastest known one, so
+        # that it gets work and becomes known.
+        known = [target.speed.first_token_s(now) for target in sampled]
+        fastest_s = min(
+            (seconds for seconds in known if seconds is not None),
+            default=_DEFAULT_FIRST_TOKEN_S,
+        )
         return min(
             sampled,
-            key=lambda target: self.estimate_first_token_s(call, target, now),
+            key=lambda target: self._estimate(call, target, now, fastest_s),
         )
 
     def estimate_first_token_s(
         self, call: Call, target: Target, now: float
+    ) -> float:
+        return self._estimate(call, target, now, _DEFAULT_FIRST_TOKEN_S)
+
+    def _estimate(
+        self, call: Call, target: Target, now: float, unknown_s: float
     ) -> float:
         unit_s = target.speed.first_token_s(now)
         if unit_s is None:
-            unit_s = _DEFAULT_FIRST_TOKEN_S
+            unit_s = unknown_s
         cached = self._cache.find_prefix_share(
             target.view.info.target, call.item, call.prompt_blocks, now
         )
--- a/dotterelbridge/targets/connection.py
+++ b/dotterelbridge/targets/connection.py
@@ -38,6 +38,7 @@
         self._consume: Callable[[bytes], bool] | None = None
         self._accepts = True
         self._paused = False
+        self._keep_alive = False
         self._head_size = 0
         self._buffered = 0
         self._chunks: list[bytes] = []
@@ -67,8 +68,7 @@
             and self.complete
             and not self.unsolicited
             and self._error is None
-            and self._parser is not None
-            and self._parser.should_keep_alive()
+            and self._keep_alive
             and not self._ends_with_connection
             and not self._bodiless
         )
@@ -83,6 +83,7 @@
         self._attempt = attempt.encode()
         self._bodiless = method == "HEAD"
         self._ends_with_connection = False
+        self._keep_alive = False
         self.status = 0
         self.headers = []
         self.headers_done = False
@@ -281,7 +282,9 @@
         self._buffered += len(body)
 
     def on_message_complete(self) -> None:
-        if self.headers_done:
+        if self.headers_done and not self.complete:
+            # Read here: afterwards the parser has forgotten the message.
+            self._keep_alive = self._parser.should_keep_alive()
             self.complete = True
 
     def _check_echo(self) -> None:
