Test calls that may run once; bound the head of an answer

A fake service that counts its runs is the judge: resets before, in and across the answer, with and without a key, give one run and Dotterelbridge-Run: unknown.

Found by test: an oversized head whose last part completed it was let through, and the exchange ended by silence after 5 s.

--- a/dotterelbridge/targets/connection.py
+++ b/dotterelbridge/targets/connection.py
@@ -210,13 +210,7 @@
             )
             return
         if not self.headers_done and self._head_size > self._head_limit:
-            self._fail(
-                AnswerMalformed(
-                    f"the answer's head exceeds {self._head_limit} bytes",
-                    "raise head_limit_kb in [targets], or report the "
-                    "target to its owner",
-                )
-            )
+            self._fail_head()
             return
         if self._consume is not None:
             self._hand_on()
@@ -264,6 +258,10 @@
             self.headers = []
             return
         self.status = status
+        size = sum(len(name) + len(value) for name, value in self.headers)
+        if size > self._head_limit:
+            self._fail_head()
+            return
         self._check_echo()
         names = {name for name, _ in self.headers}
         framed = b"content-length" in names or b"transfer-encoding" in names
@@ -287,6 +285,15 @@
             self._keep_alive = self._parser.should_keep_alive()
             self.complete = True
 
+    def _fail_head(self) -> None:
+        self._fail(
+            AnswerMalformed(
+                f"the answer's head exceeds {self._head_limit} bytes",
+                "raise head_limit_kb in [targets], or report the target "
+                "to its owner",
+            )
+        )
+
     def _check_echo(self) -> None:
         for name, value in self.headers:
             if name == REQUEST_ID_HEADER and value != self._attempt:
--- /dev/null
+++ b/tests/serving/test_calls.py
@@ -0,0 +1,276 @@
+"""Calls that may run once only; a target that counts runs is the judge."""
+
+import anyio
+import pytest
+
+from dotterelbridge.errors import CommitUnknown
+from dotterelbridge.errors import NotCommitted
+from tests.serving.fakes import FakeTarget
+from tests.serving.fakes import model_row
+from tests.serving.fakes import run_async
+from tests.serving.fakes import run_world
+from tests.serving.fakes import service_row
+from tests.serving.fakes import service_view
+from tests.serving.fakes import wait_until
+from tests.serving.test_callers import create_client
+
+BOOK = "/services/booking/jobs"
+KEY = {"Idempotency-Key": "k1"}
+ONCE = (service_row(idempotent=False, deadline_ms=2000),)
+
+
+async def book(received):
+    await received.answer(b'{"van": 1}', headers={"x-van": "1"})
+
+
+async def reset_before_answer(received):
+    received.reset()
+
+
+async def reset_in_answer(received):
+    await received.send_head(200, {"content-length": "10"})
+    await received.send(b"half")
+    received.reset()
+
+
+async def cross(received):
+    received.headers["x-request-id"] = "other"
+    await book(received)
+
+
+FAULTS = {
+    "reset": reset_before_answer,
+    "half-answer": reset_in_answer,
+    "crossed": cross,
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS.values(), ids=FAULTS.keys())
+@pytest.mark.parametrize("headers", [{}, KEY], ids=["unkeyed", "keyed"])
+def test_broken_call_runs_once_and_says_unknown(fault, headers):
+    async def check():
+        async with run_world(ONCE) as world, create_client(world) as client:
+            first = await world.add_service("s1", fault)
+            second = await world.add_service("s2", fault)
+            response = await client.post(BOOK, headers=headers)
+            assert response.status_code == 502
+            assert response.headers["dotterelbridge-run"] == "unknown"
+            assert response.json()["error"]["remedy"]
+            assert len(first.received) + len(second.received) == 1
+
+    anyio.run(check)
+
+
+@run_async
+async def test_refused_connect_goes_to_another_target():
+    async with run_world(ONCE) as world, create_client(world) as client:
+        gone = FakeTarget("s1", book)
+        await gone.start()
+        await gone.stop()
+        world.membership.set(service_view("s1", gone.port))
+        alive = await world.add_service("s2", book)
+        for _ in range(6):
+            response = await client.post(BOOK)
+            assert response.status_code == 200
+            assert response.headers["dotterelbridge-run"] == "yes"
+        assert len(alive.received) == 6
+
+
+@run_async
+async def test_call_that_may_not_repeat_gets_a_new_connection():
+    async with run_world(ONCE) as world, create_client(world) as client:
+        service = await world.add_service("s1", book)
+        for _ in range(3):
+            await client.post(BOOK)
+        assert service.connections == 3
+
+
+@run_async
+async def test_idempotent_call_is_tried_again():
+    async with run_world() as world, create_client(world) as client:
+        faults = [reset_before_answer, reset_in_answer, cross]
+
+        async def fail_then_book(received):
+            await (faults.pop(0) if faults else book)(received)
+
+        service = await world.add_service("s1", fail_then_book)
+        response = await client.post(BOOK)
+        assert response.json() == {"van": 1}
+        assert len(service.received) == 4
+
+
+@run_async
+async def test_resend_gets_the_recorded_answer():
+    async with run_world(ONCE) as world, create_client(world) as client:
+        service = await world.add_service("s1", book)
+        first = await client.post(BOOK, headers=KEY, content=b"a")
+        again = await client.post(BOOK, headers=KEY, content=b"a")
+        assert first.content == again.content == b'{"van": 1}'
+        assert again.headers["x-van"] == "1"
+        assert again.headers["dotterelbridge-run"] == "yes"
+        assert len(service.received) == 1
+
+
+@run_async
+async def test_key_with_another_request_is_refused():
+    async with run_world(ONCE) as world, create_client(world) as client:
+        service = await world.add_service("s1", book)
+        await client.post(BOOK, headers=KEY, content=b"a")
+        response = await client.post(BOOK, headers=KEY, content=b"b")
+        assert response.status_code == 422
+        assert response.headers["dotterelbridge-run"] == "no"
+        assert len(service.received) == 1
+
+
+@run_async
+async def test_resend_while_in_progress_does_not_run():
+    go_on = anyio.Event()
+
+    async def wait_then_book(received):
+        await go_on.wait()
+        await book(received)
+
+    async with run_world(ONCE) as world, create_client(world) as client:
+        service = await world.add_service("s1", wait_then_book)
+        answers = []
+
+        async def call():
+            answers.append(await client.post(BOOK, headers=KEY))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(call)
+            await wait_until(lambda: len(service.received) == 1)
+            response = await client.post(BOOK, headers=KEY)
+            assert response.status_code == 409
+            assert response.headers["dotterelbridge-run"] == "unknown"
+            assert "retry-after" in response.headers
+            go_on.set()
+        assert answers[0].status_code == 200
+        assert len(service.received) == 1
+
+
+@run_async
+async def test_resend_after_a_broken_run_is_not_run():
+    async with run_world(ONCE) as world, create_client(world) as client:
+        service = await world.add_service("s1", reset_before_answer)
+        await client.post(BOOK, headers=KEY)
+        response = await client.post(BOOK, headers=KEY)
+        assert response.status_code == 409
+        assert response.headers["dotterelbridge-run"] == "unknown"
+        assert "retry-after" not in response.headers
+        assert len(service.received) == 1
+
+
+@run_async
+async def test_key_is_free_again_after_a_call_that_was_not_run():
+    rows = (service_row(idempotent=False, deadline_ms=100),)
+    async with run_world(rows) as world, create_client(world) as client:
+        response = await client.post(BOOK, headers=KEY)
+        assert response.status_code == 503
+        assert response.headers["dotterelbridge-run"] == "no"
+        await world.add_service("s1", book)
+        response = await client.post(BOOK, headers=KEY)
+        assert response.status_code == 200
+
+
+@pytest.mark.parametrize("error", [NotCommitted, CommitUnknown])
+def test_call_without_a_claim_is_not_run(error):
+    async def check():
+        async with run_world(ONCE) as world, create_client(world) as client:
+            service = await world.add_service("s1", book)
+            world.claims.begin_error = error("no majority", "wait")
+            response = await client.post(BOOK, headers=KEY)
+            assert response.status_code == 503
+            assert response.headers["dotterelbridge-run"] == "no"
+            assert service.received == []
+
+    anyio.run(check)
+
+
+@run_async
+async def test_caller_that_hangs_up_does_not_end_a_keyed_run():
+    go_on = anyio.Event()
+
+    async def wait_then_book(received):
+        await go_on.wait()
+        await book(received)
+
+    async with run_world(ONCE) as world, create_client(world) as client:
+        service = await world.add_service("s1", wait_then_book)
+        async with anyio.create_task_group() as group:
+
+            async def call():
+                await client.post(BOOK, headers=KEY)
+
+            group.start_soon(call)
+            await wait_until(lambda: len(service.received) == 1)
+            group.cancel_scope.cancel()
+        go_on.set()
+        await wait_until(lambda: world.app.in_flight == 0)
+        response = await client.post(BOOK, headers=KEY)
+        assert response.status_code == 200
+        assert len(service.received) == 1
+
+
+@pytest.mark.parametrize("status", [500, 502, 503, 504])
+def test_error_answer_of_a_call_that_may_not_repeat_is_passed_on(status):
+    async def answer_error(received):
+        await received.answer(b"sorry", status=status)
+
+    async def check():
+        async with run_world(ONCE) as world, create_client(world) as client:
+            service = await world.add_service("s1", answer_error)
+            response = await client.post(BOOK)
+            assert response.status_code == status
+            assert response.content == b"sorry"
+            run = "yes" if status == 500 else "unknown"
+            assert response.headers["dotterelbridge-run"] == run
+            assert len(service.received) == 1
+
+    anyio.run(check)
+
+
+@run_async
+async def test_keyed_stream_of_a_model_that_may_not_repeat_is_recorded():
+    rows = (model_row(idempotent=False),)
+
+    async def stream(received):
+        await received.start_stream()
+        await received.send_tokens(0, 4)
+        await received.finish_stream()
+
+    async with run_world(rows) as world, create_client(world) as client:
+        engine = await world.add_engine("e1", stream)
+        body = {"model": "quote", "stream": True}
+        path = "/v1/completions"
+        first = await client.post(path, json=body, headers=KEY)
+        again = await client.post(path, json=body, headers=KEY)
+        assert first.content == again.content
+        assert first.content.endswith(b"data: [DONE]\n\n")
+        assert len(engine.received) == 1
+
+
+@run_async
+async def test_engine_refusal_is_not_a_run():
+    rows = (model_row(idempotent=False),)
+
+    async def refuse(received):
+        body = b'{"error": {"type": "overloaded"}}'
+        await received.answer(body, status=503)
+
+    async def run(received):
+        await received.answer(b'{"ok": true}')
+
+    async with run_world(rows) as world, create_client(world) as client:
+        await world.add_engine("e1", refuse)
+        response = await client.post(
+            "/v1/completions", json={"model": "quote"}
+        )
+        assert response.status_code == 503
+        assert response.headers["dotterelbridge-run"] == "no"
+        assert "retry-after" in response.headers
+        await world.add_engine("e2", run)
+        response = await client.post(
+            "/v1/completions", json={"model": "quote"}
+        )
+        assert response.headers["dotterelbridge-run"] == "yes"
