--- a/bench/replay.py
+++ b/bench/replay.py
@@ -81,6 +81,7 @@
         self.unreachable: set[str] = set()
         """VMs that are killed, stopped or cut off now."""
         self.reverts = 0
+        self.refusals: list[str] = []
         self.in_force_s: list[float] = []
         headers = {"Authorization": f"Bearer {TOKEN}"}
         self._client = httpx.AsyncClient(headers=headers)
@@ -103,9 +104,11 @@
             answer = await self._client.put(
                 url, content=content, timeout=SHEET_TIMEOUT_S
             )
-        except httpx.TransportError:
+        except httpx.TransportError as error:
+            self.refusals.append(f"sheet {event.number}: {error!r}")
             return False
         if not answer.is_success:
+            self.refusals.append(f"sheet {event.number}: {answer.text}")
             return False
         revision = answer.json()["revision"]
         self.in_force_s.append(await self._wait_in_force(revision))
@@ -189,7 +192,7 @@
 
     def describe_failures(self) -> list[str]:
         """Return a line for each request that did not go well."""
-        return [
+        return self._sheets.refusals + [
             f"{r.marker} {r.request.priority.value} {r.request.model}"
             f"{r.request.service} at {r.request.at_ms} ms by {r.vm}: "
             f"{r.outcome.value}, first token {r.first_token_s}, {r.detail}"
