--- a/dotterelbridge/targets/connection.py
+++ b/dotterelbridge/targets/connection.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import httptools
 
@@ -34,7 +35,10 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._error: TargetError | None = None
+        self._consume: Callable[[bytes], bool] | None = None
+        self._accepts = True
         self._paused = False
+        self._keep_alive = False
         self._head_size = 0
         self._buffered = 0
         self._chunks: list[bytes] = []
@@ -64,8 +68,7 @@
             and self.complete
             and not self.unsolicited
             and self._error is None
-            and self._parser is not None
-            and self._parser.should_keep_alive()
+            and self._keep_alive
             and not self._ends_with_connection
             and not self._bodiless
         )
@@ -80,6 +83,7 @@
         self._attempt = attempt.encode()
         self._bodiless = method == "HEAD"
         self._ends_with_connection = False
+        self._keep_alive = False
         self.status = 0
         self.headers = []
         self.headers_done = False
@@ -98,6 +102,38 @@
         if isinstance(self._error, CrossedAnswer):
             raise self._error
 
+    async def pump(self, consume: Callable[[bytes], bool]) -> bool:
+        """Call ``consume`` with what arrives, in the reader's own step.
+
+        Returns True at the end of the body, False once ``consume`` has
+        returned False: then the body waits, in bounded memory, for the
+        next call. Waking a task for each chunk would cost as much as the
+        rest of the relay.
+        """
+        self._consume = consume
+        self._accepts = True
+        try:
+            while True:
+                self._hand_on()
+                if self._error is not None and not self._chunks:
+                    raise self._error
+                if not self._accepts:
+                    return False
+                if self.complete:
+                    return True
+                await self._wait()
+        finally:
+            self._consume = None
+
+    def _hand_on(self) -> None:
+        if not self._chunks or not self._accepts:
+            return
+        data = self._take_chunks()
+        try:
+            self._accepts = self._consume(data)
+        except TargetError as error:
+            self._fail(error)
+
     async def read_body(self) -> bytes:
         """Return what has arrived of the body, or b"" at its end."""
         while not self._chunks:
@@ -106,6 +142,9 @@
             if self._error is not None:
                 raise self._error
             await self._wait()
+        return self._take_chunks()
+
+    def _take_chunks(self) -> bytes:
         chunks = self._chunks
         data = chunks[0] if len(chunks) == 1 else b"".join(chunks)
         self._chunks = []
@@ -171,14 +210,12 @@
             )
             return
         if not self.headers_done and self._head_size > self._head_limit:
-            self._fail(
-                AnswerMalformed(
-                    f"the answer's head exceeds {self._head_limit} bytes",
-                    "raise head_limit_kb in [targets], or report the "
-                    "target to its owner",
-                )
-            )
+            self._fail_head()
             return
+        if self._consume is not None:
+            self._hand_on()
+            if self._accepts and not self.complete and not self._error:
+                return
         if self._buffered > self._buffer_limit and not self._paused:
             self._paused = True
             self._transport.pause_reading()
@@ -221,6 +258,10 @@
             self.headers = []
             return
         self.status = status
+        size = sum(len(name) + len(value) for name, value in self.headers)
+        if size > self._head_limit:
+            self._fail_head()
+            return
         self._check_echo()
         names = {name for name, _ in self.headers}
         framed = b"content-length" in names or b"transfer-encoding" in names
@@ -239,9 +280,20 @@
         self._buffered += len(body)
 
     def on_message_complete(self) -> None:
-        if self.headers_done:
+        if self.headers_done and not self.complete:
+            # Read here: afterwards the parser has forgotten the message.
+            self._keep_alive = self._parser.should_keep_alive()
             self.complete = True
 
+    def _fail_head(self) -> None:
+        self._fail(
+            AnswerMalformed(
+                f"the answer's head exceeds {self._head_limit} bytes",
+                "raise head_limit_kb in [targets], or report the target "
+                "to its owner",
+            )
+        )
+
     def _check_echo(self) -> None:
         for name, value in self.headers:
             if name == REQUEST_ID_HEADER and value != self._attempt:
