--- a/dotterelbridge/membership/messages.py
+++ b/dotterelbridge/membership/messages.py
@@ -21,7 +21,7 @@
 class Heartbeat(Message, frozen=True, kw_only=True, array_like=True):
     """Sign of life to a VM of the own failure domain, and the news."""
 
-    incarnation: str
+    incarnation: int
     own_hash: int
     others_hash: int
     loads: tuple[LoadReport, ...] = ()
@@ -62,3 +62,5 @@
     """The records that the asker lacked."""
 
     records: tuple[Record, ...]
+    wanted: tuple[int, ...] = ()
+    """Hashed subjects on which the asker knows more."""
--- a/dotterelbridge/membership/records.py
+++ b/dotterelbridge/membership/records.py
@@ -35,7 +35,7 @@
     """A VM as its own failure domain sees it."""
 
     state: str
-    incarnation: str
+    incarnation: int
 
 
 class MarkBody(Body, frozen=True, kw_only=True, array_like=True, tag="m"):
@@ -121,7 +121,7 @@
 def _hash_record(record: Record) -> int:
     tag, name = record.key
     text = f"{tag}:{name}:{record.version}:{record.origin}"
-    return xxhash.xxh64_intdigest(text.encode())
+    return xxhash.xxh32_intdigest(text.encode())
 
 
 class RecordTable:
@@ -197,6 +197,26 @@
             if (record.version, record.origin) > version:
                 yield record
 
+    def list_wanted(
+        self, domain: FailureDomain, held: Iterable[KeyVersion]
+    ) -> list[int]:
+        """Return the subjects on which the holder of ``held`` knows more."""
+        known = {hash_key(r.key): r for r in self.records(domain)}
+        return [
+            v.key_hash
+            for v in held
+            if v.key_hash not in known
+            or (v.version, v.origin)
+            > (known[v.key_hash].version, known[v.key_hash].origin)
+        ]
+
+    def find_hashed(
+        self, domain: FailureDomain, key_hashes: Iterable[int]
+    ) -> list[Record]:
+        """Return the records on hashed subjects."""
+        wanted = set(key_hashes)
+        return [r for r in self.records(domain) if hash_key(r.key) in wanted]
+
     def _merge_one(self, record: Record) -> bool:
         known = self.find(record.domain, *record.key)
         if known and not record.is_newer_than(known):
--- a/dotterelbridge/membership/service.py
+++ b/dotterelbridge/membership/service.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+from datetime import timedelta
 import random as random_module
 from typing import Any
 
@@ -58,6 +59,11 @@
 BACKUP_POLL_EVERY = 5
 """The backup poller polls in one of so many rounds while all is well."""
 
+HEARTBEATS_PER_S = 15.0
+"""Heartbeats that a VM sends at most; a large domain beats more slowly."""
+
+SUSPECT_AFTER_BEATS = 3.0
+
 _log = structlog.get_logger(__name__)
 
 
@@ -94,17 +100,33 @@
         self._engines = engines
         self._platform = platform
         self._clock = clock
-        self.incarnation = f"{random.getrandbits(48):012x}"
+        self._random = random
+        self.incarnation = random.randrange(1, 2**32)
         self._table = RecordTable(own.vm)
         self._reports = {t: TargetReport() for t in self._infos}
         self._names_by_hash = {hash_name(t): t for t in self._infos}
         now = clock.monotonic()
         self._started_at = now
+        peers = sum(v.failure_domain == own.failure_domain for v in vms) - 1
+        self._heartbeat_interval = max(
+            settings.heartbeat_interval,
+            timedelta(seconds=peers / HEARTBEATS_PER_S),
+        )
+        beat_s = self._heartbeat_interval.total_seconds()
+        self._poll_patience_s = (
+            max(beat_s, settings.poll_interval.total_seconds()) * 1.5
+        )
+        self._suspect_after_s = max(
+            settings.suspect_after_s, SUSPECT_AFTER_BEATS * beat_s
+        )
+        self._lost_after_s = max(
+            settings.lost_after_s, 2 * self._suspect_after_s
+        )
         self._life = VmTable(
             own.vm,
             [v.vm for v in vms if v.failure_domain == own.failure_domain],
-            settings.suspect_after_s,
-            settings.lost_after_s,
+            self._suspect_after_s,
+            self._lost_after_s,
             now,
         )
         self._own_targets = sorted(
@@ -118,12 +140,13 @@
         self._news: list[Record] = []
         self._foreign_news: list[Record] = []
         self._polled_loads: dict[TargetId, LoadReport] = {}
+        self._fresh_loads: list[LoadReport] = []
         self._round = 0
         self._wake = anyio.Event()
         self._callbacks: list[Callable[[], None]] = []
         self._views: dict[TargetId, TargetView] | None = None
         self._tasks: anyio.abc.TaskGroup | None = None
-        self._syncing: set[VmId] = set()
+        self._syncing: set[FailureDomain | None] = set()
         network.handle(Heartbeat, self._handle_heartbeat)
         network.handle(Digest, self._handle_digest)
         network.handle(HashesRequest, self._handle_hashes_request)
@@ -241,9 +264,11 @@
     # Heartbeats and news within the domain.
 
     async def _send_heartbeats(self) -> None:
+        self._beat()
+        await self._sleep_part_of(self._heartbeat_interval)
         while True:
             self._beat()
-            await self._clock.sleep(self._settings.heartbeat_interval)
+            await self._clock.sleep(self._heartbeat_interval)
 
     def _beat(self) -> None:
         now = self._clock.monotonic()
@@ -281,7 +306,8 @@
     def _spread(
         self, news: tuple[Record, ...], foreign: tuple[Record, ...]
     ) -> None:
-        heartbeat = self._create_heartbeat(records=news + foreign)
+        loads, self._fresh_loads = self._fresh_loads, []
+        heartbeat = self._create_heartbeat(tuple(loads), news + foreign)
         for vm in self._life.others():
             self._network.send(vm, heartbeat)
         if not news:
@@ -326,6 +352,7 @@
     # Digests between domains.
 
     async def _exchange_digests(self) -> None:
+        await self._sleep_part_of(self._settings.digest_interval)
         while True:
             for domain in self._other_domains():
                 self._send_digest(domain, ())
@@ -334,14 +361,17 @@
     def _send_digest(
         self, domain: FailureDomain, records: tuple[Record, ...]
     ) -> None:
-        own = self._own.failure_domain
-        digest = Digest(
-            domain=own, hash=self._table.hash_of(own), records=records
-        )
+        digest = self._create_digest(records)
         for vm in self._list_counterparts(domain):
             if self._network.send(vm, digest):
                 return
 
+    def _create_digest(self, records: tuple[Record, ...]) -> Digest:
+        own = self._own.failure_domain
+        return Digest(
+            domain=own, hash=self._table.hash_of(own), records=records
+        )
+
     def _list_counterparts(self, domain: FailureDomain) -> list[VmId]:
         """Return a domain's VMs, the one of the own rank first.
 
@@ -372,7 +402,7 @@
             self._notify()
 
     def _judge_domains(self, now: float) -> None:
-        limit_s = self._settings.lost_after_s
+        limit_s = self._lost_after_s
         for domain in self._other_domains():
             heard_at = self._domain_heard_at.get(domain, self._started_at)
             silent = now - heard_at >= limit_s
@@ -384,20 +414,33 @@
     # Repair of missed records.
 
     def _start_sync(self, peer: VmId, domain: FailureDomain | None) -> None:
-        if self._tasks is None or peer in self._syncing:
+        """Fetch what the peer has, unless news on its way brings it.
+
+        :param domain: None for all domains but the own one.
+        """
+        if self._tasks is None or domain in self._syncing:
             return
-        self._syncing.add(peer)
+        self._syncing.add(domain)
         self._tasks.start_soon(self._sync, peer, domain)
 
     async def _sync(self, peer: VmId, domain: FailureDomain | None) -> None:
+        before = self._hash_scope(domain)
         try:
+            await self._clock.sleep(self._settings.sync_delay)
+            if self._hash_scope(domain) != before:
+                return  # News came; the next heartbeat compares again.
             domains = [domain] if domain else await self._find_unequal(peer)
             for name in domains:
                 await self._fetch_newer(peer, name)
         except PeerError:
             return  # The next differing hash starts it again.
         finally:
-            self._syncing.discard(peer)
+            self._syncing.discard(domain)
+
+    def _hash_scope(self, domain: FailureDomain | None) -> int:
+        if domain is None:
+            return self._table.hash_of_others(self._own.failure_domain)
+        return self._table.hash_of(domain)
 
     async def _find_unequal(self, peer: VmId) -> list[FailureDomain]:
         answer = await self._network.request(
@@ -419,6 +462,9 @@
         newer = self._merge(answer.records)
         if self._vms[peer].failure_domain != self._own.failure_domain:
             self._note_news(newer, foreign=True)
+        if answer.wanted:
+            records = self._table.find_hashed(domain, answer.wanted)
+            self._network.send(peer, self._create_digest(tuple(records)))
 
     async def _handle_hashes_request(
         self, sender: VmId, message: Message
@@ -432,7 +478,8 @@
         self, sender: VmId, message: Message
     ) -> Message | None:
         newer = self._table.find_newer(message.domain, message.versions)
-        return SyncAnswer(records=tuple(newer))
+        wanted = self._table.list_wanted(message.domain, message.versions)
+        return SyncAnswer(records=tuple(newer), wanted=tuple(wanted))
 
     def _merge(self, records: Iterable[Record]) -> list[Record]:
         newer = self._table.merge(records)
@@ -472,6 +519,7 @@
     # Polls.
 
     async def _poll_targets(self) -> None:
+        await self._sleep_part_of(self._settings.poll_interval)
         async with anyio.create_task_group() as tasks:
             while True:
                 self._round += 1
@@ -508,8 +556,7 @@
         if report.reporter == self._own.vm:
             # The first poller does not reach the target now.
             return True
-        silence_s = now - report.reported_at
-        return silence_s > 1.5 * self._settings.poll_interval_ms / 1000
+        return now - report.reported_at > self._poll_patience_s
 
     async def _poll_target(self, target: TargetId) -> None:
         try:
@@ -526,9 +573,7 @@
         load = LoadReport(
             hash_name(target), inventory.running, inventory.waiting
         )
-        self._polled_loads[target] = load
-        now = self._clock.monotonic()
-        self._note_load(target, load, self._own.vm, now)
+        self._take_polled_load(target, load)
         ready = sorted(
             name_item(loaded.item.name, loaded.item.version)
             for loaded in inventory.items
@@ -543,13 +588,25 @@
         self._publish_target(target, body)
         self._notify()
 
+    def _take_polled_load(self, target: TargetId, load: LoadReport) -> None:
+        report = self._reports[target]
+        now = self._clock.monotonic()
+        if report.reporter not in (None, self._own.vm):
+            if now - report.reported_at <= self._poll_patience_s:
+                return  # The other poller reports it.
+            # The other poller may not reach the target any more.
+            self._fresh_loads.append(load)
+            self._wake.set()
+        self._polled_loads[target] = load
+        self._note_load(target, load, self._own.vm, now)
+
     def _note_failed_poll(self, target: TargetId) -> None:
         self._polled_loads.pop(target, None)
         last = max(self._reports[target].reported_at, self._started_at)
         silence_s = self._clock.monotonic() - last
-        if silence_s >= self._settings.lost_after_s:
+        if silence_s >= self._lost_after_s:
             state = MemberState.LOST
-        elif silence_s >= self._settings.suspect_after_s:
+        elif silence_s >= self._suspect_after_s:
             state = MemberState.SUSPECT
         else:
             return
@@ -601,6 +658,10 @@
 
     # Helpers.
 
+    async def _sleep_part_of(self, interval: timedelta) -> None:
+        """Keep VMs that start together from acting in step."""
+        await self._clock.sleep(interval * self._random.random())
+
     def _view_target(self, target: TargetId) -> TargetView:
         info = self._infos[target]
         domain = info.failure_domain
--- a/dotterelbridge/membership/settings.py
+++ b/dotterelbridge/membership/settings.py
@@ -18,8 +18,10 @@
     lost_after_ms: Milliseconds = 8000
     poll_interval_ms: Milliseconds = 1000
     poll_timeout_ms: Milliseconds = 900
-    digest_interval_ms: Milliseconds = 2000
+    digest_interval_ms: Milliseconds = 1000
     """Between hash exchanges with each other failure domain."""
+    sync_delay_ms: Milliseconds = 300
+    """Wait before a differing table is compared, for news on its way."""
     sync_timeout_ms: Milliseconds = 1000
     platform_interval_ms: Milliseconds = 3000
 
@@ -39,6 +41,10 @@
     def digest_interval(self) -> timedelta:
         return timedelta(milliseconds=self.digest_interval_ms)
 
+    @property
+    def sync_delay(self) -> timedelta:
+        return timedelta(milliseconds=self.sync_delay_ms)
+
     @property
     def sync_timeout(self) -> timedelta:
         return timedelta(milliseconds=self.sync_timeout_ms)
--- a/dotterelbridge/membership/vms.py
+++ b/dotterelbridge/membership/vms.py
@@ -19,11 +19,12 @@
 
     def __init__(self, heard_at: float) -> None:
         self.heard_at = heard_at
-        self.incarnation = ""
-        self.former: list[str] = []
+        self.incarnation = 0
+        """0 until it was heard."""
+        self.former: list[int] = []
         self.state = MemberState.SUSPECT
 
-    def hear(self, incarnation: str, now: float) -> bool:
+    def hear(self, incarnation: int, now: float) -> bool:
         """Take in a sign of life; False when an earlier life sent it."""
         if incarnation in self.former:
             return False
@@ -51,7 +52,7 @@
         self._lost_after_s = lost_after_s
         self._lives = {vm: VmLife(now) for vm in vms if vm != own}
 
-    def hear(self, vm: VmId, incarnation: str, now: float) -> bool:
+    def hear(self, vm: VmId, incarnation: int, now: float) -> bool:
         """Take in a heartbeat; False when it must be ignored."""
         life = self._lives.get(vm)
         if life is None:
@@ -84,7 +85,7 @@
         life = self._lives.get(vm)
         return life.state if life else MemberState.LOST
 
-    def incarnation(self, vm: VmId) -> str:
+    def incarnation(self, vm: VmId) -> int:
         """Return the incarnation that a VM was last heard under."""
         return self._lives[vm].incarnation
 
--- a/dotterelbridge/placement/gather.py
+++ b/dotterelbridge/placement/gather.py
@@ -22,7 +22,7 @@
 LEAST_RATE_PER_S = 0.001
 """Smaller rates are dropped."""
 
-REPORTED_CHANGE = 0.1
+REPORTED_CHANGE = 0.2
 """A rate is sent again when it changed by this part."""
 
 WHOLE_REPORT_EVERY = 30
--- a/dotterelbridge/placement/holder.py
+++ b/dotterelbridge/placement/holder.py
@@ -62,6 +62,7 @@
 from dotterelbridge.placement.policy import PlannedLoad
 from dotterelbridge.placement.policy import create_policy
 from dotterelbridge.placement.settings import PlacementSettings
+from dotterelbridge.sheet.rows import EMPTY_SHEET
 from dotterelbridge.sheet.rows import SheetRevision
 from dotterelbridge.sheet.source import SheetSource
 from dotterelbridge.targets.engine import Engine
@@ -482,6 +483,9 @@
         interval_s = self._settings.plan_interval_ms / 1000
         slow_s = self._settings.replan_interval_ms / 1000
         age_s = now - holding.planned_at
+        if self.sheet.revision == EMPTY_SHEET.revision:
+            # This VM has no sheet yet; an empty one would unload all.
+            return
         if age_s < interval_s or not (self._dirty or age_s >= slow_s):
             return
         self._dirty = False
--- a/tests/test_placement_world.py
+++ b/tests/test_placement_world.py
@@ -313,6 +313,16 @@
     run(scenario)
 
 
+def test_vms_without_a_sheet_yet_unload_nothing():
+    async def scenario(world):
+        for engine in world.engines.values():
+            engine.put(create_item("m0"))
+        await anyio.sleep(60)
+        assert all("m0@1" in e.items for e in world.engines.values())
+
+    run(scenario)
+
+
 def test_leaving_target_gets_no_load():
     async def scenario(world):
         engine = world.engines["d0-t0"]
