--- a/dotterelbridge/placement/ledger.py
+++ b/dotterelbridge/placement/ledger.py
@@ -48,6 +48,8 @@
     order: EngineOrder
     incarnation: str
     """Incarnation of the engine that the order was meant for."""
+    kv_mb: int = 0
+    """KV cache room that a change of role may take."""
 
 
 class OpenOrder:
@@ -59,11 +61,13 @@
         order: EngineOrder,
         incarnation: str,
         expires_at: float,
+        kv_mb: int = 0,
     ) -> None:
         self.target = target
         self.order = order
         self.incarnation = incarnation
         self.expires_at = expires_at
+        self.kv_mb = kv_mb
         self.settled_in: str | None = None
         """Incarnation of the engine that listed the order as settled."""
         self.seen_ready = False
@@ -85,7 +89,9 @@
 
     def encode(self) -> bytes:
         """Return the order as the record stores it."""
-        stored = StoredOrder(self.target, self.order, self.incarnation)
+        stored = StoredOrder(
+            self.target, self.order, self.incarnation, self.kv_mb
+        )
         return msgspec.msgpack.encode(stored)
 
 
@@ -122,7 +128,6 @@
         self.overfull = False
         self.copies: dict[str, Copy] = {}
         self.orders: dict[OrderId, OpenOrder] = {}
-        self.role_kv_mb = 0
         self._kv_room_percent = kv_room_percent
         self._former: set[str] = set()
         self._sequence = -1
@@ -216,6 +221,14 @@
             for order in self.orders.values()
         )
 
+    @property
+    def role_kv_mb(self) -> int:
+        """KV cache room that an unsettled change of role may take."""
+        return max(
+            (o.kv_mb for o in self.orders.values() if self.may_take_effect(o)),
+            default=0,
+        )
+
     @property
     def committed_mb(self) -> int:
         """Memory that may be in use, KV cache room included."""
@@ -257,8 +270,6 @@
         gone = [o for o in self.orders.values() if now >= o.expires_at]
         for order in gone:
             del self.orders[order.order.order_id]
-            if order.order.action is OrderAction.CHANGE_ROLE:
-                self.role_kv_mb = 0
         return gone
 
     def may_take_effect(self, order: OpenOrder) -> bool:
@@ -354,6 +365,7 @@
                 stored.order,
                 stored.incarnation,
                 now + self._late_limit_s,
+                stored.kv_mb,
             )
             account.orders[stored.order.order_id] = order
         if record_lost:
@@ -463,8 +475,7 @@
                 f"no room on {target} for the new role's KV cache",
                 "unload an item first",
             )
-        opened = self._open(account, order, now)
-        account.role_kv_mb = max(kv_mb, account.kv_mb)
+        opened = self._open(account, order, now, kv_mb)
         self._check_memory(account)
         return opened
 
@@ -472,8 +483,6 @@
         """Drop an order that certainly was not sent."""
         account = self.accounts[order.target]
         account.orders.pop(order.order.order_id, None)
-        if order.order.action is OrderAction.CHANGE_ROLE:
-            account.role_kv_mb = 0
 
     def note_sent(self, order: OpenOrder, now: float) -> None:
         """Count the late limit from this sending on."""
@@ -502,11 +511,15 @@
         ]
 
     def _open(
-        self, account: Account, order: EngineOrder, now: float
+        self,
+        account: Account,
+        order: EngineOrder,
+        now: float,
+        kv_mb: int = 0,
     ) -> OpenOrder:
         expires_at = now + self._late_limit_s
         opened = OpenOrder(
-            account.target, order, account.incarnation, expires_at
+            account.target, order, account.incarnation, expires_at, kv_mb
         )
         account.orders[order.order_id] = opened
         return opened
