Count items in the table of targets

Cause: on the Liffeyside sizes a row of 'targets' had 480 characters. Change: the table counts loaded and ordered items; JSON lists them. Conclusion: fits a terminal.

--- a/dotterelbridge/cli/state_commands.py
+++ b/dotterelbridge/cli/state_commands.py
@@ -2,6 +2,7 @@
 
 import argparse
 import logging
+from typing import Any
 
 from dotterelbridge import catalogue
 from dotterelbridge.cli import output
@@ -33,6 +34,8 @@
 def list_targets(args: argparse.Namespace, env: Environment) -> ExitStatus:
     """Print the targets with their memory and state."""
     rows = create_client(args, env).get("/operators/v1/targets")
+    if args.output == "table":
+        rows = [_count_items(row) for row in rows]
     output.print_rows(env, args.output, TARGET_COLUMNS, rows)
     return ExitStatus.OK
 
@@ -101,6 +104,16 @@
     return ExitStatus.OK
 
 
+def _count_items(row: dict[str, Any]) -> dict[str, Any]:
+    """Return a row that fits a terminal; ``--output json`` lists all."""
+    counts = {
+        name: len(row[name])
+        for name in ("items", "ordered")
+        if isinstance(row.get(name), list)
+    }
+    return {**row, **counts}
+
+
 def _change_drain(
     args: argparse.Namespace, env: Environment, method: str
 ) -> ExitStatus:
