Keep rounds of writes and messages 10 ms apart

Cause: at 230 commands/s nearly every command paid for a sync of its own and a message to each follower. Change: batch_interval_ms; the first command after a pause still goes at once, those that arrive within the interval share the next round.

--- a/dotterelbridge/replication/leadership.py
+++ b/dotterelbridge/replication/leadership.py
@@ -49,6 +49,22 @@
         self.scope = anyio.CancelScope()
 
 
+class Pace:
+    """Keeps rounds apart, so that more commands share each of them."""
+
+    def __init__(self, context: Context) -> None:
+        self._clock = context.clock
+        self._interval_s = context.settings.batch_interval_ms / 1000
+        self._next_at = _NEVER
+
+    async def wait(self) -> None:
+        """Wait until the next round may begin; at once after a pause."""
+        wait_s = self._next_at - self._clock.monotonic()
+        if wait_s > 0:
+            await self._clock.sleep(timedelta(seconds=wait_s))
+        self._next_at = self._clock.monotonic() + self._interval_s
+
+
 class Leadership:
     """The leader's work in one term; over when the member steps down."""
 
@@ -181,9 +197,11 @@
     async def _sync_entries(self) -> None:
         """Store appended entries; all that wait go into one sync."""
         limit = self._context.settings.batch_limit_kb * _BYTES_PER_KB
+        pace = Pace(self._context)
         while True:
             while self._state.synced_index >= self._state.log.last_index:
                 await self._state.log_grew.wait()
+            await pace.wait()
             try:
                 async with self._context.disk.lock:
                     if not self._leads():
@@ -217,8 +235,10 @@
 
     async def _replicate(self, progress: _Progress) -> None:
         """Keep one member up to date; the one task for this member."""
+        pace = Pace(self._context)
         with progress.scope:
             while True:
+                await pace.wait()
                 answered = await self._send_next(progress)
                 if not answered:
                     progress.probing = True
--- a/dotterelbridge/replication/settings.py
+++ b/dotterelbridge/replication/settings.py
@@ -22,6 +22,9 @@
     """Bound of how much two VMs' clocks run apart; shortens the lease."""
     batch_limit_kb: _Count = 256
     """Most entries that one message or one write carries."""
+    batch_interval_ms: Annotated[int, Meta(ge=0, le=1000)] = 10
+    """Shortest time between two writes, or two messages with entries to
+    one member; what arrives meanwhile goes together."""
     command_limit_kb: _Count = 1024
     """Largest command."""
     pending_limit: _Count = 4096
