--- a/dotterelbridge/placement/ledger.py
+++ b/dotterelbridge/placement/ledger.py
@@ -46,16 +46,23 @@
 
     target: TargetId
     order: EngineOrder
+    incarnation: str
+    """Incarnation of the engine that the order was meant for."""
 
 
 class OpenOrder:
     """An order that may still take effect."""
 
     def __init__(
-        self, target: TargetId, order: EngineOrder, expires_at: float
+        self,
+        target: TargetId,
+        order: EngineOrder,
+        incarnation: str,
+        expires_at: float,
     ) -> None:
         self.target = target
         self.order = order
+        self.incarnation = incarnation
         self.expires_at = expires_at
         self.settled_in: str | None = None
         """Incarnation of the engine that listed the order as settled."""
@@ -78,7 +85,8 @@
 
     def encode(self) -> bytes:
         """Return the order as the record stores it."""
-        return msgspec.msgpack.encode(StoredOrder(self.target, self.order))
+        stored = StoredOrder(self.target, self.order, self.incarnation)
+        return msgspec.msgpack.encode(stored)
 
 
 class Copy:
@@ -118,13 +126,16 @@
         self._kv_room_percent = kv_room_percent
         self._former: set[str] = set()
         self._sequence = -1
+        self.forgot_fence = False
+        """Whether the engine knew no fencing number when it was first
+        seen in its incarnation."""
 
     def observe(self, inventory: Inventory, asked_at: float) -> bool:
         """Take in an inventory; False when it is older than the last."""
         if inventory.incarnation in self._former:
             return False
         if inventory.incarnation != self.incarnation:
-            self._start_incarnation(inventory.incarnation)
+            self._start_incarnation(inventory)
         if inventory.sequence < self._sequence:
             return False
         contradicts = (
@@ -159,10 +170,43 @@
     def loads_in_transit(self) -> Iterator[OpenOrder]:
         """Yield the loads whose outcome is not known yet."""
         for order in self.pending_loads():
-            is_settled = order.settled_in == self.incarnation
-            if not (order.seen_ready or order.refused or is_settled):
+            if self.is_unanswered(order):
                 yield order
 
+    def is_unanswered(self, order: OpenOrder) -> bool:
+        """Whether an order to the engine as it runs now left no trace.
+
+        Only such an order may be sent again: what an engine had before
+        it restarted may not fit together with what it was given since.
+        """
+        return (
+            order.incarnation == self.incarnation
+            and order.settled_in is None
+            and not order.seen_ready
+            and not order.refused
+        )
+
+    def has_revenants(self, fencing_number: int) -> bool:
+        """Whether a higher fencing number would free memory.
+
+        An engine that restarted takes this term's earlier orders again.
+        """
+        return self.fencing is Fencing.ENFORCED and any(
+            order.incarnation != self.incarnation
+            and order.order.fencing_number == fencing_number
+            for order in self.pending_loads()
+        )
+
+    def pending_unloads(self) -> list[str]:
+        """Return the copies whose unload was ordered and is not done."""
+        return [
+            order.key
+            for order in self.orders.values()
+            if order.order.action is OrderAction.UNLOAD
+            and order.key in self.copies
+            and self.may_take_effect(order)
+        ]
+
     def has_pending(self, action: OrderAction, key: str | None) -> bool:
         """Whether an order on the item may still take effect."""
         return any(
@@ -226,10 +270,11 @@
             return False
         return self.fencing_number <= order.order.fencing_number
 
-    def _start_incarnation(self, incarnation: str) -> None:
+    def _start_incarnation(self, inventory: Inventory) -> None:
         if self.incarnation:
             self._former.add(self.incarnation)
-        self.incarnation = incarnation
+        self.incarnation = inventory.incarnation
+        self.forgot_fence = inventory.fencing_number == 0
         self.fencing_number = FencingNumber(0)
         self.copies.clear()
         self._sequence = -1
@@ -279,16 +324,25 @@
             target: Account(target, kind, kv_room_percent)
             for target, kind in fencing.items()
         }
-        self._ignoring_blocked_until = float("-inf")
+        self._rebuilt_at = float("-inf")
+        self._has_past = False
 
     def restore(
-        self, entries: Iterable[bytes], now: float, record_lost: bool
+        self,
+        entries: Iterable[bytes],
+        now: float,
+        *,
+        record_lost: bool,
+        has_past: bool,
     ) -> None:
         """Start a term from the record of earlier ones.
 
         :param record_lost: orders may be missing from the record; an
             engine that ignores fencing gets no load before the late
             limit has passed.
+        :param has_past: holders before this one are known to have been;
+            an engine that has forgotten their fencing numbers then waits
+            as one that ignores them.
         """
         for entry in entries:
             stored = msgspec.msgpack.decode(entry, type=StoredOrder)
@@ -296,22 +350,38 @@
             if account is None:
                 continue
             order = OpenOrder(
-                stored.target, stored.order, now + self._late_limit_s
+                stored.target,
+                stored.order,
+                stored.incarnation,
+                now + self._late_limit_s,
             )
             account.orders[stored.order.order_id] = order
         if record_lost:
-            self._ignoring_blocked_until = now + self._late_limit_s
+            self._rebuilt_at = now + self._late_limit_s
+            self._has_past = has_past
 
     def is_rebuilding(self, now: float) -> bool:
-        """Whether loads to engines that ignore fencing still wait."""
-        return now < self._ignoring_blocked_until
+        """Whether orders that are missing from the record may arrive."""
+        return now < self._rebuilt_at
+
+    def is_blocked(self, account: Account, now: float) -> bool:
+        """Whether an unknown order of the past may still take effect."""
+        if not self.is_rebuilding(now):
+            return False
+        if account.fencing is Fencing.IGNORED:
+            return True
+        return account.forgot_fence and self._has_past
 
     def observe(self, inventory: Inventory, asked_at: float) -> list[OrderId]:
         """Take in an inventory; returns the orders that it settled."""
         account = self.accounts[inventory.target]
         before = {o.order.order_id for o in self._unsettled(account)}
+        is_first = not account.incarnation
         if not account.observe(inventory, asked_at):
             return []
+        if is_first and (account.copies or not account.forgot_fence):
+            # An earlier holder gave orders.
+            self._has_past = True
         self._note_overfull(account)
         after = {o.order.order_id for o in self._unsettled(account)}
         return sorted(before - after)
@@ -340,7 +410,7 @@
             return "a change of role is not settled"
         if self._awaits_fence(account, fencing_number):
             return "the engine has not taken this holder's fencing number"
-        if self._is_blocked(account, now):
+        if self.is_blocked(account, now):
             return "orders from before the record was lost may arrive"
         if account.free_mb < item.memory_mb:
             return "not enough free memory"
@@ -434,7 +504,10 @@
     def _open(
         self, account: Account, order: EngineOrder, now: float
     ) -> OpenOrder:
-        opened = OpenOrder(account.target, order, now + self._late_limit_s)
+        expires_at = now + self._late_limit_s
+        opened = OpenOrder(
+            account.target, order, account.incarnation, expires_at
+        )
         account.orders[order.order_id] = opened
         return opened
 
@@ -444,10 +517,6 @@
             and account.fencing_number != fencing_number
         )
 
-    def _is_blocked(self, account: Account, now: float) -> bool:
-        ignoring = account.fencing is Fencing.IGNORED
-        return ignoring and self.is_rebuilding(now)
-
     def _unsettled(self, account: Account) -> Iterator[OpenOrder]:
         for order in account.orders.values():
             if account.may_take_effect(order) and not order.seen_ready:
