Hand the log's leadership over when the daemon drains

Cause: a stopping leader should leave the group a successor. Change: one call at the end of the drain, in the shared assembly module.

--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from datetime import timedelta
 from pathlib import Path
 import random
 from typing import Any
@@ -53,6 +54,9 @@
 
 _log = structlog.get_logger(__name__)
 
+_HAND_OVER_LIMIT = timedelta(seconds=2)
+"""How long a stopping leader of the log waits for its successor."""
+
 
 class Assembly:
     """The parts of one daemon, in the order in which they start."""
@@ -93,6 +97,7 @@
         """Take no new work; return when all requests are answered."""
         await self._listener.drain()
         await self._operators.drain()
+        await self._log.hand_over(_HAND_OVER_LIMIT)
 
     def describe_open_work(self) -> dict[str, int]:
         """Return the number of requests in flight."""
