--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -23,6 +23,7 @@
 from dotterelbridge.membership.settings import MembershipSettings
 from dotterelbridge.membership.view import TargetKind
 from dotterelbridge.peers.settings import PeersSettings
+from dotterelbridge.peers.websocket_network import choose_peers_to_dial
 from dotterelbridge.peers.websocket_network import create_peer_network
 from dotterelbridge.placement.holder import create_placement
 from dotterelbridge.placement.operators import create_placement_routes
@@ -116,6 +117,9 @@
             settings.vms(),
             self._clock,
             read_secret_file(settings.daemon.peer_secret_file),
+            choose_peers_to_dial(
+                settings.own_vm(), settings.vms(), settings.voters()
+            ),
         )
         self._add("peers", self._network)
 
--- a/dotterelbridge/claims/replicated.py
+++ b/dotterelbridge/claims/replicated.py
@@ -178,6 +178,10 @@
             "limits": msgspec.structs.asdict(self._limits),
         }
 
+    def measure_snapshot(self) -> int:
+        """Return the size of the table's snapshot in bytes; it is taken."""
+        return len(self._machine.take_snapshot())
+
     async def _claim(self, command: Begin) -> ClaimResult:
         """Commit a claim; on failure make sure that the key gets free."""
         timeout = _milliseconds(self._settings.begin_timeout_ms)
