Test choice and limits; let a recovered target win traffic back

Found by test: a target that had been slow got one request in 1,000 after it recovered: its estimate faded over time, yet one new sample brought the old value back. A sample is now smoothed into the faded estimate, which halves every 5 s. A target that is ten times slower gets under a tenth of the traffic of three, and more than a fifth of two once it recovers.

--- a/dotterelbridge/routing/chooser.py
+++ b/dotterelbridge/routing/chooser.py
@@ -15,8 +15,6 @@
 _DEFAULT_FIRST_TOKEN_S = 0.15
 _CACHED_SAVING = 0.8
 """Share of the time to first token that a fully cached prompt saves."""
-_RUNNING_COST = 1 / 32
-"""Slowdown for each running request, in shares of the unloaded time."""
 _DISTANCE_S = {
     Distance.OWN_DOMAIN: 0.0,
     Distance.OWN_REGION: 0.004,
@@ -127,7 +125,7 @@
             target.view.info.target, call.item, call.prompt_blocks, now
         )
         unit_s *= 1 - _CACHED_SAVING * cached
-        own_s = unit_s * load_factor(target)
+        own_s = unit_s * target.load_factor()
         # A target that keeps others waiting is slow, whatever it was.
         waited_s = target.oldest_wait(now)
         return max(own_s, waited_s) + _DISTANCE_S[target.distance]
@@ -155,17 +153,6 @@
         return [targets[best]] if share > 0 else []
 
 
-def load_factor(target: Target) -> float:
-    """Return how many times the unloaded time a first token takes.
-
-    The last report, with this VM's later requests on top.
-    """
-    sent = target.sent_since_report()
-    waiting = target.view.waiting
-    running = target.view.running + sent
-    return 1.0 + waiting + running * _RUNNING_COST
-
-
 def create_chooser(
     settings: RoutingSettings, rng: random.Random, cache: CacheIndex
 ) -> TargetChooser:
--- a/dotterelbridge/routing/queue.py
+++ b/dotterelbridge/routing/queue.py
@@ -19,6 +19,8 @@
 
 RANKS = {Priority.URGENT: 0, Priority.NORMAL: 1, Priority.BACKGROUND: 2}
 
+_WHOLE_PERCENT = 100
+
 
 class Waiter:
     """One waiting request."""
@@ -85,20 +87,21 @@
     """Aggregate: no priority ever holds more waiters than its limit.
 
     Background work that has waited beyond ``background_wait_s`` gets
-    ``background_share`` of the places, so that it never starves: the
-    k-th such request waits for at most k / share places more.
+    its share of the places, so that it never starves: the k-th such
+    request waits for at most k * 100 / share_percent places more.
     """
 
     def __init__(
         self,
         limits: dict[Priority, int],
         background_wait_s: float,
-        background_share: float,
+        background_share_percent: int,
     ) -> None:
         self._limits = limits
         self._background_wait_s = background_wait_s
-        self._background_share = background_share
-        self._credit = 0.0
+        self._background_share = background_share_percent
+        self._credit = 0
+        self._has_overdue = False
         self._counts = dict.fromkeys(Priority, 0)
         self._items: dict[ItemName, _ItemQueue] = {}
         self._waiting: dict[ItemName, int] = {}
@@ -166,11 +169,9 @@
         """Return who gets the next place among those items."""
         queues = [self._items[item] for item in items if item in self._items]
         overdue = self._find_overdue(queues, now)
-        if overdue is not None:
-            self._credit += self._background_share
-            if self._credit >= 1.0:
-                self._credit -= 1.0
-                return overdue
+        self._has_overdue = overdue is not None
+        if overdue and self._credit + self._background_share >= _WHOLE_PERCENT:
+            return overdue
         heads = (queue.head() for queue in queues)
         return min(
             (waiter for waiter in heads if waiter is not None),
@@ -178,6 +179,14 @@
             default=None,
         )
 
+    def take(self, waiter: Waiter) -> None:
+        """Take out the one that ``pick`` gave, which got a place."""
+        if self._has_overdue:
+            self._credit += self._background_share
+            if self._credit >= _WHOLE_PERCENT:
+                self._credit -= _WHOLE_PERCENT
+        self.remove(waiter)
+
     def waiters(self) -> Iterator[Waiter]:
         """Return all who wait."""
         for queue in list(self._items.values()):
--- a/dotterelbridge/routing/router.py
+++ b/dotterelbridge/routing/router.py
@@ -88,7 +88,7 @@
                 Priority.BACKGROUND: settings.background_queue_limit,
             },
             settings.background_wait_limit_ms / 1000,
-            settings.background_share_percent / 100,
+            settings.background_share_percent,
         )
         self._class_retries = {
             priority: RetryBudget(
@@ -184,7 +184,8 @@
             slot.first_token_at = now
             elapsed = now - slot.taken_at
             target = slot.target
-            target.speed.record_first_token(elapsed, now)
+            unloaded_s = elapsed / slot.load_factor
+            target.speed.record_first_token(unloaded_s, now)
             target.limit.record_first_token(elapsed, target.in_flight, now)
             if target.has_room:
                 self._dispatch_target(target)
@@ -506,7 +507,7 @@
             if slot is None:
                 open_items.discard(waiter.call.item)
                 continue
-            self._queue.remove(waiter)
+            self._queue.take(waiter)
             waiter.grant(slot)
 
     def _make_room(self, waiter: Waiter) -> None:
--- a/dotterelbridge/routing/speed.py
+++ b/dotterelbridge/routing/speed.py
@@ -1,11 +1,12 @@
 """Speed of one target, learnt from the answers it gave."""
 
 _WEIGHT = 0.2
-_FORGET_AFTER_S = 10.0
+_FADE_AFTER_S = 5.0
+_FADE_HALF_LIFE_S = 5.0
 
 
 class SpeedEstimate:
-    """Smoothed time to first token and time between tokens."""
+    """Smoothed unloaded time to first token, and what follows it."""
 
     def __init__(self) -> None:
         self._first_token_s: float | None = None
@@ -14,8 +15,9 @@
         self._learnt_at = float("-inf")
 
     def record_first_token(self, elapsed: float, now: float) -> None:
-        """Learn a time to first token, in seconds."""
-        self._first_token_s = _smooth(self._first_token_s, elapsed)
+        """Learn an unloaded time to first token, in seconds."""
+        known_s = self.first_token_s(now)
+        self._first_token_s = _smooth(known_s, elapsed)
         self._learnt_at = now
 
     def record_hold(self, held: float, tokens: int) -> None:
@@ -32,9 +34,10 @@
         if self._first_token_s is None:
             return None
         age = now - self._learnt_at
-        if age <= _FORGET_AFTER_S:
+        if age <= _FADE_AFTER_S:
             return self._first_token_s
-        return self._first_token_s * _FORGET_AFTER_S / age
+        halvings = (age - _FADE_AFTER_S) / _FADE_HALF_LIFE_S
+        return self._first_token_s * 0.5**halvings
 
     @property
     def between_s(self) -> float | None:
--- a/dotterelbridge/routing/target.py
+++ b/dotterelbridge/routing/target.py
@@ -46,6 +46,8 @@
     """The stream made room for urgent work."""
 
 
+_RUNNING_COST = 1 / 32
+"""Slowdown by each running request, in shares of the unloaded time."""
 _FAILURES = (Outcome.CONNECT_FAILED, Outcome.BROKEN, Outcome.FAILED)
 
 
@@ -122,6 +124,14 @@
         reported_at = self.view.reported_at
         return sum(1 for slot in self.slots if slot.taken_at > reported_at)
 
+    def load_factor(self) -> float:
+        """Return how many times the unloaded time a first token takes.
+
+        From the last report, with this VM's later requests on top.
+        """
+        running = self.view.running + self.sent_since_report()
+        return 1.0 + self.view.waiting + running * _RUNNING_COST
+
     def oldest_wait(self, now: float) -> float:
         """Longest current wait for a first token, in seconds."""
         return max(
@@ -141,6 +151,7 @@
             target=self.view.info.target,
         )
         slot = Slot(self, call, model, now)
+        slot.load_factor = self.load_factor()
         self.slots[slot] = None
         return slot
 
@@ -193,6 +204,8 @@
         self.taken_at = now
         self.first_token_at: float | None = None
         self.tokens = 0
+        self.load_factor = 1.0
+        """The target's load factor when the place was taken."""
         self.displace: Callable[[], None] | None = None
         """Ends the attempt so that urgent work gets its place; set by
         serving while the stream can be resumed."""
--- a/dotterelbridge/targets/cache_index.py
+++ b/dotterelbridge/targets/cache_index.py
@@ -92,17 +92,14 @@
     def _apply_one(
         self, target: TargetId, event: CacheEvent, now: float
     ) -> None:
+        item = ItemName(event.model.partition("@")[0])
         if event.kind is CacheEventKind.STORED:
-            self._add((target, event.model, event.block), now)
+            self._add((target, item, event.block), now)
             return
         if event.kind is CacheEventKind.REMOVED:
-            self._entries.pop((target, event.model, event.block), None)
+            self._entries.pop((target, item, event.block), None)
             return
-        cleared = [
-            key
-            for key in self._entries
-            if key[0] == target and key[1] == event.model
-        ]
+        cleared = [key for key in self._entries if key[:2] == (target, item)]
         for key in cleared:
             del self._entries[key]
 
--- /dev/null
+++ b/tests/routing/fakes.py
@@ -0,0 +1,119 @@
+"""A router on a clock that the test moves."""
+
+from datetime import timedelta
+import random
+
+import anyio
+
+from dotterelbridge.clock import ManualClock
+from dotterelbridge.ids import Priority
+from dotterelbridge.ids import RequestId
+from dotterelbridge.routing.call import Call
+from dotterelbridge.routing.errors import RoutingRefused
+from dotterelbridge.routing.router import create_router
+from dotterelbridge.routing.settings import RoutingSettings
+from dotterelbridge.routing.target import Outcome
+from dotterelbridge.targets.settings import TargetsSettings
+from tests.serving.fakes import DOMAIN
+from tests.serving.fakes import REGION
+from tests.serving.fakes import FakeMembership
+from tests.serving.fakes import FakeSheet
+from tests.serving.fakes import engine_view
+from tests.serving.fakes import model_row
+
+_PORT = 9
+
+
+class RoutingWorld:
+    """A router whose targets are views only; nothing is connected."""
+
+    def __init__(self, rows=(), seed: int = 1, **settings) -> None:
+        self.clock = ManualClock(1000.0)
+        self.membership = FakeMembership()
+        self.rows = rows or (model_row(),)
+        self.rng = random.Random(seed)
+        self.router = create_router(
+            self.membership,
+            FakeSheet(self.rows),
+            self.clock,
+            RoutingSettings(**settings),
+            self.rng,
+            TargetsSettings(),
+            DOMAIN,
+            REGION,
+        )
+        self._calls = 0
+
+    def add_engine(self, name: str, **fields) -> None:
+        """Make an engine known, or change its view."""
+        view = engine_view(name, _PORT, **fields)
+        self.membership.set(view)
+
+    def target(self, name: str):
+        """Return the router's aggregate of a target."""
+        return self.router._targets[name]
+
+    def call(
+        self,
+        priority: Priority = Priority.NORMAL,
+        deadline_s: float = 5.0,
+        **fields,
+    ) -> Call:
+        """Return a call for the first row."""
+        self._calls += 1
+        call = Call(
+            request=RequestId(f"r{self._calls}"),
+            row=self.rows[0],
+            priority=priority,
+            deadline_at=self.clock.monotonic() + deadline_s,
+            **fields,
+        )
+        self.router.start_call(call)
+        return call
+
+    def advance(self, seconds: float) -> None:
+        """Move time and let the router check its deadlines."""
+        self.clock.advance(timedelta(seconds=seconds))
+        self.router.expire_waiters()
+
+    async def serve(self, call: Call, seconds: float = 0.1):
+        """Run a call to its end; return the target's name."""
+        slot = await self.router.acquire(call)
+        self.advance(seconds)
+        self.router.record_tokens(slot, 1)
+        self.router.release(slot, Outcome.SUCCEEDED)
+        return slot.target.view.info.target
+
+
+class Waiting:
+    """Calls that wait for places in tasks of their own."""
+
+    def __init__(self, world: RoutingWorld, group) -> None:
+        self._world = world
+        self._group = group
+        self.granted: list = []
+        self.refused: list[RoutingRefused] = []
+
+    async def start(self, call: Call, **arguments) -> None:
+        """Start to wait; returns once the call is in the queue."""
+        self._group.start_soon(self._wait, call, arguments)
+        await settle()
+
+    async def _wait(self, call: Call, arguments) -> None:
+        try:
+            slot = await self._world.router.acquire(call, **arguments)
+        except RoutingRefused as error:
+            self.refused.append(error)
+            return
+        self.granted.append(slot)
+
+    @property
+    def order(self) -> list[str]:
+        """Requests in the order in which they got a place."""
+        return [slot.call.request for slot in self.granted]
+
+
+async def settle() -> None:
+    """Let all tasks that can run do so."""
+    for _ in range(10):
+        await anyio.lowlevel.checkpoint()
--- /dev/null
+++ b/tests/routing/test_choice.py
@@ -0,0 +1,247 @@
+"""Choice of a target: speed, load, prefixes and distance."""
+
+from collections import Counter
+
+import anyio
+import pytest
+
+from dotterelbridge.ids import ItemName
+from dotterelbridge.ids import TargetId
+from dotterelbridge.routing.target import Outcome
+from dotterelbridge.targets.cache_index import CacheIndex
+from dotterelbridge.targets.engine import CacheEvent
+from dotterelbridge.targets.engine import CacheEventKind
+from tests.routing.fakes import RoutingWorld
+from tests.serving.fakes import model_row
+from tests.serving.fakes import run_async
+
+BASELINES = ["round_robin", "random", "least_outstanding"]
+E1 = TargetId("e1")
+QUOTE = ItemName("quote")
+
+
+async def count_choices(world, calls, seconds_of=None):
+    """Serve calls one after another; count the targets."""
+    counts = Counter()
+    for _ in range(calls):
+        slot = await world.router.acquire(world.call())
+        name = slot.target.view.info.target
+        seconds = (seconds_of or {}).get(name, 0.1)
+        world.advance(seconds)
+        world.router.record_tokens(slot, 1)
+        world.router.release(slot, Outcome.SUCCEEDED)
+        counts[name] += 1
+    return counts
+
+
+@run_async
+async def test_slow_target_loses_traffic():
+    world = RoutingWorld()
+    for name in ("e1", "e2", "slow"):
+        world.add_engine(name)
+    speeds = {"e1": 0.1, "e2": 0.1, "slow": 1.0}
+    counts = await count_choices(world, 300, speeds)
+    # It still gets some, by which its recovery would show.
+    assert 0 < counts["slow"] < 30
+
+
+@run_async
+async def test_target_that_recovers_gets_traffic_again():
+    world = RoutingWorld()
+    world.add_engine("e1")
+    world.add_engine("e2")
+    await count_choices(world, 100, {"e1": 0.1, "e2": 1.0})
+    world.advance(60)
+    counts = await count_choices(world, 1000)
+    assert counts["e2"] > 200
+
+
+@run_async
+async def test_target_that_answers_nothing_loses_traffic_before_its_end():
+    world = RoutingWorld()
+    world.add_engine("e1")
+    world.add_engine("stuck")
+    await count_choices(world, 20)
+    world.add_engine("e1", waiting=2)
+    slot = await world.router.acquire(world.call())
+    assert slot.target.view.info.target == "stuck"
+    # No first token for long: worse than the other's queue.
+    world.advance(4.0)
+    for _ in range(5):
+        other = await world.router.acquire(world.call())
+        assert other.target.view.info.target == "e1"
+
+
+@run_async
+async def test_own_requests_count_on_top_of_a_stale_report():
+    world = RoutingWorld()
+    world.add_engine("e1", reported_at=1000.0)
+    world.add_engine("e2", reported_at=1000.0)
+    await count_choices(world, 20)
+    counts = Counter()
+    for _ in range(40):
+        slot = await world.router.acquire(world.call())
+        counts[slot.target.view.info.target] += 1
+    assert counts["e1"] == counts["e2"] == 20
+
+
+@run_async
+async def test_reported_queue_keeps_requests_away():
+    world = RoutingWorld()
+    world.add_engine("e1", waiting=5)
+    world.add_engine("e2")
+    counts = await count_choices(world, 20)
+    assert counts["e2"] == 20
+
+
+@run_async
+async def test_longest_prefix_draws_the_request():
+    world = RoutingWorld()
+    for number in range(1, 9):
+        world.add_engine(f"e{number}")
+    blocks = ("b1", "b2", "b3")
+    now = world.clock.monotonic()
+    world.router.cache.add_sent(TargetId("e7"), QUOTE, blocks, now)
+    for _ in range(20):
+        slot = await world.router.acquire(world.call(prompt_blocks=blocks))
+        assert slot.target.view.info.target == "e7"
+        world.router.release(slot, Outcome.CANCELLED)
+
+
+@run_async
+async def test_prefix_does_not_outweigh_a_long_queue():
+    world = RoutingWorld()
+    world.add_engine("e1", waiting=20)
+    world.add_engine("e2")
+    now = world.clock.monotonic()
+    world.router.cache.add_sent(E1, QUOTE, ("b1",), now)
+    slot = await world.router.acquire(world.call(prompt_blocks=("b1",)))
+    assert slot.target.view.info.target == "e2"
+
+
+def stored(sequence, block, model="quote@1"):
+    return CacheEvent(
+        sequence=sequence,
+        kind=CacheEventKind.STORED,
+        model=ItemName(model),
+        block=block,
+    )
+
+
+def test_missed_cache_events_make_older_entries_doubtful():
+    index = CacheIndex()
+    index.apply(E1, [stored(1, "a"), stored(2, "b")], 10.0)
+    blocks = ("a", "b")
+    assert index.find_prefix_share(E1, QUOTE, blocks, 11.0) == 1.0
+    index.apply(E1, [stored(7, "c")], 20.0)
+    assert index.gaps == 1
+    assert index.find_prefix_share(E1, QUOTE, blocks, 21.0) == 0.5
+    assert index.find_prefix_share(E1, QUOTE, blocks, 1000.0) == 0.0
+
+
+def test_removed_and_cleared_blocks_are_forgotten():
+    index = CacheIndex()
+    index.apply(E1, [stored(1, "a"), stored(2, "b")], 10.0)
+    removed = CacheEvent(
+        sequence=3, kind=CacheEventKind.REMOVED, model=QUOTE, block="b"
+    )
+    # Repeated events change nothing.
+    index.apply(E1, [stored(1, "a"), stored(2, "b"), removed], 11.0)
+    assert index.find_prefix_share(E1, QUOTE, ("a", "b"), 11.0) == 0.5
+    cleared = CacheEvent(sequence=4, kind=CacheEventKind.CLEARED, model=QUOTE)
+    index.apply(E1, [cleared], 12.0)
+    assert len(index) == 0
+
+
+def test_cache_index_is_bounded():
+    index = CacheIndex(entries_limit=10)
+    for number in range(100):
+        index.add_sent(E1, QUOTE, (f"b{number}",), float(number))
+    assert len(index) == 10
+    assert index.find_prefix_share(E1, QUOTE, ("b99",), 99.0) == 1.0
+
+
+@run_async
+async def test_near_targets_come_first():
+    world = RoutingWorld()
+    world.add_engine("far", domain="cork-1", region="cork")
+    world.add_engine("near", domain="dublin-2")
+    assert await world.serve(world.call(), 0.01) == "near"
+    world.add_engine("own")
+    for _ in range(10):
+        assert await world.serve(world.call(), 0.01) == "own"
+
+
+@run_async
+async def test_far_target_is_used_when_the_deadline_holds_only_there():
+    world = RoutingWorld()
+    world.add_engine("own")
+    world.add_engine("far", domain="cork-1", region="cork")
+    await count_choices(world, 5)
+    world.add_engine("own", waiting=50)
+    slot = await world.router.acquire(world.call(deadline_s=1.0))
+    assert slot.target.view.info.target == "far"
+    slot = await world.router.acquire(world.call(deadline_s=100.0))
+    assert slot.target.view.info.target == "own"
+
+
+@run_async
+async def test_version_on_the_sheet_is_used_as_soon_as_it_is_ready():
+    world = RoutingWorld(rows=(model_row(version="2"),))
+    world.add_engine("old", items=("quote@1",))
+    slot = await world.router.acquire(world.call())
+    assert slot.model == "quote@1"
+    world.add_engine("new", items=("quote@2",))
+    for _ in range(10):
+        slot = await world.router.acquire(world.call())
+        assert slot.model == "quote@2"
+
+
+@run_async
+async def test_version_that_the_caller_names_is_the_only_one():
+    world = RoutingWorld()
+    world.add_engine("e1", items=("quote@1",))
+    world.add_engine("e2", items=("quote@2",))
+    for _ in range(10):
+        slot = await world.router.acquire(world.call(version="2"))
+        assert slot.model == "quote@2"
+
+
+@run_async
+async def test_engine_that_lost_an_item_is_avoided_for_a_while():
+    world = RoutingWorld(not_ready_ms=1000)
+    world.add_engine("e1")
+    world.add_engine("e2")
+    slot = await world.router.acquire(world.call())
+    lost = slot.target.view.info.target
+    world.router.release(slot, Outcome.NOT_READY)
+    counts = await count_choices(world, 8, {"e1": 0.01, "e2": 0.01})
+    assert lost not in counts
+    world.advance(1.0)
+    assert lost in await count_choices(world, 50, {"e1": 0.01, "e2": 0.01})
+
+
+@pytest.mark.parametrize("chooser", BASELINES)
+def test_baselines_are_selectable(chooser):
+    async def check():
+        world = RoutingWorld(chooser=chooser)
+        for name in ("e1", "e2", "e3"):
+            world.add_engine(name)
+        counts = await count_choices(world, 300)
+        assert min(counts.values()) > 50
+        if chooser == "round_robin":
+            assert set(counts.values()) == {100}
+
+    anyio.run(check)
+
+
+@run_async
+async def test_least_outstanding_counts_requests_in_flight():
+    world = RoutingWorld(chooser="least_outstanding")
+    for name in ("e1", "e2", "e3"):
+        world.add_engine(name)
+    counts = Counter()
+    for _ in range(30):
+        slot = await world.router.acquire(world.call())
+        counts[slot.target.view.info.target] += 1
+    assert set(counts.values()) == {10}
--- /dev/null
+++ b/tests/routing/test_limits.py
@@ -0,0 +1,421 @@
+"""Queues, limits, refusals, retries and ejection."""
+
+from datetime import timedelta
+import random
+
+import anyio
+import pytest
+
+from dotterelbridge.errors import InvariantViolation
+from dotterelbridge.ids import Priority
+from dotterelbridge.membership.view import MemberState
+from dotterelbridge.routing.budget import RetryBudget
+from dotterelbridge.routing.concurrency import ConcurrencyLimit
+from dotterelbridge.routing.errors import DeadlinePassed
+from dotterelbridge.routing.errors import DeadlineUnreachable
+from dotterelbridge.routing.errors import ItemNotLoaded
+from dotterelbridge.routing.errors import QueueFull
+from dotterelbridge.routing.errors import RetriesSpent
+from dotterelbridge.routing.target import Outcome
+from tests.routing.fakes import RoutingWorld
+from tests.routing.fakes import Waiting
+from tests.routing.fakes import settle
+from tests.serving.fakes import run_async
+
+URGENT = Priority.URGENT
+NORMAL = Priority.NORMAL
+BACKGROUND = Priority.BACKGROUND
+ONE_PLACE = {"initial_concurrency": 1, "concurrency_limit": 1}
+
+
+@run_async
+async def test_places_go_by_priority_then_earliest_deadline():
+    world = RoutingWorld(**ONE_PLACE)
+    world.add_engine("e1")
+    slot = await world.router.acquire(world.call())
+    calls = [
+        world.call(BACKGROUND, 50),
+        world.call(NORMAL, 60),
+        world.call(NORMAL, 40),
+        world.call(URGENT, 70),
+        world.call(URGENT, 55),
+    ]
+    async with anyio.create_task_group() as group:
+        waiting = Waiting(world, group)
+        for call in calls:
+            await waiting.start(call)
+        for _ in calls:
+            world.router.release(slot, Outcome.SUCCEEDED)
+            await settle()
+            slot = waiting.granted[-1]
+    expected = [calls[i].request for i in (4, 3, 2, 1, 0)]
+    assert waiting.order == expected
+
+
+@run_async
+async def test_background_gets_its_share_once_overdue():
+    world = RoutingWorld(
+        background_wait_limit_ms=1000,
+        background_share_percent=25,
+        **ONE_PLACE,
+    )
+    world.add_engine("e1")
+    slot = await world.router.acquire(world.call())
+    async with anyio.create_task_group() as group:
+        waiting = Waiting(world, group)
+        await waiting.start(world.call(BACKGROUND, 1000))
+        world.advance(1.5)
+        # However much urgent work waits, one place in four is taken by
+        # the background request that is overdue.
+        for _ in range(8):
+            await waiting.start(world.call(URGENT, 1000))
+        for _ in range(9):
+            world.router.release(slot, Outcome.SUCCEEDED)
+            await settle()
+            slot = waiting.granted[-1]
+    priorities = [granted.call.priority for granted in waiting.granted]
+    assert priorities.index(BACKGROUND) == 3
+
+
+@pytest.mark.parametrize("priority", list(Priority))
+def test_queue_is_bounded_for_each_priority(priority):
+    async def check():
+        world = RoutingWorld(
+            urgent_queue_limit=3,
+            normal_queue_limit=3,
+            background_queue_limit=3,
+        )
+        async with anyio.create_task_group() as group:
+            waiting = Waiting(world, group)
+            for _ in range(4):
+                await waiting.start(world.call(priority))
+            assert isinstance(waiting.refused[0], QueueFull)
+            assert waiting.refused[0].retry_after > timedelta(0)
+            assert len(waiting.refused) == 1
+            # The other priorities have room of their own.
+            other = URGENT if priority is not URGENT else NORMAL
+            await waiting.start(world.call(other))
+            assert len(waiting.refused) == 1
+            group.cancel_scope.cancel()
+        assert world.router.dump()["waiting_items"] == {}
+
+    anyio.run(check)
+
+
+@run_async
+async def test_wait_beyond_the_deadline_is_refused_at_once():
+    world = RoutingWorld(**ONE_PLACE)
+    world.add_engine("e1")
+    await world.serve(world.call(), seconds=4.0)
+    held = await world.router.acquire(world.call())
+    with pytest.raises(DeadlineUnreachable) as refused:
+        await world.router.acquire(world.call(deadline_s=1.0))
+    assert refused.value.retry_after >= timedelta(seconds=1)
+    demand = world.router.read_demand()["quote"]
+    assert demand.missed == 1
+    world.router.release(held, Outcome.SUCCEEDED)
+
+
+@run_async
+async def test_waiter_is_refused_when_its_deadline_passes():
+    world = RoutingWorld(**ONE_PLACE)
+    world.add_engine("e1")
+    held = await world.router.acquire(world.call())
+    async with anyio.create_task_group() as group:
+        waiting = Waiting(world, group)
+        await waiting.start(world.call(deadline_s=2.0))
+        world.advance(1.9)
+        await settle()
+        assert waiting.refused == []
+        world.advance(0.2)
+        await settle()
+        assert type(waiting.refused[0]) is DeadlinePassed
+    world.router.release(held, Outcome.SUCCEEDED)
+
+
+@run_async
+async def test_item_that_is_loaded_nowhere_waits_up_to_its_deadline():
+    world = RoutingWorld()
+    async with anyio.create_task_group() as group:
+        waiting = Waiting(world, group)
+        await waiting.start(world.call(deadline_s=2.0))
+        await waiting.start(world.call(deadline_s=4.0))
+        assert world.router.read_demand()["quote"].waiting == 2
+        world.advance(2.5)
+        await settle()
+        assert isinstance(waiting.refused[0], ItemNotLoaded)
+        world.add_engine("e1")
+        await settle()
+        assert len(waiting.granted) == 1
+
+
+@run_async
+async def test_urgent_call_takes_the_place_of_a_background_stream():
+    world = RoutingWorld(**ONE_PLACE)
+    world.add_engine("e1")
+    background = await world.router.acquire(world.call(BACKGROUND))
+    displaced = []
+
+    def displace():
+        displaced.append(background)
+        world.router.release(background, Outcome.DISPLACED)
+
+    background.displace = displace
+    slot = await world.router.acquire(world.call(URGENT))
+    assert displaced == [background]
+    assert background.displaced
+    assert slot.call.priority is URGENT
+
+
+@run_async
+async def test_background_stream_gives_way_a_bounded_number_of_times():
+    world = RoutingWorld(background_cancellations_limit=2, **ONE_PLACE)
+    world.add_engine("e1")
+    call = world.call(BACKGROUND, deadline_s=1000)
+    call.cancellations = 2
+    background = await world.router.acquire(call)
+    background.displace = lambda: pytest.fail("was displaced")
+    async with anyio.create_task_group() as group:
+        waiting = Waiting(world, group)
+        await waiting.start(world.call(URGENT))
+        assert waiting.granted == []
+        world.router.release(background, Outcome.SUCCEEDED)
+        await settle()
+        assert len(waiting.granted) == 1
+
+
+@pytest.mark.parametrize("priority", [NORMAL, BACKGROUND])
+def test_only_urgent_work_takes_places(priority):
+    async def check():
+        world = RoutingWorld(**ONE_PLACE)
+        world.add_engine("e1")
+        background = await world.router.acquire(world.call(BACKGROUND))
+        background.displace = lambda: pytest.fail("was displaced")
+        async with anyio.create_task_group() as group:
+            await Waiting(world, group).start(world.call(priority))
+            group.cancel_scope.cancel()
+
+    anyio.run(check)
+
+
+@run_async
+async def test_cancelled_waiter_leaves_neither_place_nor_entry():
+    world = RoutingWorld(**ONE_PLACE)
+    world.add_engine("e1")
+    held = await world.router.acquire(world.call())
+    async with anyio.create_task_group() as group:
+        await Waiting(world, group).start(world.call())
+        # Granted in the same step in which the caller hangs up.
+        group.cancel_scope.cancel()
+        world.router.release(held, Outcome.SUCCEEDED)
+        assert world.target("e1").in_flight == 1
+    assert world.target("e1").in_flight == 0
+    assert world.router.dump()["waiting_items"] == {}
+
+
+def test_retries_are_a_share_of_first_attempts():
+    budget = RetryBudget(percent=10, reserve=5)
+    for _ in range(5):
+        budget.spend()
+    assert not budget.has_retry
+    for _ in range(10):
+        budget.earn()
+    assert budget.has_retry
+    budget.spend()
+    assert not budget.has_retry
+
+
+@run_async
+async def test_failing_target_cannot_multiply_requests():
+    world = RoutingWorld(
+        retry_reserve=10, ejection_failures=100_000, attempts_limit=10
+    )
+    world.add_engine("e1")
+    attempts = 0
+    for _ in range(1000):
+        call = world.call()
+        while True:
+            slot = await world.router.acquire(call)
+            attempts += 1
+            world.router.release(slot, Outcome.BROKEN)
+            try:
+                world.router.check_retry(call, slot.target)
+            except RetriesSpent:
+                break
+    # A tenth more, and what the reserve allows at the start.
+    assert attempts <= 1000 * 1.1 + 10 + 1
+
+
+def fail(world, times, outcome=Outcome.BROKEN):
+    """Return a coroutine that fails calls at whichever target."""
+
+    async def run():
+        for _ in range(times):
+            slot = await world.router.acquire(world.call())
+            world.router.release(slot, outcome)
+
+    return run()
+
+
+@run_async
+async def test_failing_target_is_ejected_and_probed():
+    world = RoutingWorld(ejection_failures=3, ejection_ms=1000)
+    world.add_engine("bad")
+    await fail(world, 3)
+    world.add_engine("good")
+    assert world.target("bad").is_ejected
+    for _ in range(20):
+        assert await world.serve(world.call(), 0.01) == "good"
+    world.advance(2.0)
+    assert world.router.find_due_probes() == [world.target("bad")]
+    # One probe at a time.
+    assert world.router.find_due_probes() == []
+    world.target("bad").ejection.finish_probe(False, world.clock.monotonic())
+    # The second ejection lasts longer.
+    world.advance(1.3)
+    assert world.router.find_due_probes() == []
+    world.advance(1.3)
+    assert world.router.find_due_probes() == [world.target("bad")]
+
+
+@run_async
+async def test_returning_target_starts_with_one_request():
+    world = RoutingWorld(ejection_failures=3)
+    world.add_engine("e1")
+    await fail(world, 3)
+
+    async def answer(timeout):
+        return True
+
+    target = world.target("e1")
+    target.client.probe = answer
+    world.advance(2.0)
+    (due,) = world.router.find_due_probes()
+    async with anyio.create_task_group() as group:
+        waiting = Waiting(world, group)
+        for _ in range(10):
+            await waiting.start(world.call(deadline_s=1000))
+        # All wait while the only target is ejected, but for one that
+        # serves as a probe.
+        assert len(waiting.granted) == 1
+        await world.router.probe(due)
+        await settle()
+        assert target.limit.limit == 1
+        assert target.in_flight == 1
+        world.router.record_tokens(waiting.granted[0], 1)
+        await settle()
+        # Grows with each first token instead of taking all at once.
+        assert target.in_flight == 2
+        group.cancel_scope.cancel()
+
+
+@run_async
+async def test_only_target_is_used_though_it_fails():
+    world = RoutingWorld(ejection_failures=2)
+    world.add_engine("e1")
+    await fail(world, 2)
+    assert world.target("e1").is_ejected
+    slot = await world.router.acquire(world.call())
+    assert slot.target.view.info.target == "e1"
+
+
+@run_async
+async def test_refusals_by_a_busy_engine_do_not_eject_it():
+    world = RoutingWorld(ejection_failures=2, initial_concurrency=10)
+    world.add_engine("e1")
+    await fail(world, 20, Outcome.OVERLOADED)
+    target = world.target("e1")
+    assert not target.is_ejected
+    assert 1 <= target.limit.limit < 10
+
+
+@run_async
+async def test_target_that_leaves_gets_no_new_work():
+    world = RoutingWorld()
+    world.add_engine("e1")
+    world.add_engine("e2")
+    world.add_engine("e1", state=MemberState.LEAVING)
+    names = {await world.serve(world.call(), 0.01) for _ in range(20)}
+    assert names == {"e2"}
+    # The engine's own word, before any list has it.
+    slot = await world.router.acquire(world.call())
+    world.router.release(slot, Outcome.LEAVING)
+    async with anyio.create_task_group() as group:
+        waiting = Waiting(world, group)
+        await waiting.start(world.call())
+        assert waiting.granted == []
+        group.cancel_scope.cancel()
+
+
+def test_leaving_target_is_guarded_by_an_invariant():
+    world = RoutingWorld()
+    world.add_engine("e1")
+    target = world.target("e1")
+    world.add_engine("e1", state=MemberState.LEAVING)
+    with pytest.raises(InvariantViolation):
+        target.take(world.call(), "quote@1", world.clock.monotonic())
+
+
+def test_limit_grows_while_fast_and_shrinks_when_slow():
+    limit = ConcurrencyLimit(initial=4, maximum=20)
+    now = 0.0
+    for _ in range(100):
+        now += 1
+        limit.record_first_token(0.1, limit.limit, now)
+    assert limit.limit == 20
+    for _ in range(5):
+        now += 3
+        limit.record_first_token(2.0, limit.limit, now)
+    assert limit.limit < 10
+    for _ in range(200):
+        now += 100
+        limit.record_overload(now)
+    assert limit.limit == 1
+
+
+def test_limit_that_is_not_used_does_not_grow():
+    limit = ConcurrencyLimit(initial=10, maximum=100)
+    for second in range(100):
+        limit.record_first_token(0.1, 2, float(second))
+    assert limit.limit == 10
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_random_traffic_keeps_the_books_straight(seed):
+    """No place is lost or given twice, whatever the order of events."""
+
+    async def check():
+        rng = random.Random(seed)
+        world = RoutingWorld(
+            seed=seed, initial_concurrency=3, concurrency_limit=6
+        )
+        async with anyio.create_task_group() as group:
+            waiting = Waiting(world, group)
+            running = []
+            for step in range(2000):
+                choice = rng.random()
+                if choice < 0.05:
+                    state = rng.choice(list(MemberState))
+                    world.add_engine(f"e{rng.randint(1, 3)}", state=state)
+                elif choice < 0.5:
+                    await waiting.start(
+                        world.call(rng.choice(list(Priority)), rng.random())
+                    )
+                elif choice < 0.6:
+                    world.advance(rng.random() / 10)
+                elif running:
+                    slot = running.pop(rng.randrange(len(running)))
+                    if rng.random() < 0.7:
+                        world.router.record_tokens(slot, 1)
+                    outcome = rng.choice(list(Outcome))
+                    world.router.release(slot, outcome)
+                await settle()
+                running += waiting.granted
+                waiting.granted.clear()
+                state = world.router.dump()
+                held = sum(t["in_flight"] for t in state["targets"].values())
+                assert held == len(running), step
+            group.cancel_scope.cancel()
+        assert world.router.dump()["waiting_items"] == {}
+
+    anyio.run(check)
