Find prompt prefixes in the engines' caches

The hashes of a prompt's leading blocks, the cache events read at a rate bounded for the VM (4 requests a second over all engines of the domain), and this VM's own prompts as a hint before the events come.

--- a/dotterelbridge/routing/router.py
+++ b/dotterelbridge/routing/router.py
@@ -23,6 +23,7 @@
 from dotterelbridge.placement.demand import DemandSource
 from dotterelbridge.placement.demand import ItemDemand
 from dotterelbridge.routing.budget import RetryBudget
+from dotterelbridge.routing.cache_feed import CacheFeed
 from dotterelbridge.routing.call import Call
 from dotterelbridge.routing.chooser import create_chooser
 from dotterelbridge.routing.demand import DemandCounter
@@ -98,6 +99,12 @@
         }
         self.demand = DemandCounter()
         self._probes: list[Target] = []
+        self._cache_feed = CacheFeed(
+            lambda: self._targets,
+            self.cache,
+            clock,
+            settings.cache_polls_per_s,
+        )
         self._take_sheet(sheet.current())
         sheet.subscribe(self._take_sheet)
         self._refresh()
@@ -218,6 +225,8 @@
         interval = timedelta(milliseconds=self._settings.sweep_interval_ms)
         ticks = 0
         async with anyio.create_task_group() as group:
+            if self._settings.chooser == "estimate":
+                group.start_soon(self._cache_feed.run)
             while True:
                 await self._clock.sleep(interval)
                 ticks += 1
@@ -403,6 +412,12 @@
             slot = target.take(waiter.call, model, now)
             waiter.call.attempts += 1
             target.retries.earn()
+            self.cache.add_sent(
+                target.view.info.target,
+                waiter.call.item,
+                waiter.call.prompt_blocks,
+                now,
+            )
             return slot
         return None
 
--- a/dotterelbridge/routing/settings.py
+++ b/dotterelbridge/routing/settings.py
@@ -48,5 +48,7 @@
     """Wait for a target that resumes a broken stream."""
     background_resume_limit_ms: _Positive = 120000
     """Wait of a background stream that made room for urgent work."""
+    cache_polls_per_s: _Positive = 4
+    """Requests for cache events, to all engines together."""
     sweep_interval_ms: _Positive = 50
     """Interval of the checks for silence, deadlines and ejections."""
--- a/dotterelbridge/serving/callers.py
+++ b/dotterelbridge/serving/callers.py
@@ -49,6 +49,7 @@
 from dotterelbridge.serving.stream import StreamRelay
 from dotterelbridge.sheet.rows import SheetRow
 from dotterelbridge.targets.client import ExchangeRequest
+from dotterelbridge.targets.prefix import list_prompt_blocks
 
 INFERENCE_PATHS = ("/v1/chat/completions", "/v1/completions")
 MODELS_PATH = "/v1/models"
@@ -247,6 +248,7 @@
             priority=request.priority or row.priority,
             deadline_at=now + deadline.total_seconds(),
             body_size=len(request.body),
+            prompt_blocks=_list_blocks(row, request),
         )
         self._router.start_call(call)
         return call
@@ -359,6 +361,12 @@
     )
 
 
+def _list_blocks(row: SheetRow, request: CallerRequest) -> tuple[str, ...]:
+    if row.kind is ItemKind.SERVICE:
+        return ()
+    return list_prompt_blocks(row.name, request.body)
+
+
 async def _run_until_hang_up(receive, run) -> None:
     """Run, or cancel the run once the caller's connection is gone."""
     failure: list[Exception] = []
--- a/tests/serving/fakes.py
+++ b/tests/serving/fakes.py
@@ -160,6 +160,8 @@
         self.name = TargetId(name)
         self.behaviour = behaviour
         self.received: list[Received] = []
+        self.polls: list[str] = []
+        self.cache_events = lambda received: b"[]"
         self.connections = 0
         self.port = 0
         self._server: asyncio.Server | None = None
@@ -180,6 +182,10 @@
                 received = await _read_request(reader, writer)
                 if received is None:
                     break
+                if received.path.startswith("/cache-events"):
+                    self.polls.append(received.path)
+                    await received.answer(self.cache_events(received))
+                    continue
                 self.received.append(received)
                 await self.behaviour(received)
         writer.close()
