Shut down without cutting off an answer; test it by SIGTERM

features/shutdown.feature: a real process, 300 live streams, 40 queued requests behind 10, 5 slow readers of 13 MB; each byte for byte.

--- a/dotterelbridge/serving/listener.py
+++ b/dotterelbridge/serving/listener.py
@@ -48,10 +48,12 @@
     async def drain(self) -> None:
         """Turn /readyz false, then answer all that is in flight."""
         self._app.start_draining()
+        self._server.announce_close()
         lead = timedelta(seconds=self._settings.balancer_lead_s)
         await self._clock.sleep(lead)
         self._server.stop_accepting()
         await self._app.wait_until_answered()
+        await self._server.wait_closed()
         events.log(_log, ServingEvent.DRAIN_FINISHED)
 
 
--- a/dotterelbridge/serving/server.py
+++ b/dotterelbridge/serving/server.py
@@ -85,10 +85,14 @@
         """Whether the caller doesn't take what was written."""
         return self._drained is not None
 
+    def announce_close(self) -> None:
+        """Tell the caller with its next answer that this is the last."""
+        self._closing = True
+
     def close_when_idle(self) -> None:
-        """Close after the answer that is being sent, if any."""
+        """Close after the request that is under way, if any."""
         self._closing = True
-        if self._active is None and not self._pending:
+        if self.is_idle and not self._pending and not self.is_receiving:
             self.close()
 
     def close(self) -> None:
@@ -388,7 +392,9 @@
         self._connections: set[ServerConnection] = set()
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
+        self._announced = False
         self._closing = False
+        self._all_closed = asyncio.Event()
 
     @property
     def connections(self) -> int:
@@ -404,6 +410,12 @@
             backlog=self._settings.backlog,
         )
 
+    def announce_close(self) -> None:
+        """Send ``Connection: close`` with every answer from now on."""
+        self._announced = True
+        for connection in self._connections:
+            connection.announce_close()
+
     def stop_accepting(self) -> None:
         """Close the listening socket and the connections as they idle."""
         self._closing = True
@@ -412,6 +424,16 @@
         for connection in list(self._connections):
             connection.close_when_idle()
 
+    async def wait_closed(self) -> None:
+        """Return once every answer was sent and its connection closed.
+
+        A caller that reads slowly is waited for; one that doesn't read
+        at all is cut off by ``sweep`` after its limit.
+        """
+        while self._connections:
+            self._all_closed.clear()
+            await self._all_closed.wait()
+
     async def abort(self) -> None:
         """End everything at once."""
         self.stop_accepting()
@@ -444,10 +466,14 @@
         full = len(self._connections) > self._settings.connections_limit
         if full or self._closing:
             connection.abort()
+        elif self._announced:
+            connection.announce_close()
 
     def discard(self, connection: ServerConnection) -> None:
         """Forget a closed connection."""
         self._connections.discard(connection)
+        if not self._connections:
+            self._all_closed.set()
 
     def start_task(self, coroutine) -> None:
         """Run one request."""
--- /dev/null
+++ b/tests/serving/test_shutdown_features.py
@@ -0,0 +1,252 @@
+"""Steps of features/shutdown.feature: a real process and SIGTERM."""
+
+import asyncio
+import contextlib
+import signal
+import sys
+
+import anyio
+import httpx
+import pytest
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from tests.serving.fakes import FakeTarget
+from tests.serving.fakes import token_event
+from tests.serving.fakes import wait_until
+
+scenarios("../features/shutdown.feature")
+
+BODY = b'{"model": "quote", "stream": true}'
+DONE = b"data: [DONE]\n\n"
+LEADING = 3
+TOKENS = 400
+LARGE_EVENT = b"data: " + b"x" * 32768 + b"\n\n"
+LARGE_EVENTS = 400
+"""Together far more than the sockets and buffers on the way hold."""
+
+
+class Caller:
+    """One caller on a raw connection, which can stop reading."""
+
+    def __init__(self) -> None:
+        self.received = b""
+        self.reading = asyncio.Event()
+        self.reading.set()
+
+    async def run(self, port: int) -> None:
+        """Send the request and read until the connection closes."""
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", port, limit=1024
+        )
+        writer.write(
+            b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n"
+            b"content-length: %d\r\n\r\n%b" % (len(BODY), BODY)
+        )
+        while True:
+            await self.reading.wait()
+            chunk = await reader.read(65536)
+            if not chunk:
+                break
+            self.received += chunk
+        writer.close()
+
+    @property
+    def stream(self) -> bytes:
+        """The body, without its chunks' frames."""
+        head, _, rest = self.received.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        body = b""
+        while True:
+            size, _, rest = rest.partition(b"\r\n")
+            length = int(size, 16)
+            if not length:
+                assert rest == b"\r\n"
+                return body
+            body += rest[:length]
+            rest = rest[length + 2 :]
+
+
+class Scene:
+    """The engine, the daemon's process and the callers, on one loop."""
+
+    def __init__(self) -> None:
+        self.runner = asyncio.Runner()
+        self.events = [token_event(n) for n in range(TOKENS)]
+        self.go_on = None
+        self.engine = None
+        self.process = None
+        self.port = 0
+        self.callers = []
+        self.tasks = []
+
+    def do(self, coroutine):
+        """Run a coroutine, with a generous limit."""
+        return self.runner.run(asyncio.wait_for(coroutine, 60))
+
+    async def start_engine(self) -> None:
+        self.go_on = asyncio.Event()
+
+        async def hold(received):
+            await received.start_stream()
+            await received.send_tokens(0, LEADING)
+            await self.go_on.wait()
+            with contextlib.suppress(ConnectionError):
+                for event in self.events[LEADING:]:
+                    await received.send_chunk(event)
+                await received.finish_stream()
+
+        self.engine = FakeTarget("e1", hold)
+        await self.engine.start()
+
+    async def start_daemon(self, concurrency: int) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tests.serving.shutdown_process",
+            str(self.engine.port),
+            str(concurrency),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.port = int(await self.process.stdout.readline())
+
+    async def start_callers(self, count: int) -> list[Caller]:
+        callers = [Caller() for _ in range(count)]
+        self.callers += callers
+        self.tasks += [
+            asyncio.create_task(caller.run(self.port)) for caller in callers
+        ]
+        return callers
+
+    async def finish(self) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+@pytest.fixture
+def scene():
+    scene = Scene()
+    yield scene
+    scene.do(scene.finish())
+    scene.runner.close()
+
+
+@given("an engine that holds its streams open")
+def start_engine(scene):
+    scene.do(scene.start_engine())
+
+
+@given("an engine that holds streams of 13 MB open")
+def start_large_engine(scene):
+    scene.events[LEADING:] = [LARGE_EVENT] * LARGE_EVENTS
+    scene.do(scene.start_engine())
+
+
+@given(parsers.parse("a daemon with room for {count:d} streams"))
+def start_daemon(scene, count):
+    scene.do(scene.start_daemon(count))
+
+
+@given(parsers.parse("{count:d} callers in mid-stream"))
+def start_streams(scene, count):
+    async def start():
+        callers = await scene.start_callers(count)
+        last = token_event(LEADING - 1)
+        await wait_until(lambda: all(last in c.received for c in callers))
+
+    scene.do(start())
+
+
+@given(parsers.parse("{count:d} callers that wait for a place"))
+def start_waiting(scene, count):
+    async def start():
+        held = len(scene.engine.received)
+        await scene.start_callers(count)
+        # A request without a body's end would be refused; an answer to
+        # a later one shows that all of them were taken.
+        async with httpx.AsyncClient() as client:
+            await client.get(f"http://127.0.0.1:{scene.port}/healthz")
+        assert len(scene.engine.received) == held
+
+    scene.do(start())
+
+
+@given(parsers.parse("{count:d} callers in mid-stream that stop reading"))
+def start_slow(scene, count):
+    start_streams(scene, count)
+    for caller in scene.callers:
+        caller.reading.clear()
+
+
+@when("the daemon gets SIGTERM")
+def send_signal(scene):
+    scene.process.send_signal(signal.SIGTERM)
+
+
+@then("it is live but not ready")
+def check_readiness(scene):
+    async def check():
+        url = f"http://127.0.0.1:{scene.port}"
+        async with httpx.AsyncClient() as client:
+            with anyio.fail_after(20):
+                while (await client.get(f"{url}/readyz")).status_code != 503:
+                    await anyio.sleep(0.01)
+            assert (await client.get(f"{url}/healthz")).status_code == 200
+
+    scene.do(check())
+
+
+@when("it has stopped accepting connections")
+def wait_until_refused(scene):
+    async def wait():
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(
+                    "127.0.0.1", scene.port
+                )
+            except ConnectionRefusedError:
+                return
+            writer.close()
+            await asyncio.sleep(0.01)
+
+    scene.do(wait())
+
+
+@when("the engine lets its streams end")
+def end_streams(scene):
+    async def end():
+        scene.go_on.set()
+
+    scene.do(end())
+
+
+@when("the callers read on")
+def read_on(scene):
+    async def read():
+        for caller in scene.callers:
+            caller.reading.set()
+
+    scene.do(read())
+
+
+@then("every caller has its stream byte for byte")
+def check_streams(scene):
+    async def check():
+        await asyncio.gather(*scene.tasks)
+
+    scene.do(check())
+    expected = b"".join(scene.events) + DONE
+    wrong = [c for c in scene.callers if c.stream != expected]
+    assert wrong == []
+
+
+@then("the daemon has ended with status 0")
+def check_status(scene):
+    assert scene.do(scene.process.wait()) == 0
