Plan nothing before the first sheet is in force

Cause: a lease holder without a sheet planned for the empty one and unloaded every model. So a fresh start beside engines that hold models, or a cut-off domain whose VMs without disks all restarted, made every model unreachable. Change: no plan while the revision is that of the empty sheet. The new test failed before (three unloads, one on each engine) and passes after, with the 35 tests of tests/test_placement_world.py.

--- a/dotterelbridge/placement/holder.py
+++ b/dotterelbridge/placement/holder.py
@@ -62,6 +62,7 @@
 from dotterelbridge.placement.policy import PlannedLoad
 from dotterelbridge.placement.policy import create_policy
 from dotterelbridge.placement.settings import PlacementSettings
+from dotterelbridge.sheet.rows import EMPTY_SHEET
 from dotterelbridge.sheet.rows import SheetRevision
 from dotterelbridge.sheet.source import SheetSource
 from dotterelbridge.targets.engine import Engine
@@ -484,6 +485,9 @@
         age_s = now - holding.planned_at
         if age_s < interval_s or not (self._dirty or age_s >= slow_s):
             return
+        # Without a sheet nothing says that what is loaded is not wanted.
+        if self.sheet.revision == EMPTY_SHEET.revision:
+            return
         self._dirty = False
         holding.planned_at = now
         self._drop_intents(holding, now)
