--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -34,6 +34,7 @@
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.1
+ITEMS_OPTION = "--items="
 TOKEN = "bench-operator-token"
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -94,6 +95,12 @@
                 start_new_session=True,
             )
 
+    def drop_option(self, option: str) -> None:
+        """Leave an option out of later starts."""
+        self._command = [
+            part for part in self._command if not part.startswith(option)
+        ]
+
     @property
     def pipes(self) -> tuple[io.BufferedIOBase, io.BufferedIOBase]:
         """Standard input and output."""
@@ -354,6 +361,8 @@
             )
         for process in started:
             process.pipes[1].readline()
+            # An engine that starts again has lost its memory.
+            process.drop_option(ITEMS_OPTION)
 
     def _engine_options(self, info: TargetInfo) -> list[str]:
         d = self.description
@@ -366,7 +375,7 @@
             f"--slots={d.slots}",
             f"--seed={self._seed}",
             f"--weights=http://{LOOPBACK}:{self._weights_port}",
-            f"--items={self._choose_items(info)}",
+            f"{ITEMS_OPTION}{self._choose_items(info)}",
         ]
 
     def _choose_items(self, info: TargetInfo) -> str:
