--- a/dotterelbridge/placement/holder.py
+++ b/dotterelbridge/placement/holder.py
@@ -488,6 +488,9 @@
             return
         if age_s < interval_s or not (self._dirty or age_s >= slow_s):
             return
+        # Without a sheet nothing says that what is loaded is not wanted.
+        if self.sheet.revision == EMPTY_SHEET.revision:
+            return
         self._dirty = False
         holding.planned_at = now
         self._drop_intents(holding, now)
