--- a/dotterelbridge/placement/holder.py
+++ b/dotterelbridge/placement/holder.py
@@ -483,9 +483,6 @@
         interval_s = self._settings.plan_interval_ms / 1000
         slow_s = self._settings.replan_interval_ms / 1000
         age_s = now - holding.planned_at
-        if self.sheet.revision == EMPTY_SHEET.revision:
-            # This VM has no sheet yet; an empty one would unload all.
-            return
         if age_s < interval_s or not (self._dirty or age_s >= slow_s):
             return
         # Without a sheet nothing says that what is loaded is not wanted.
