Rebuild only the views of targets that changed

Cause: each heartbeat with loads made all 2,600 views stale, and each poll round ranked 22 VMs for each of 173 targets. Change: views are made again for changed targets only, the ranking only when the domain's VMs change, and item names are shared.

--- a/dotterelbridge/membership/service.py
+++ b/dotterelbridge/membership/service.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from datetime import timedelta
 import random as random_module
+import sys
 from typing import Any
 
 import anyio
@@ -77,6 +78,20 @@
         self.reporter: VmId | None = None
 
 
+class ReadyItems:
+    """A target's ready items, with the records that they come from."""
+
+    def __init__(
+        self,
+        body: TargetBody | None,
+        draining: DrainingBody | None,
+        items: frozenset[ItemName],
+    ) -> None:
+        self.body = body
+        self.draining = draining
+        self.items = items
+
+
 class Membership(MembershipView, Dumpable):
     """The VMs and targets of the deployment, as this VM knows them."""
 
@@ -144,7 +159,13 @@
         self._round = 0
         self._wake = anyio.Event()
         self._callbacks: list[Callable[[], None]] = []
-        self._views: dict[TargetId, TargetView] | None = None
+        self._views: dict[TargetId, TargetView] = {}
+        self._stale: set[TargetId] = set(self._infos)
+        """Targets whose view has changed since it was made."""
+        self._ready: dict[TargetId, ReadyItems] = {}
+        self._pollers: dict[TargetId, list[VmId]] = {}
+        self._pollers_of: list[VmId] = []
+        """VMs among which ``_pollers`` divides the targets."""
         self._tasks: anyio.abc.TaskGroup | None = None
         self._syncing: set[FailureDomain | None] = set()
         network.handle(Heartbeat, self._handle_heartbeat)
@@ -155,8 +176,10 @@
     # The view.
 
     def targets(self) -> dict[TargetId, TargetView]:
-        if self._views is None:
-            self._views = {t: self._view_target(t) for t in self._infos}
+        if self._stale:
+            changed = {t: self._view_target(t) for t in self._stale}
+            self._views = self._views | changed
+            self._stale.clear()
         return self._views
 
     def vm_state(self, vm: VmId) -> MemberState:
@@ -348,6 +371,7 @@
         report.waiting = load.waiting
         report.reported_at = now
         report.reporter = reporter
+        self._stale.add(target)
 
     # Digests between domains.
 
@@ -399,6 +423,7 @@
         if domain in self._silent_domains:
             self._silent_domains.discard(domain)
             events.log(_log, MembershipEvent.DOMAIN_HEARD, domain=domain)
+            self._stale.update(self._infos)
             self._notify()
 
     def _judge_domains(self, now: float) -> None:
@@ -409,6 +434,7 @@
             if silent and domain not in self._silent_domains:
                 self._silent_domains.add(domain)
                 events.log(_log, MembershipEvent.DOMAIN_SILENT, domain=domain)
+                self._stale.update(self._infos)
                 self._notify()
 
     # Repair of missed records.
@@ -484,13 +510,18 @@
     def _merge(self, records: Iterable[Record]) -> list[Record]:
         newer = self._table.merge(records)
         if newer:
+            self._mark_stale(newer)
             self._note_own_life()
             self._notify()
         return newer
 
+    def _mark_stale(self, records: Iterable[Record]) -> None:
+        self._stale.update(r.name for r in records if r.name in self._infos)
+
     def _note_news(self, records: Sequence[Record], foreign: bool) -> None:
         if not records:
             return
+        self._mark_stale(records)
         (self._foreign_news if foreign else self._news).extend(records)
         self._wake.set()
         self._notify()
@@ -528,27 +559,33 @@
                 await self._clock.sleep(self._settings.poll_interval)
 
     def _choose_polls(self) -> list[TargetId]:
-        vms = self._life.not_lost()
+        self._divide_polls(self._life.not_lost())
         now = self._clock.monotonic()
         chosen = []
         for target in self._own_targets:
             if target not in self._engines:
                 continue
-            if self._is_own_poll(target, vms, now):
+            if self._is_own_poll(target, now):
                 chosen.append(target)
             else:
                 self._polled_loads.pop(target, None)
         return chosen
 
-    def _is_own_poll(
-        self, target: TargetId, vms: list[VmId], now: float
-    ) -> bool:
-        pollers = sorted(vms, key=lambda vm: hash_name(f"{target}/{vm}"))
+    def _is_own_poll(self, target: TargetId, now: float) -> bool:
+        pollers = self._pollers[target]
         if pollers[0] == self._own.vm:
             return True
-        is_backup = self._own.vm in pollers[1:2]
+        is_backup = self._own.vm in pollers[1:]
         return is_backup and self._is_backup_due(target, now)
 
+    def _divide_polls(self, vms: list[VmId]) -> None:
+        """Choose the first and second poller of each target."""
+        if vms == self._pollers_of:
+            return
+        self._pollers_of = vms
+        for target in self._own_targets:
+            self._pollers[target] = rank_vms(target, vms)[:2]
+
     def _is_backup_due(self, target: TargetId, now: float) -> bool:
         if self._round % BACKUP_POLL_EVERY == 0:
             return True
@@ -667,19 +704,28 @@
         domain = info.failure_domain
         report = self._reports[target]
         body = self._table.find_body(domain, "t", target)
-        draining = self._table.find_body(domain, "d", target)
-        items = frozenset(body.items) if body else frozenset()
-        if draining:
-            items -= frozenset(draining.items)
         return TargetView(
             info=info,
             state=self._judge_target(info, body),
-            ready_items=frozenset(ItemName(i) for i in items),
+            ready_items=self._find_ready(domain, target, body),
             running=report.running,
             waiting=report.waiting,
             reported_at=report.reported_at,
         )
 
+    def _find_ready(
+        self, domain: FailureDomain, target: TargetId, body: TargetBody | None
+    ) -> frozenset[ItemName]:
+        draining = self._table.find_body(domain, "d", target)
+        known = self._ready.get(target)
+        if known and known.body is body and known.draining is draining:
+            return known.items
+        items = frozenset(map(sys.intern, body.items if body else ()))
+        if draining:
+            items -= frozenset(draining.items)
+        self._ready[target] = ReadyItems(body, draining, items)
+        return items
+
     def _judge_target(
         self, info: TargetInfo, body: TargetBody | None
     ) -> MemberState:
@@ -721,7 +767,6 @@
         return [d for d in self._domain_vms if d != own]
 
     def _notify(self) -> None:
-        self._views = None
         for callback in self._callbacks:
             callback()
 
@@ -731,6 +776,11 @@
     return f"{name}@{version}"
 
 
+def rank_vms(target: TargetId, vms: Iterable[VmId]) -> list[VmId]:
+    """Return the VMs in the order in which they poll a target."""
+    return sorted(vms, key=lambda vm: hash_name(f"{target}/{vm}"))
+
+
 def create_membership(
     settings: MembershipSettings,
     network: PeerNetwork,
