Give every order of a holder its own id

A second order under one id took the place of the first in the ledger, though the first could still arrive. Change: ids are counted over the whole life of the process, and the ledger checks as an invariant that an id is new. The new test fails before the change and passes after.

--- a/dotterelbridge/placement/holder.py
+++ b/dotterelbridge/placement/holder.py
@@ -134,7 +134,6 @@
         self.asking: set[TargetId] = set()
         self.planned_at = float("-inf")
         self.plan = Plan()
-        self.orders = 0
         self.unrecorded: list[str] = []
         """Keys of orders that the record still has to drop."""
 
@@ -170,6 +169,8 @@
         self._pacer = LoadPacer(settings, random)
         self._random = random
         self._life = f"{random.getrandbits(32):08x}"
+        self._orders = 0
+        """Orders made by this life, so that each has its own id."""
         self._holding: Holding | None = None
         self._moves: list[Move] = []
         self._unreachable: dict[ItemName, str] = {}
@@ -967,8 +968,8 @@
         item: EngineItem | None,
         role: Any = None,
     ) -> EngineOrder:
-        holding.orders += 1
-        order_id = f"{self._life}-{holding.term}-{holding.orders}"
+        self._orders += 1
+        order_id = f"{self._life}-{holding.term}-{self._orders}"
         return EngineOrder(
             order_id=OrderId(order_id),
             fencing_number=FencingNumber(holding.term),
--- a/dotterelbridge/placement/ledger.py
+++ b/dotterelbridge/placement/ledger.py
@@ -521,6 +521,12 @@
         opened = OpenOrder(
             account.target, order, account.incarnation, expires_at, kv_mb
         )
+        invariants.check(
+            order.order_id not in account.orders,
+            "order ids are unique",
+            target=account.target,
+            order=order.order_id,
+        )
         account.orders[order.order_id] = opened
         return opened
 
--- a/tests/test_placement_world.py
+++ b/tests/test_placement_world.py
@@ -121,6 +121,33 @@
     return bool(holding and holding.ledger.loads_in_transit())
 
 
+@BOTH_KINDS
+def test_holder_that_regains_its_lease_gives_its_orders_new_ids(fencing):
+    """Its renewals fail for a moment; no other VM takes over."""
+
+    async def scenario(world):
+        await load_all(world, [create_row("m0", 100)])
+        holder = world.holders()[0]
+        placement = holder.placement
+        term = placement.lease.term
+        for node in world.nodes.values():
+            if node is not holder:
+                node.freeze()  # It grants still, but asks for nothing.
+        world.network.isolate([holder.info.vm])
+        await world.wait_for(lambda: not placement.lease.is_held())
+        world.network.heal()
+        await world.wait_for(placement.lease.is_held)
+        assert placement.lease.term == term
+        await load_all(world, [create_row(f"m{i}", 100) for i in range(6)])
+        for node in world.nodes.values():
+            node.thaw()
+        for engine in world.engines.values():
+            ids = [order.order_id for order in engine.orders]
+            assert len(ids) == len(set(ids))
+
+    run(scenario, fencing=fencing, targets=1)
+
+
 @BOTH_KINDS
 def test_minority_sends_nothing_and_the_majority_goes_on(fencing):
     async def scenario(world):
