Add copies where an accelerator carries more than its share

Change: an item's gain counts what its accelerators carry above the even share; the half-life is 30 s.

--- a/dotterelbridge/placement/demand_policy.py
+++ b/dotterelbridge/placement/demand_policy.py
@@ -248,25 +248,44 @@
         if not board.open or total <= 0:
             return
         even_share = total / len(board.open)
-        limit = even_share * self._settings.copy_load_share
+        gains = [
+            (self._estimate_gain(board, row, even_share), row)
+            for row in board.state.rows
+            if self._may_get_copy(board, row)
+        ]
         hot = sorted(
-            (
-                row
-                for row in board.state.rows
-                if self._is_hot(board, row, limit)
-            ),
-            key=lambda row: -board.rate_per_copy(key_of_row(row)),
+            ((gain, row) for gain, row in gains if gain > 0),
+            key=lambda pair: (-pair[0], pair[1].name),
         )
-        for row in hot[:EXTRA_COPIES_AT_ONCE]:
+        for _, row in hot[:EXTRA_COPIES_AT_ONCE]:
             self._add_copy(board, row, even_share)
 
-    def _is_hot(self, board: Board, row: SheetRow, limit: float) -> bool:
+    def _may_get_copy(self, board: Board, row: SheetRow) -> bool:
         key = key_of_row(row)
         copies = board.copies.get(key)
         if not copies or len(copies) >= len(board.open):
             return False
-        per_copy = board.rate_per_copy(key)
-        return per_copy > limit and per_copy >= self._settings.copy_rate_per_s
+        return board.rate_per_copy(key) >= self._settings.copy_rate_per_s
+
+    def _estimate_gain(
+        self, board: Board, row: SheetRow, even_share: float
+    ) -> float:
+        """Return what a further copy relieves, in even shares.
+
+        An item whose copies carry much demand gains by the demand that
+        goes over; any item gains by what its accelerators carry above
+        the even share.
+        """
+        copies = board.copies[key_of_row(row)]
+        per_copy = board.rate_per_copy(key_of_row(row))
+        shifted = per_copy / (len(copies) + 1)
+        relief = sum(
+            min(shifted, max(0.0, board.load[target] - even_share))
+            for target in copies
+        )
+        limit = even_share * self._settings.copy_load_share
+        spread = shifted if per_copy > limit else 0.0
+        return max(relief, spread) / even_share
 
     def _add_copy(
         self, board: Board, row: SheetRow, even_share: float
@@ -274,12 +293,15 @@
         key = key_of_row(row)
         count = len(board.copies[key])
         rate = board.rate(key)
-        gain = (rate / count - rate / (count + 1)) / even_share
+        gain = self._estimate_gain(board, row, even_share)
         value = self._settings.attainment_weight * gain
         for host in board.find_hosts(row):
             victims = self._find_room(board, host, row)
             if victims is None:
                 continue
+            above = board.load[host.target] + rate / (count + 1) - even_share
+            if max(0.0, above) / even_share >= gain:
+                continue  # It would only move the load on.
             moves = 1 + len(victims)
             cost = self._settings.move_weight * MOVE_COST * moves
             lost = sum(self._worth(board, v) for v in victims) / even_share
--- a/dotterelbridge/placement/settings.py
+++ b/dotterelbridge/placement/settings.py
@@ -49,7 +49,7 @@
     replan_interval_ms: Milliseconds = 5000
     """Between plans while nothing but demand changes."""
     demand_interval_ms: Milliseconds = 2000
-    demand_half_life_s: Seconds = 60.0
+    demand_half_life_s: Seconds = 30.0
     drain_notice_s: Seconds = 3.0
     """Time for all VMs to hear that an item drains."""
     minimum_residence_s: Seconds = 120.0
--- a/tests/test_placement_policy.py
+++ b/tests/test_placement_policy.py
@@ -314,3 +314,23 @@
     assert max(waits) <= 8.01
     pacer.note_success("t", "a@1")
     assert not pacer.is_backed_off("t", "a@1", 0.0)
+
+
+def test_copy_is_added_where_one_accelerator_carries_more_than_its_share():
+    """No item is hot by itself, but the five stand together."""
+    busy = [create_row(f"busy{i}", 100) for i in range(5)]
+    idle = [create_row(f"idle{i}", 100) for i in range(5)]
+    rates = {row.name: 2.0 for row in busy}
+    state = create_state(busy + idle, [busy, idle], rates=rates)
+    loads = loads_of(plan(state))
+    assert loads
+    assert all(name.startswith("busy") for name, _ in loads)
+    assert {target for _, target in loads} == {"t1"}
+
+
+def test_even_load_gets_no_copy():
+    left = [create_row(f"l{i}", 100) for i in range(5)]
+    right = [create_row(f"r{i}", 100) for i in range(5)]
+    rates = {row.name: 2.0 for row in left + right}
+    state = create_state(left + right, [left, right], rates=rates)
+    assert not plan(state).loads
