Hear other domains through neighbours; link domains without voters

Change: heartbeats say which domains the sender hears itself, and each VM also dials one counterpart in each other domain (peers/websocket_network.py, a shared file).

--- a/dotterelbridge/membership/messages.py
+++ b/dotterelbridge/membership/messages.py
@@ -24,6 +24,9 @@
     incarnation: int
     own_hash: int
     others_hash: int
+    heard_domains: int = 0
+    """Bit mask of the failure domains, sorted by name, that the sender
+    hears itself; not every VM has a link to every other domain."""
     loads: tuple[LoadReport, ...] = ()
     records: tuple[Record, ...] = ()
 
--- a/dotterelbridge/membership/service.py
+++ b/dotterelbridge/membership/service.py
@@ -151,6 +151,8 @@
         )
         self._domain_vms = self._group_vms_by_domain()
         self._domain_heard_at: dict[FailureDomain, float] = {}
+        self._digest_at: dict[FailureDomain, float] = {}
+        """When this VM itself heard a digest of a domain."""
         self._silent_domains: set[FailureDomain] = set()
         self._news: list[Record] = []
         self._foreign_news: list[Record] = []
@@ -314,6 +316,7 @@
             incarnation=self.incarnation,
             own_hash=self._table.hash_of(domain),
             others_hash=self._table.hash_of_others(domain),
+            heard_domains=self._create_heard_mask(),
             loads=loads,
             records=records,
         )
@@ -345,6 +348,7 @@
         if not self._life.hear(sender, message.incarnation, now):
             return None
         self._take_loads(sender, message.loads, now)
+        self._take_heard_mask(message.heard_domains)
         self._merge(message.records)
         own = self._own.failure_domain
         if message.own_hash != self._table.hash_of(own):
@@ -410,6 +414,7 @@
     async def _handle_digest(
         self, sender: VmId, message: Message
     ) -> Message | None:
+        self._digest_at[message.domain] = self._clock.monotonic()
         self._hear_domain(message.domain)
         newer = self._table.merge(message.records)
         if newer:
@@ -418,6 +423,20 @@
             self._start_sync(sender, message.domain)
         return None
 
+    def _create_heard_mask(self) -> int:
+        now = self._clock.monotonic()
+        mask = 0
+        for bit, domain in enumerate(self.domains()):
+            heard_at = self._digest_at.get(domain, float("-inf"))
+            if now - heard_at < self._suspect_after_s:
+                mask |= 1 << bit
+        return mask
+
+    def _take_heard_mask(self, mask: int) -> None:
+        for bit, domain in enumerate(self.domains()):
+            if mask >> bit & 1 and domain != self._own.failure_domain:
+                self._hear_domain(domain)
+
     def _hear_domain(self, domain: FailureDomain) -> None:
         self._domain_heard_at[domain] = self._clock.monotonic()
         if domain in self._silent_domains:
--- a/dotterelbridge/peers/websocket_network.py
+++ b/dotterelbridge/peers/websocket_network.py
@@ -297,11 +297,28 @@
 def choose_peers_to_dial(
     own: VmInfo, vms: Sequence[VmInfo], voters: Collection[VmId]
 ) -> set[VmId]:
-    """Return the VMs of the own failure domain and all voters."""
+    """Return the own failure domain, all voters and the counterparts."""
     neighbours = {
         info.vm for info in vms if info.failure_domain == own.failure_domain
     }
-    return (neighbours | set(voters)) - {own.vm}
+    counterparts = choose_counterparts(own, vms)
+    return (neighbours | counterparts | set(voters)) - {own.vm}
+
+
+def choose_counterparts(own: VmInfo, vms: Sequence[VmInfo]) -> set[VmId]:
+    """Return one VM of each other domain, spread over its VMs.
+
+    Without them two domains that have no voter would have no link.
+    """
+    domains: dict[str, list[VmId]] = {}
+    for info in sorted(vms, key=lambda info: info.vm):
+        domains.setdefault(info.failure_domain, []).append(info.vm)
+    rank = domains[own.failure_domain].index(own.vm)
+    return {
+        names[rank % len(names)]
+        for domain, names in domains.items()
+        if domain != own.failure_domain
+    }
 
 
 def create_peer_network(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -220,6 +220,20 @@
     run(scenario, domains=2, targets=1)
 
 
+def test_vm_without_a_link_to_a_domain_hears_it_through_its_neighbours():
+    async def scenario(world):
+        for other in world.vms:
+            if other.failure_domain == "d1":
+                world.network.cut("d0-v2", other.vm)
+                world.network.cut(other.vm, "d0-v2")
+        await anyio.sleep(60)
+        view = world.nodes["d0-v2"].membership
+        assert view.is_domain_heard("d1")
+        assert view.targets()["d1-t0"].state is MemberState.LIVE
+
+    run(scenario, domains=2, targets=1)
+
+
 def test_one_way_loss_is_repaired_through_the_others():
     async def scenario(world):
         await anyio.sleep(5)
