--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 CODE := dotterelbridge standins bench tests
 
 .DEFAULT_GOAL := help
-.PHONY: help install run keep test format lint soak slopes bench docs clean
+.PHONY: help install run keep test format lint soak fuzz slopes bench docs clean
 
 help: ## list the jobs
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -42,6 +42,10 @@
 soak: install ## run the long randomised tests
 	$(BIN)/python -m pytest -m soak --timeout 3600 $(SOAK)
 
+fuzz: install ## run the fuzz tests with thousands of fresh examples
+	HYPOTHESIS_PROFILE=fuzz $(BIN)/python -m pytest --timeout 3600 \
+		tests/test_fuzz.py
+
 slopes: install ## measure the slopes behind docs/CAPACITY.md
 	$(BIN)/python -m bench.slopes
 
--- a/dotterelbridge/peers/messages.py
+++ b/dotterelbridge/peers/messages.py
@@ -28,6 +28,11 @@
     return register
 
 
+def list_names() -> list[str]:
+    """Return the wire names of all registered types, sorted."""
+    return sorted(_types_by_name)
+
+
 def find_message_type(name: str) -> type[Message] | None:
     """Return the type registered under a wire name, or None."""
     return _types_by_name.get(name)
