Handle plain messages apart from reading; tell a busy peer's refusal

Cause: a handler of a plain message that asked its sender for something waited for an answer behind itself until the timeout; and a request that a busy peer certainly did not handle was reported as unknown, which uses up an idempotency key for nothing.

--- a/dotterelbridge/peers/errors.py
+++ b/dotterelbridge/peers/errors.py
@@ -12,6 +12,10 @@
     """The peer received the request and answered with an error."""
 
 
+class RequestNotRun(PeerError):
+    """The peer was too busy and certainly did not handle the request."""
+
+
 class AuthenticationFailed(PeerError):
     """The other end did not prove that it knows the shared secret."""
 
--- a/dotterelbridge/peers/frames.py
+++ b/dotterelbridge/peers/frames.py
@@ -21,6 +21,8 @@
     REQUEST = 2
     ANSWER = 3
     ERROR = 4
+    BUSY = 5
+    """The request was certainly not handled."""
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
@@ -49,6 +51,11 @@
     return cbor2.dumps([int(FrameKind.ERROR), request_id, problem])
 
 
+def encode_busy(request_id: int) -> bytes:
+    """Return the frame that refuses a request unhandled."""
+    return cbor2.dumps([int(FrameKind.BUSY), request_id])
+
+
 def decode_frame(data: bytes | str) -> Frame:
     """Check a frame's form.
 
--- a/dotterelbridge/peers/link.py
+++ b/dotterelbridge/peers/link.py
@@ -16,6 +16,7 @@
 from dotterelbridge.peers import frames
 from dotterelbridge.peers.errors import PeerRefused
 from dotterelbridge.peers.errors import ProtocolViolation
+from dotterelbridge.peers.errors import RequestNotRun
 from dotterelbridge.peers.errors import RequestNotSent
 from dotterelbridge.peers.events import PeerEvent
 from dotterelbridge.peers.frames import Frame
@@ -44,9 +45,10 @@
 class Link:
     """Reads and writes the frames of one connection.
 
-    One task reads, one writes, one watches for silence, and each request
-    of the peer is handled by a task of its own; plain messages are handled
-    in the order of arrival.
+    One task reads, one writes, one watches for silence, one handles plain
+    messages in the order of arrival, and each request of the peer is
+    handled by a task of its own. Plain messages beyond the queue's limit
+    are dropped, as the sender must expect.
     """
 
     def __init__(
@@ -75,6 +77,10 @@
         self._pending: dict[int, _Pending] = {}
         self._request_ids = itertools.count(1)
         self._handling = 0
+        self._dropped = 0
+        self._inbox, self._outbox = anyio.create_memory_object_stream(
+            settings.queue_limit_messages
+        )
 
     async def run(self) -> None:
         """Carry frames until the connection ends; never raises for that."""
@@ -82,10 +88,13 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(self._write)
                 group.start_soon(self._watch)
+                group.start_soon(self._handle_messages)
                 await self._read(group)
                 group.cancel_scope.cancel()
         finally:
             self.abort()
+            self._inbox.close()
+            self._outbox.close()
 
     def abort(self) -> None:
         """Close the connection at once and fail the pending requests."""
@@ -146,6 +155,7 @@
             "queued_bytes": self._queue_bytes,
             "pending_requests": len(self._pending),
             "handling": self._handling,
+            "dropped_messages": self._dropped,
         }
 
     async def _write(self) -> None:
@@ -196,7 +206,7 @@
             self._heard_at = self._clock.monotonic()
             self._traffic.count_received(len(data))
             try:
-                await self._take(frames.decode_frame(data), group)
+                self._take(frames.decode_frame(data), group)
             except ProtocolViolation as error:
                 events.log(
                     _log,
@@ -205,10 +215,10 @@
                     error=str(error),
                 )
 
-    async def _take(self, frame: Frame, group) -> None:
+    def _take(self, frame: Frame, group) -> None:
         match frame.kind:
             case FrameKind.MESSAGE:
-                await self._handle(frames.decode_message(frame))
+                self._take_message(frames.decode_message(frame))
             case FrameKind.REQUEST:
                 self._start_request(frame, group)
             case FrameKind.ANSWER:
@@ -219,6 +229,26 @@
                     "read the peer's log",
                 )
                 self._settle(frame, None, error)
+            case FrameKind.BUSY:
+                error = RequestNotRun(
+                    f"{self.identity.vm!r} handles too many requests",
+                    "wait a little and ask again",
+                )
+                self._settle(frame, None, error)
+
+    def _take_message(self, message: Message) -> None:
+        try:
+            self._inbox.send_nowait(message)
+        except anyio.WouldBlock:
+            self._dropped += 1
+
+    async def _handle_messages(self) -> None:
+        """Handle plain messages in order, apart from the reading task.
+
+        A handler may so wait for an answer that comes over this link.
+        """
+        async for message in self._outbox:
+            await self._handle(message)
 
     def _settle(
         self, frame: Frame, answer: Message | None, error: Exception | None
@@ -232,8 +262,7 @@
 
     def _start_request(self, frame: Frame, group) -> None:
         if self._handling >= self._settings.requests_limit:
-            problem = "too many requests; not run"
-            self.queue(frames.encode_error(frame.request_id, problem))
+            self.queue(frames.encode_busy(frame.request_id))
             return
         try:
             message = frames.decode_message(frame)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,6 +14,7 @@
 from dotterelbridge.peers import frames
 from dotterelbridge.peers.errors import PeerRefused
 from dotterelbridge.peers.errors import ProtocolViolation
+from dotterelbridge.peers.errors import RequestNotRun
 from dotterelbridge.peers.errors import RequestNotSent
 from dotterelbridge.peers.frames import FrameKind
 from dotterelbridge.peers.link import compute_backoff
@@ -166,6 +167,61 @@
         group.cancel_scope.cancel()
 
 
+async def test_message_handler_may_ask_its_sender():
+    vms = create_vms(2)
+    first, second = (create_network(vm, vms) for vm in vms)
+    answers = []
+
+    async def ask_back(sender, message):
+        answers.append(await first.request(sender, message, TIMEOUT))
+
+    first.handle(Echo, ask_back)
+    second.handle(Echo, _echo)
+    async with anyio.create_task_group() as group:
+        group.start_soon(first.run)
+        group.start_soon(second.run)
+        await wait_until(lambda: second.connected("v0"))
+        assert second.send("v0", Echo(payload=b"", number=6))
+        await wait_until(lambda: answers)
+        assert answers[0].number == 7
+        group.cancel_scope.cancel()
+
+
+async def test_busy_peer_refuses_as_not_run():
+    vms = create_vms(2)
+    settings = msgspec.structs.replace(FAST, requests_limit=2)
+    first, second = (create_network(vm, vms, settings=settings) for vm in vms)
+    handled = []
+    finish = anyio.Event()
+
+    async def hold(sender, message):
+        handled.append(message.number)
+        await finish.wait()
+        return message
+
+    refused = []
+
+    async def ask(number):
+        try:
+            message = Echo(payload=b"", number=number)
+            await second.request("v0", message, TIMEOUT)
+        except RequestNotRun:
+            refused.append(number)
+
+    first.handle(Echo, hold)
+    async with anyio.create_task_group() as group:
+        group.start_soon(first.run)
+        group.start_soon(second.run)
+        await wait_until(lambda: second.connected("v0"))
+        async with anyio.create_task_group() as askers:
+            for number in range(4):
+                askers.start_soon(ask, number)
+            await wait_until(lambda: len(refused) == 2)
+            finish.set()
+        assert sorted(handled + refused) == [0, 1, 2, 3]
+        group.cancel_scope.cancel()
+
+
 async def test_full_queue_refuses_at_once():
     vms = create_vms(2)
     settings = msgspec.structs.replace(FAST, queue_limit_messages=4)
