--- a/bench/replication.py
+++ b/bench/replication.py
@@ -45,6 +45,7 @@
 COMMAND_BYTES = 1024
 TARGET_RATE = 230
 """Commands a second of one group at the target size."""
+LINK_COUNTS = (1, 100, 200, 330)
 TIMEOUT = timedelta(seconds=10)
 _SECRET = secrets.token_bytes(32)
 """Of this run alone: another run may use a port that was free just now."""
@@ -55,14 +56,18 @@
     """Voter processes, and a client VM in this process."""
 
     def __init__(
-        self, voters: int, folder: Path, settings: ReplicationSettings
+        self,
+        voters: int,
+        folder: Path,
+        settings: ReplicationSettings,
+        vms: list[VmInfo] | None = None,
     ) -> None:
         self.settings = settings
-        self.vms = list(_create_vms(voters + 1))
+        self.vms = vms or list(_create_vms(voters + 1))
         self.voters = [info.vm for info in self.vms[:voters]]
         self.network = create_peer_network(
             PeersSettings(),
-            self.vms[-1],
+            self.vms[voters],
             self.vms,
             create_clock(),
             _SECRET,
@@ -216,6 +221,63 @@
     }
 
 
+async def measure_links(options: "Options") -> None:
+    """Measure what an idle link costs the voter that VMs dial."""
+    vms = list(_create_vms(max(LINK_COUNTS) + 1))
+    bench = Bench(1, options.folder, options.settings, vms)
+    bench.start(bench.voters[0])
+    clients = [
+        create_peer_network(
+            PeersSettings(),
+            # Nobody dials these; any free port will do.
+            msgspec.structs.replace(info, port=0),
+            vms,
+            create_clock(),
+            _SECRET,
+            bench.voters,
+        )
+        for info in vms[2:]
+    ]
+    try:
+        async with anyio.create_task_group() as group:
+            group.start_soon(bench.network.run)
+            await bench.wait_ready()
+            started = 0
+            for count in LINK_COUNTS:
+                while started < count - 1:
+                    group.start_soon(clients[started].run)
+                    started += 1
+                await _wait_connected(clients[:started], bench.voters[0])
+                result = await _measure_hub(bench, options.duration_s)
+                print(json.dumps({"links": count} | result), flush=True)
+            group.cancel_scope.cancel()
+    finally:
+        bench.kill_all()
+
+
+async def _wait_connected(networks: list, hub: VmId) -> None:
+    while not all(network.connected(hub) for network in networks):
+        await anyio.sleep(0.05)
+
+
+async def _measure_hub(bench: Bench, duration_s: float) -> dict:
+    hub = bench.voters[0]
+    before = (await bench.inspect())[hub]
+    started = time.perf_counter()
+    await anyio.sleep(duration_s)
+    elapsed = time.perf_counter() - started
+    after = (await bench.inspect())[hub]
+    received = sum(
+        traffic["received_bytes"] - before.traffic[vm]["received_bytes"]
+        for vm, traffic in after.traffic.items()
+    )
+    return {
+        "cpu_percent": round(100 * (after.cpu_s - before.cpu_s) / elapsed, 2),
+        "resident_mb": round(after.resident_kb / 1024, 1),
+        "received_bytes_per_s": round(received / elapsed),
+    }
+
+
 def _summarize(
     delays: list[float],
     elapsed_s: float,
@@ -356,6 +418,8 @@
         settings = msgspec.structs.replace(
             settings, batch_interval_ms=parsed.batch_interval_ms
         )
+    if parsed.only == "links":
+        parsed.voters = [1]
     for voters in parsed.voters:
         with tempfile.TemporaryDirectory(dir=parsed.folder) as folder:
             options = Options(
@@ -366,7 +430,8 @@
                 kills=parsed.kills,
                 only=parsed.only,
             )
-            anyio.run(run_bench, options)
+            run = measure_links if parsed.only == "links" else run_bench
+            anyio.run(run, options)
 
 
 if __name__ == "__main__":
