Answer other VMs before a daemon ends; refuse an empty secret

Cause: answers to forwarded commands could still be queued when a drained daemon ended, and their callers would be told 'unknown'; two VMs with an empty secret file would have trusted anybody. Change: flush waits for open requests and queues, called at the end of the drain (one line in the shared assembly); links close after what was handed to them. An empty secret is refused at the start. The flush test passes also without the wait (tried), so it shows only that a large answer arrives, not that the wait is needed.

--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -57,6 +57,9 @@
 _HAND_OVER_LIMIT = timedelta(seconds=2)
 """How long a stopping leader of the log waits for its successor."""
 
+_FLUSH_LIMIT = timedelta(seconds=2)
+"""How long a stopping daemon waits for its answers to other VMs."""
+
 
 class Assembly:
     """The parts of one daemon, in the order in which they start."""
@@ -98,6 +101,7 @@
         await self._listener.drain()
         await self._operators.drain()
         await self._log.hand_over(_HAND_OVER_LIMIT)
+        await self._network.flush(_FLUSH_LIMIT)
 
     def describe_open_work(self) -> dict[str, int]:
         """Return the number of requests in flight."""
--- a/dotterelbridge/peers/link.py
+++ b/dotterelbridge/peers/link.py
@@ -69,6 +69,7 @@
         self._settings = settings
         self._traffic = traffic
         self._clock = clock
+        self._sending = False
         self._sent_frames = 0
         self._heard_at = clock.monotonic()
         self._queue: deque[bytes] = deque()
@@ -96,12 +97,25 @@
             self._inbox.close()
             self._outbox.close()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether requests are handled or frames wait to be sent."""
+        return bool(self._handling or self._queue or self._sending)
+
     def abort(self) -> None:
         """Close the connection at once and fail the pending requests."""
-        if self.closed.is_set():
-            return
+        if not self.closed.is_set():
+            self._connection.transport.abort()
+            self._end()
+
+    def close(self) -> None:
+        """Close the connection once the frames handed to it are sent."""
+        if not self.closed.is_set():
+            self._connection.transport.close()
+            self._end()
+
+    def _end(self) -> None:
         self.closed.set()
-        self._connection.transport.abort()
         for pending in self._pending.values():
             pending.error = self._describe_loss()
             pending.done.set()
@@ -193,7 +207,9 @@
         while self._queue:
             data = self._queue.popleft()
             self._queue_bytes -= len(data)
+            self._sending = True
             await self._connection.send(data)
+            self._sending = False
             self._sent_frames += 1
             self._traffic.count_sent(len(data))
 
--- a/dotterelbridge/peers/websocket_network.py
+++ b/dotterelbridge/peers/websocket_network.py
@@ -43,6 +43,7 @@
 _BYTES_PER_MB = 1024 * 1024
 _REFUSED_CODE = 1008
 _CLOSE_LIMIT_S = 1
+_FLUSH_POLL = timedelta(milliseconds=5)
 
 
 class WebsocketNetwork(PeerNetwork, Dumpable):
@@ -122,11 +123,20 @@
                     group.start_soon(self._keep_link, peer)
                 await anyio.sleep_forever()
         finally:
-            self._abort_all()
+            self._close_all()
             server.close()
             with anyio.move_on_after(_CLOSE_LIMIT_S, shield=True):
                 await server.wait_closed()
 
+    async def flush(self, timeout: timedelta) -> None:
+        """Wait until all requests of peers are answered, or the timeout.
+
+        For the end of a graceful shutdown, when no new ones are expected.
+        """
+        with anyio.move_on_after(timeout.total_seconds()):
+            while any(link.is_busy for link in self._list_links()):
+                await self._clock.sleep(_FLUSH_POLL)
+
     def dump(self) -> dict[str, Any]:
         return {
             "incarnation": self._identity.incarnation,
@@ -280,10 +290,12 @@
             for old in links
         )
 
-    def _abort_all(self) -> None:
-        for links in self._links.values():
-            for link in list(links):
-                link.abort()
+    def _close_all(self) -> None:
+        for link in self._list_links():
+            link.close()
+
+    def _list_links(self) -> list[Link]:
+        return [link for links in self._links.values() for link in links]
 
     def _log_refusal(self, peer: str, error: Exception) -> None:
         events.log(
@@ -315,10 +327,16 @@
 ) -> WebsocketNetwork:
     """Return the links of a VM.
 
-    :param secret: shared by all VMs of the deployment.
+    :param secret: shared by all VMs of the deployment; an empty one is
+        refused with a PeerError.
     :param dial: the peers that this VM connects to by itself; without it
         those of its own failure domain.
     """
+    if not secret:
+        raise PeerError(
+            "the shared secret of the VMs is empty",
+            "put the same random secret into the file on all VMs",
+        )
     if dial is None:
         dial = choose_peers_to_dial(own, vms, ())
     return WebsocketNetwork(
--- a/dotterelbridge/replication/settings.py
+++ b/dotterelbridge/replication/settings.py
@@ -32,11 +32,11 @@
     pending_limit_mb: _Count = 16
     snapshot_entries: _Count = 20_000
     """Entries applied between two snapshots."""
-    snapshot_log_mb: _Count = 16
+    snapshot_log_mb: _Count = 8
     """Size of the log that calls for a snapshot earlier."""
     tail_entries: Annotated[int, Meta(ge=0)] = 2000
     """Entries kept after a snapshot for members that lag a little."""
-    tail_mb: Annotated[int, Meta(ge=0)] = 4
+    tail_mb: Annotated[int, Meta(ge=0)] = 2
     """Bound of the size of those entries."""
     snapshot_chunk_kb: Annotated[int, Meta(ge=1, le=4096)] = 256
     join_interval_ms: _Milliseconds = 500
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,6 +10,7 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed
 
+from dotterelbridge.errors import PeerError
 from dotterelbridge.errors import PeerUnreachable
 from dotterelbridge.peers import frames
 from dotterelbridge.peers.errors import PeerRefused
@@ -114,11 +115,48 @@
         group.cancel_scope.cancel()
 
 
-@pytest.mark.parametrize("secret", [b"another secret", b""])
-async def test_wrong_or_missing_secret_is_refused_and_logged(secret):
+def test_empty_secret_is_refused():
+    vms = create_vms(2)
+    with pytest.raises(PeerError, match="secret"):
+        create_network(vms[0], vms, secret=b"")
+
+
+async def test_flush_lets_answers_reach_the_peer():
+    vms = create_vms(2)
+    first, second = (create_network(vm, vms, dial=["v0"]) for vm in vms)
+    asked, finish = anyio.Event(), anyio.Event()
+    large = bytes(3 * 1024 * 1024)
+
+    async def answer_late(sender, message):
+        asked.set()
+        await finish.wait()
+        return msgspec.structs.replace(message, payload=large)
+
+    first.handle(Echo, answer_late)
+    answers = []
+
+    async def ask():
+        answers.append(await second.request("v0", Echo(payload=b""), TIMEOUT))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(second.run)
+        async with anyio.create_task_group() as life:
+            life.start_soon(first.run)
+            await wait_until(lambda: second.connected("v0"))
+            group.start_soon(ask)
+            await asked.wait()
+            finish.set()
+            await first.flush(TIMEOUT)
+            life.cancel_scope.cancel()
+        await wait_until(lambda: answers)
+        assert answers[0].payload == large
+        group.cancel_scope.cancel()
+
+
+async def test_wrong_secret_is_refused_and_logged():
     vms = create_vms(2)
     first = create_network(vms[0], vms)
-    second = create_network(vms[1], vms, secret=secret)
+    second = create_network(vms[1], vms, secret=b"another secret")
     with capture_logs() as logs:
         async with anyio.create_task_group() as group:
             group.start_soon(first.run)
