Send heartbeats apart from entries; bear a held-up event loop

Entries and heartbeats shared one outstanding message, so a slow sync at a follower left one try within the election timeout; and a leader whose event loop was held up stepped down before it read the answers that had arrived meanwhile.

--- a/dotterelbridge/replication/answers.py
+++ b/dotterelbridge/replication/answers.py
@@ -13,7 +13,8 @@
 from dotterelbridge.ids import VmId
 from dotterelbridge.replication.messages import ProposeReply
 
-_KEPT_ANSWERS = 8192
+_KEPT_ANSWERS = 2048
+"""Nine seconds of commands at the target size."""
 
 
 class _Answer:
--- a/dotterelbridge/replication/leadership.py
+++ b/dotterelbridge/replication/leadership.py
@@ -16,6 +16,8 @@
 from dotterelbridge.ids import VmId
 from dotterelbridge.replication.context import Context
 from dotterelbridge.replication.election import adopt_term
+from dotterelbridge.replication.entries import NO_INDEX
+from dotterelbridge.replication.entries import NO_TERM
 from dotterelbridge.replication.entries import Configuration
 from dotterelbridge.replication.entries import Entry
 from dotterelbridge.replication.entries import EntryKind
@@ -289,21 +291,36 @@
 
     async def _replicate(self, progress: _Progress) -> None:
         """Keep one member up to date; the one task for this member."""
-        pace = Pace(self._context)
         with progress.scope:
-            while True:
-                await pace.wait()
-                answered = await self._send_next(progress)
-                if not answered:
-                    progress.probing = True
-                    await self._context.clock.sleep(
-                        self._context.heartbeat / 2
-                    )
-                elif not self._has_more(progress):
-                    with anyio.move_on_after(
-                        self._context.heartbeat.total_seconds()
-                    ):
-                        await self._wait_entries(progress)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._send_heartbeats, progress)
+                await self._send_entries(progress)
+
+    async def _send_heartbeats(self, progress: _Progress) -> None:
+        """Keep the member's election timeout from running out.
+
+        Apart from the entries, whose answer waits for the member's disk.
+        """
+        while True:
+            request = self._create_append(progress, progress.match_index, [])
+            sent_at = self._context.clock.monotonic()
+            reply = await self._exchange(
+                progress, request, self._context.heartbeat * 2
+            )
+            if reply is not None:
+                self._note_ack(progress, sent_at)
+            elapsed = self._context.clock.monotonic() - sent_at
+            left = self._context.heartbeat.total_seconds() - elapsed
+            await self._context.clock.sleep(timedelta(seconds=max(left, 0)))
+
+    async def _send_entries(self, progress: _Progress) -> None:
+        pace = Pace(self._context)
+        while True:
+            await pace.wait()
+            if not await self._send_next(progress):
+                progress.probing = True
+                await self._context.clock.sleep(self._context.heartbeat / 2)
+            await self._wait_entries(progress)
 
     async def _wait_entries(self, progress: _Progress) -> None:
         while not self._has_more(progress):
@@ -319,25 +336,37 @@
         if progress.next_index <= self._state.log.base_index:
             return await self._send_snapshot(progress)
         sent_at = self._context.clock.monotonic()
-        request = self._create_append(progress)
-        reply = await self._exchange(progress, request)
+        previous = LogIndex(progress.next_index - 1)
+        entries = [] if progress.probing else self._read_batch(progress)
+        reply = await self._exchange(
+            progress,
+            self._create_append(progress, previous, entries),
+            self._context.election_timeout,
+        )
         if reply is None:
             return False
-        progress.acked_at = max(progress.acked_at, sent_at)
+        self._note_ack(progress, sent_at)
         progress.probing = not reply.success
         if reply.success:
             self._note_match(progress, reply.match_index)
         else:
             self._step_back(progress, reply.last_index)
-        self._acked.notify()
         return True
 
-    def _create_append(self, progress: _Progress) -> AppendRequest:
+    def _note_ack(self, progress: _Progress, sent_at: float) -> None:
+        progress.acked_at = max(progress.acked_at, sent_at)
+        self._acked.notify()
+
+    def _read_batch(self, progress: _Progress) -> list[Entry]:
         limit = self._context.settings.batch_limit_kb * _BYTES_PER_KB
-        previous = LogIndex(progress.next_index - 1)
-        entries = []
-        if not progress.probing:
-            entries = self._state.log.read_from(progress.next_index, limit)
+        return self._state.log.read_from(progress.next_index, limit)
+
+    def _create_append(
+        self, progress: _Progress, previous: LogIndex, entries: list[Entry]
+    ) -> AppendRequest:
+        if previous < self._state.log.base_index:
+            # The member agrees up to here; it only lags behind the base.
+            previous = NO_INDEX
         return AppendRequest(
             log=self._context.log_name,
             group_id=self._state.configuration.group_id,
@@ -345,7 +374,7 @@
             term=self._term,
             leader=self._state.member,
             previous_index=previous,
-            previous_term=self._state.log.term_at(previous),
+            previous_term=self._state.log.term_at(previous) or NO_TERM,
             commit_index=self._state.commit_index,
             entries=entries,
         )
@@ -362,12 +391,15 @@
         progress.next_index = LogIndex(max(1, min(previous, last_index + 1)))
 
     async def _exchange(
-        self, progress: _Progress, request: AppendRequest | SnapshotRequest
+        self,
+        progress: _Progress,
+        request: AppendRequest | SnapshotRequest,
+        timeout: timedelta,
     ) -> AppendReply | None:
         """Send one request; None when no valid answer came."""
         try:
             reply = await self._context.network.request(
-                progress.member.vm, request, self._context.heartbeat * 2
+                progress.member.vm, request, timeout
             )
         except PeerError:
             return None
@@ -403,11 +435,12 @@
                 total_bytes=len(data),
                 chunk=data[offset : offset + size],
             )
-            reply = await self._exchange(progress, request)
+            reply = await self._exchange(
+                progress, request, self._context.election_timeout
+            )
             if reply is None:
                 return False
-            progress.acked_at = max(progress.acked_at, sent_at)
-            self._acked.notify()
+            self._note_ack(progress, sent_at)
             if not reply.success:
                 return False
             if reply.match_index:
@@ -444,8 +477,15 @@
 
     async def _check_quorum(self) -> None:
         limit = self._context.election_timeout
+        interval = self._context.heartbeat
         while True:
-            await self._context.clock.sleep(self._context.heartbeat)
+            slept_at = self._context.clock.monotonic()
+            await self._context.clock.sleep(interval)
+            slept = self._context.clock.monotonic() - slept_at
+            if slept > 2 * interval.total_seconds():
+                # The event loop was held up; answers may wait unread. The
+                # lease has ended by itself, so nothing is at risk.
+                continue
             reached_at = max(self._find_lease_start(), self._began_at)
             silence = self._context.clock.monotonic() - reached_at
             if silence > limit.total_seconds():
