Test single rules of the log in the situations that need them

Cause: changes made on a scratch copy that broke a rule (commit by counting an earlier term's entry, a vote without a look at the log, a vote for a learner that lags, a read that trusts an index alone) passed the random runs. Change: a test for each; the stand-in network can lose chosen frames.

--- a/standins/network.py
+++ b/standins/network.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
 from datetime import timedelta
 import random as random_module
@@ -21,6 +22,8 @@
 from dotterelbridge.peers.network import Handler
 from dotterelbridge.peers.network import PeerNetwork
 
+Filter = Callable[[VmId, VmId, frames.Frame], bool]
+
 
 class Conditions:
     """How the network treats each message; change it at any time."""
@@ -44,6 +47,8 @@
         self.vms = sorted(vms)
         self.conditions = Conditions()
         self.delivered = 0
+        self.passes: Filter = lambda source, sink, frame: True
+        """Whether a frame may pass; replace it to lose chosen ones."""
         self.failures: list[Exception] = []
         """What handlers raised; a test should find it empty."""
         self._random = random_module.Random(seed)
@@ -99,6 +104,8 @@
         conditions = self.conditions
         if (source, sink) in self._cuts:
             return
+        if not self.passes(source, sink, frames.decode_frame(data)):
+            return
         if self._random.random() < conditions.loss:
             return
         copies = 1 + (self._random.random() < conditions.duplication)
--- /dev/null
+++ b/tests/test_replication_rules.py
@@ -0,0 +1,194 @@
+"""Single rules of the log, each in the situation that needs it."""
+
+import anyio
+import pytest
+
+from dotterelbridge.errors import NotCommitted
+from dotterelbridge.replication.entries import Configuration
+from dotterelbridge.replication.entries import Entry
+from dotterelbridge.replication.entries import EntryKind
+from dotterelbridge.replication.entries import Member
+from dotterelbridge.replication.entries import encode_configuration
+from dotterelbridge.replication.messages import VoteRequest
+from dotterelbridge.replication.storage import Ballot
+from dotterelbridge.replication.storage import create_memory_storage
+from standins.virtual_time import run_in_virtual_time
+from tests.replication_support import TIMEOUT
+from tests.replication_support import run_group
+
+GROUP_ID = "g1"
+VOTERS = ("v0", "v1", "v2")
+
+
+def _command(index, term, text):
+    return Entry(index, term, EntryKind.COMMAND, "history", text)
+
+
+def _prepare_storages(group, entries, ballot):
+    """Stop the group and give each voter a log of its own."""
+    members = tuple(Member(f"{vm}-a", vm, True) for vm in VOTERS)
+    configuration = encode_configuration(Configuration(GROUP_ID, members))
+    first = Entry(1, 1, EntryKind.CONFIGURATION, "", configuration)
+    for vm in VOTERS:
+        group.wipe(vm)
+        storage = create_memory_storage(f"{vm}-a")
+        storage.write_ballot(ballot)
+        storage.append([first, *entries.get(vm, [])])
+        group.storages[vm] = storage
+
+
+def _carries_entries(frame):
+    """Whether the frame is an append with entries, or a snapshot."""
+    if frame.name == "replication.snapshot":
+        return True
+    return frame.name == "replication.append" and bool(frame.body[-1])
+
+
+def _commit_index(group, vm):
+    return group.nodes[vm].log.dump()["commit_index"]
+
+
+def test_entry_of_an_earlier_term_is_not_committed_by_counting():
+    """A majority holds it, but a third voter may still replace it."""
+
+    async def scenario():
+        async with run_group(3) as group:
+            old = [_command(2, 2, b"old")]
+            _prepare_storages(group, {"v0": old, "v1": old}, Ballot(3))
+            group.network.passes = lambda source, sink, frame: (
+                not _carries_entries(frame)
+            )
+            for vm in VOTERS:
+                group.start(vm)
+            await group.wait_until(
+                lambda: any(n.log.dump()["leading"] for n in _nodes(group))
+            )
+            await anyio.sleep(10)
+            assert max(_commit_index(group, vm) for vm in VOTERS) < 2
+            group.network.passes = lambda source, sink, frame: True
+            assert await group.wait_equal() == [b"old"]
+
+    run_in_virtual_time(scenario)
+
+
+def _nodes(group):
+    return group.nodes.values()
+
+
+async def _ask_vote(group, end, candidate, term, last):
+    request = VoteRequest(
+        log="main",
+        group_id=GROUP_ID,
+        to="v0-a",
+        term=term,
+        candidate=candidate,
+        last_index=last[0],
+        last_term=last[1],
+        pre_vote=False,
+        hand_over=False,
+    )
+    reply = await end.request("v0", request, TIMEOUT)
+    return reply.granted
+
+
+def test_vote_needs_a_log_as_new_and_is_given_once_a_term():
+    async def scenario():
+        async with run_group(3) as group:
+            held = [_command(2, 3, b"new")]
+            _prepare_storages(group, {"v0": held}, Ballot(3))
+            group.start("v0")
+            end = group.network.join("spare")
+            await anyio.sleep(5)
+            longer_but_older = (9, 2)
+            assert not await _ask_vote(group, end, "v1-a", 50, (1, 1))
+            assert not await _ask_vote(
+                group, end, "v1-a", 51, longer_but_older
+            )
+            assert await _ask_vote(group, end, "v1-a", 52, (2, 3))
+            assert await _ask_vote(group, end, "v1-a", 52, (2, 3))
+            assert not await _ask_vote(group, end, "v2-a", 52, (2, 3))
+            assert not await _ask_vote(group, end, "v2-a", 51, (2, 3))
+            assert group.storages["v0"].ballot == Ballot(52, "v1-a")
+
+    run_in_virtual_time(scenario)
+
+
+def test_restarted_voter_keeps_its_promise_to_a_leader_it_may_have_heard():
+    async def scenario():
+        async with run_group(3) as group:
+            _prepare_storages(group, {}, Ballot(3))
+            group.start("v0")
+            end = group.network.join("spare")
+            assert not await _ask_vote(group, end, "v1-a", 50, (1, 1))
+            assert group.storages["v0"].ballot == Ballot(3)
+            await anyio.sleep(5)
+            assert await _ask_vote(group, end, "v1-a", 50, (1, 1))
+
+    run_in_virtual_time(scenario)
+
+
+def test_learner_gets_no_vote_before_it_holds_what_is_committed():
+    async def scenario():
+        async with run_group(3) as group:
+            leader = await group.wait_leader()
+            await group.propose(leader, b"one")
+            wiped = next(vm for vm in group.vms if vm != leader)
+            group.network.passes = lambda source, sink, frame: (
+                sink != wiped or not _carries_entries(frame)
+            )
+            group.wipe(wiped)
+            node = group.start(wiped)
+            log = group.nodes[leader].log
+            await group.wait_until(
+                lambda: log.configuration.find(node.log.member)
+            )
+            await anyio.sleep(30)
+            assert not log.configuration.is_voter(node.log.member)
+            group.network.passes = lambda source, sink, frame: True
+            await group.wait_until(group.is_whole)
+
+    run_in_virtual_time(scenario)
+
+
+def test_read_does_not_apply_an_entry_that_the_leader_replaced():
+    async def scenario():
+        async with run_group(3) as group:
+            good = [_command(2, 3, b"good")]
+            stale = [_command(index, 2, b"stale") for index in (2, 3, 4)]
+            _prepare_storages(
+                group, {"v0": good, "v1": good, "v2": stale}, Ballot(3)
+            )
+            group.network.passes = lambda source, sink, frame: (
+                sink != "v2" or not _carries_entries(frame)
+            )
+            for vm in VOTERS:
+                group.start(vm)
+            await group.wait_leader()
+            with pytest.raises(NotCommitted):
+                await group.nodes["v2"].log.read_barrier(TIMEOUT)
+            assert group.nodes["v2"].machine.commands == []
+            group.network.passes = lambda source, sink, frame: True
+            assert await group.wait_equal() == [b"good"]
+
+    run_in_virtual_time(scenario)
+
+
+def test_slow_entries_do_not_cost_the_leader_its_place():
+    """Entries take longer than the election timeout; heartbeats don't."""
+
+    async def scenario():
+        async with run_group(3) as group:
+            leader = await group.wait_leader()
+            term = group.nodes[leader].log.dump()["term"]
+            group.network.passes = lambda source, sink, frame: (
+                not _carries_entries(frame)
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(group.propose, leader, b"late")
+                await anyio.sleep(3)
+                assert group.find_leader() == leader
+                group.network.passes = lambda source, sink, frame: True
+            assert group.nodes[leader].log.dump()["term"] == term
+            assert await group.wait_equal() == [b"late"]
+
+    run_in_virtual_time(scenario)
