--- a/dotterelbridge/routing/router.py
+++ b/dotterelbridge/routing/router.py
@@ -23,6 +23,7 @@
 from dotterelbridge.placement.demand import DemandSource
 from dotterelbridge.placement.demand import ItemDemand
 from dotterelbridge.routing.budget import RetryBudget
+from dotterelbridge.routing.cache_feed import CacheFeed
 from dotterelbridge.routing.call import Call
 from dotterelbridge.routing.chooser import create_chooser
 from dotterelbridge.routing.demand import DemandCounter
@@ -88,7 +89,7 @@
                 Priority.BACKGROUND: settings.background_queue_limit,
             },
             settings.background_wait_limit_ms / 1000,
-            settings.background_share_percent / 100,
+            settings.background_share_percent,
         )
         self._class_retries = {
             priority: RetryBudget(
@@ -98,6 +99,12 @@
         }
         self.demand = DemandCounter()
         self._probes: list[Target] = []
+        self._cache_feed = CacheFeed(
+            lambda: self._targets,
+            self.cache,
+            clock,
+            settings.cache_polls_per_s,
+        )
         self._take_sheet(sheet.current())
         sheet.subscribe(self._take_sheet)
         self._refresh()
@@ -184,7 +191,8 @@
             slot.first_token_at = now
             elapsed = now - slot.taken_at
             target = slot.target
-            target.speed.record_first_token(elapsed, now)
+            unloaded_s = elapsed / slot.load_factor
+            target.speed.record_first_token(unloaded_s, now)
             target.limit.record_first_token(elapsed, target.in_flight, now)
             if target.has_room:
                 self._dispatch_target(target)
@@ -217,6 +225,8 @@
         interval = timedelta(milliseconds=self._settings.sweep_interval_ms)
         ticks = 0
         async with anyio.create_task_group() as group:
+            if self._settings.chooser == "estimate":
+                group.start_soon(self._cache_feed.run)
             while True:
                 await self._clock.sleep(interval)
                 ticks += 1
@@ -402,6 +412,12 @@
             slot = target.take(waiter.call, model, now)
             waiter.call.attempts += 1
             target.retries.earn()
+            self.cache.add_sent(
+                target.view.info.target,
+                waiter.call.item,
+                waiter.call.prompt_blocks,
+                now,
+            )
             return slot
         return None
 
@@ -506,7 +522,7 @@
             if slot is None:
                 open_items.discard(waiter.call.item)
                 continue
-            self._queue.remove(waiter)
+            self._queue.take(waiter)
             waiter.grant(slot)
 
     def _make_room(self, waiter: Waiter) -> None:
