Check forwarded sheets on one VM, in steps, and pass by silent ones

Cause, seen with nine daemons, 1,600 rows and a stopped leader: a VM without the log forwarded its submission to the stopped leader and waited until the link was closed (4.6 s to in force), and parsed the sheet (57 ms on the event loop) before another VM parsed it again. Change: a forward waits two tries at most, only the VM with the log parses, and it lets other tasks run after each 32 lines.

--- a/dotterelbridge/sheet/parser.py
+++ b/dotterelbridge/sheet/parser.py
@@ -7,6 +7,7 @@
 import io
 import re
 
+import anyio.lowlevel
 import msgspec
 
 from dotterelbridge.errors import SheetError
@@ -38,6 +39,7 @@
 COPIES_LIMIT = 100_000
 BYTES_PER_MB = 1024 * 1024
 LONGEST_QUOTE = 60
+LINES_PER_STEP = 32
 
 _UTF8_BOM = b"\xef\xbb\xbf"
 _UTF16_BOMS = (b"\xff\xfe", b"\xfe\xff")
@@ -113,21 +115,59 @@
 
     :raises SheetFaulty: with every fault that was found.
     """
+    parsed = _Parsed()
+    for _ in _parse_lines(content, known, settings, parsed):
+        pass
+    return _finish(parsed, settings)
+
+
+async def parse_sheet_in_steps(
+    content: bytes, known: KnownNames, settings: SheetSettings
+) -> tuple[SheetRow, ...]:
+    """Do what ``parse_sheet`` does and let other tasks run in between.
+
+    A sheet of 1,600 rows takes longer than the time between two tokens.
+    """
+    parsed = _Parsed()
+    for count, _ in enumerate(_parse_lines(content, known, settings, parsed)):
+        if count % LINES_PER_STEP == 0:
+            await anyio.lowlevel.checkpoint()
+    return _finish(parsed, settings)
+
+
+class _Parsed:
+    """What was read of a sheet so far."""
+
+    def __init__(self) -> None:
+        self.placed: list[tuple[int, SheetRow]] = []
+        self.faults: list[SheetFault] = []
+
+
+def _parse_lines(
+    content: bytes,
+    known: KnownNames,
+    settings: SheetSettings,
+    parsed: _Parsed,
+) -> Iterator[None]:
+    """Read one line after the other into ``parsed``."""
     text = _decode(content, settings)
     lines = _read_lines(text)
     _check_header(lines)
-    faults: list[SheetFault] = []
-    placed: list[tuple[int, SheetRow]] = []
     for line, cells in _skip_blank(lines[1:]):
-        row = _read_row(line, cells, known, faults)
+        row = _read_row(line, cells, known, parsed.faults)
         if row is not None:
             # A faulty row still counts as one that others may refer to.
-            placed.append((line, row))
-    faults.extend(_find_sheet_faults(placed, settings, bool(faults)))
+            parsed.placed.append((line, row))
+        yield
+
+
+def _finish(parsed: _Parsed, settings: SheetSettings) -> tuple[SheetRow, ...]:
+    faults = parsed.faults
+    faults.extend(_find_sheet_faults(parsed.placed, settings, bool(faults)))
     if faults:
         faults.sort(key=lambda fault: fault.row)
         raise SheetFaulty(faults)
-    return sort_rows(row for _, row in placed)
+    return sort_rows(row for _, row in parsed.placed)
 
 
 def sort_rows(rows: Iterable[SheetRow]) -> tuple[SheetRow, ...]:
--- a/dotterelbridge/sheet/submission.py
+++ b/dotterelbridge/sheet/submission.py
@@ -33,14 +33,17 @@
 from dotterelbridge.sheet.parser import BYTES_PER_MB
 from dotterelbridge.sheet.parser import KnownNames
 from dotterelbridge.sheet.parser import SheetFaulty
-from dotterelbridge.sheet.parser import parse_sheet
+from dotterelbridge.sheet.parser import parse_sheet_in_steps
 from dotterelbridge.sheet.rows import SheetRow
 from dotterelbridge.sheet.settings import SheetSettings
 from dotterelbridge.sheet.source import SheetSource
 
 MACHINE_NAME = "sheet"
 RETRY_PAUSE = timedelta(milliseconds=200)
-FORWARD_GRACE = timedelta(seconds=1)
+FORWARD_GRACE = timedelta(milliseconds=500)
+"""Time that the answer of a VM that gave up has to arrive."""
+FORWARDED_TRIES = 2
+"""Tries that a VM with the log gets before the next one is asked."""
 
 _log = structlog.get_logger(__name__)
 
@@ -94,12 +97,11 @@
         """
         if timeout is None:
             timeout = timedelta(milliseconds=self._settings.submit_timeout_ms)
-        rows = parse_sheet(content, self._known, self._settings)
         deadline = self._clock.monotonic() + timeout.total_seconds()
         if self._replicated is None:
             outcome = await self._forward(number, content, deadline)
         else:
-            outcome = await self._commit(number, content, rows, deadline)
+            outcome = await self._commit(number, content, deadline)
         self._note(outcome)
         return outcome
 
@@ -136,9 +138,9 @@
         self,
         number: SheetNumber,
         content: bytes,
-        rows: tuple[SheetRow, ...],
         deadline: float,
     ) -> SubmitOutcome:
+        rows = await parse_sheet_in_steps(content, self._known, self._settings)
         digest = hashlib.sha256(content).hexdigest()
         command = self._create_delta_command(number, digest, rows)
         unknown = False
@@ -180,6 +182,7 @@
     async def _forward(
         self, number: SheetNumber, content: bytes, deadline: float
     ) -> SubmitOutcome:
+        """Let a VM with the log check and commit the sheet."""
         unknown = False
         while True:
             for holder in self._holders:
@@ -204,14 +207,17 @@
         content: bytes,
         deadline: float,
     ) -> SheetSubmitted:
-        left = max(0.0, deadline - self._clock.monotonic())
+        """Forward once; a silent VM costs no more than a try."""
+        left = timedelta(seconds=max(0, deadline - self._clock.monotonic()))
+        timeout = min(left, FORWARDED_TRIES * self._try_timeout)
         submission = SheetSubmission(
             number=number,
             content_packed=zlib.compress(content),
-            timeout_ms=int(left * 1000),
+            timeout_ms=int(timeout.total_seconds() * 1000),
+        )
+        return await self._network.request(
+            holder, submission, timeout + FORWARD_GRACE
         )
-        timeout = timedelta(seconds=left) + FORWARD_GRACE
-        return await self._network.request(holder, submission, timeout)
 
     async def _pause(
         self,
