Let the stateful runs forget keys, so that forgetting is tested

A trial with two faults put into the table (no refusal of old dated keys; log time of the fastest clock) passed unseen before, because the runs never swept all parts of the remembered keys; both fail now.

--- a/tests/test_claims_stateful.py
+++ b/tests/test_claims_stateful.py
@@ -8,7 +8,9 @@
 from hypothesis.stateful import consumes
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
+import pytest
 
+from dotterelbridge.claims import tombstones
 from dotterelbridge.claims.commands import Abandon
 from dotterelbridge.claims.commands import Begin
 from dotterelbridge.claims.commands import ClaimLimits
@@ -34,6 +36,7 @@
     clock_quorum=2,
 )
 VMS = ("vm-1", "vm-2", "vm-3")
+FEW_PARTITIONS = 4
 KEYS = st.sampled_from(["k1", "k2", "k3", "k4", "k5", "k6"])
 
 
@@ -49,6 +52,9 @@
 
     def __init__(self) -> None:
         super().__init__()
+        # Few parts, so that a few commands sweep all of them.
+        self.patch = pytest.MonkeyPatch()
+        self.patch.setattr(tombstones, "PARTITIONS", FEW_PARTITIONS)
         self.table = ClaimTable()
         self.now_ms = START_MS
         self.made_ms: dict[str, int] = {}
@@ -59,6 +65,9 @@
         for vm in VMS:
             self._apply(Tick(Stamp(vm, self.now_ms, LIMITS)))
 
+    def teardown(self):
+        self.patch.undo()
+
     @rule(target=granted, vm=st.sampled_from(VMS), key=KEYS)
     def begin(self, vm, key):
         """A new attempt claims a key; it runs only when granted."""
@@ -124,8 +133,8 @@
     def pass_time(self, duration_ms):
         """Time passes on all VMs; one of them may be far ahead."""
         self.now_ms += duration_ms
-        self._apply(Tick(Stamp("vm-1", self.now_ms, LIMITS)))
-        self._apply(Tick(Stamp("vm-2", self.now_ms, LIMITS)))
+        for vm in ("vm-1", "vm-2") * FEW_PARTITIONS:
+            self.table.apply(Tick(Stamp(vm, self.now_ms, LIMITS)))
         ahead_ms = self.now_ms + 1_000_000 * HOUR_MS
         self._apply(Tick(Stamp("vm-ahead", ahead_ms, LIMITS)))
 
