--- a/dotterelbridge/claims/table.py
+++ b/dotterelbridge/claims/table.py
@@ -123,7 +123,7 @@
             reports=self._time.reports,
             floor_ms=self._floor_ms,
             open_count=self._open_count,
-            claims=sorted(self._claims.items()),
+            claims=list(self._claims.items()),
             recorded=list(self._recorded),
             tombstones=self._tombstones.pack(),
         )
