--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -96,6 +96,7 @@
     async def drain(self) -> None:
         """Take no new work; return when all requests are answered."""
         await self._listener.drain()
+        await self._claims.drain()
         await self._operators.drain()
         await self._log.hand_over(_HAND_OVER_LIMIT)
 
--- a/dotterelbridge/claims/events.py
+++ b/dotterelbridge/claims/events.py
@@ -44,3 +44,9 @@
         "The table of claims is full; keyed calls are refused and not run. "
         "Raise the limits of [claims] or shorten its ages.",
     )
+    OUTCOMES_LEFT = (
+        4007,
+        logging.ERROR,
+        "This VM stops although outcomes of keyed calls are not recorded; "
+        "their keys become unknown. Check the log's majority.",
+    )
--- a/dotterelbridge/claims/replicated.py
+++ b/dotterelbridge/claims/replicated.py
@@ -168,9 +168,27 @@
                 group.start_soon(self._report_time)
 
     async def wait_settled(self) -> None:
-        """Return once all outcomes are in the log, as before a stop."""
+        """Return once all outcomes are in the log."""
         await self._outbox.wait_empty()
 
+    async def drain(self) -> None:
+        """Wait a bounded time for the outcomes, before the VM stops.
+
+        A key whose outcome is lost becomes unknown; it never runs again.
+        """
+        limit = timedelta(seconds=self._settings.drain_limit_s)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._end_drain, group.cancel_scope, limit)
+            await self.wait_settled()
+            group.cancel_scope.cancel()
+
+    async def _end_drain(
+        self, scope: anyio.CancelScope, limit: timedelta
+    ) -> None:
+        await self._clock.sleep(limit)
+        events.log(_log, ClaimEvent.OUTCOMES_LEFT, waiting=len(self._outbox))
+        scope.cancel()
+
     def dump(self) -> dict[str, Any]:
         return {
             "table": self._machine.table.describe(),
--- a/dotterelbridge/claims/settings.py
+++ b/dotterelbridge/claims/settings.py
@@ -42,5 +42,7 @@
     """VMs whose clocks must have reached a time before it counts."""
     tick_interval_s: Annotated[int, _Positive] = 30
     """Longest time between two times that a VM with the log reports."""
+    drain_limit_s: Annotated[int, _Positive] = 15
+    """Time that a stopping VM waits to record the last outcomes."""
     outbox_limit: Annotated[int, _Positive] = 2000
     """Outcomes that wait for the log; the oldest go first."""
--- a/tests/test_claims_service.py
+++ b/tests/test_claims_service.py
@@ -161,6 +161,25 @@
     run_vms(scenario)
 
 
+def test_a_stopping_vm_waits_a_bounded_time_for_its_outcomes():
+    async def scenario(vms):
+        one, two, _ = vms.services
+        await begin(one, "a1")
+        vms.log.has_majority = False
+        await one.record(BUSINESS, KEY, AttemptId("a1"), ANSWER)
+        started = anyio.current_time()
+        await one.drain()
+        waited = anyio.current_time() - started
+        assert waited == pytest.approx(settings.drain_limit_s)
+        vms.log.has_majority = True
+        await one.drain()
+        assert one.dump()["outcomes_waiting"] == 0
+        assert await begin(two, "a2") is ClaimState.RECORDED
+
+    settings = ClaimsSettings()
+    run_vms(scenario, settings=settings)
+
+
 def test_a_dead_entry_process_leaves_in_progress_then_unknown():
     settings = ClaimsSettings(attempt_limit_s=60)
 
