Refuse forgotten dated keys also after a release; volatile tables

Fault found in review: a release for a key that the table had forgotten left a free entry, and a claim on a free entry skipped the refusal by the key's age, so an old dated key could have run a second time. The test for it is granted on the former code and told expired on this one.

A table whose group may be lost as a whole now takes only keys that tell when they were made, and refuses those made before it was born, with a margin of two clock errors.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -149,6 +149,8 @@
         undated_key_age_ms=30 * 86_400_000,
         remembered=10 * claims,
         clock_quorum=1,
+        key_skew_ms=60_000,
+        volatile=False,
     )
     generator = random.Random(1)
     tracemalloc.start()
--- a/dotterelbridge/claims/commands.py
+++ b/dotterelbridge/claims/commands.py
@@ -27,6 +27,10 @@
     undated_key_age_ms: int
     remembered: int
     clock_quorum: int
+    key_skew_ms: int
+    """How far ahead of log time a UUIDv7 key may be made."""
+    volatile: bool
+    """Whether the table may be lost as a whole, with all its members."""
 
 
 class Stamp(msgspec.Struct, frozen=True, array_like=True):
@@ -97,6 +101,10 @@
     FULL = "full"
     NOT_READY = "not_ready"
     """Log time is not known: too few VMs reported theirs."""
+    UNDATED = "undated"
+    """A volatile table takes only keys that tell when they were made."""
+    AHEAD = "ahead"
+    """A volatile table takes no keys from the future."""
     DONE = "done"
     NOT_OWNER = "not_owner"
 
--- a/dotterelbridge/claims/errors.py
+++ b/dotterelbridge/claims/errors.py
@@ -17,4 +17,16 @@
 
 
 class UndatedKeyRefused(NotCommitted, ClaimError):
-    """The settings ask for keys that tell when they were made."""
+    """Only keys that tell when they were made are taken here."""
+
+
+class KeyFromFuture(NotCommitted, ClaimError):
+    """The key tells a time that has not come yet."""
+
+
+class HomeUnknown(NotCommitted, ClaimError):
+    """The key names no failure domain that holds keys."""
+
+
+class HomeUnreachable(NotCommitted, ClaimError):
+    """No VM of the key's failure domain can be reached."""
--- a/dotterelbridge/claims/replicated.py
+++ b/dotterelbridge/claims/replicated.py
@@ -25,6 +25,7 @@
 from dotterelbridge.claims.errors import AttemptReleased
 from dotterelbridge.claims.errors import ClaimsNotReady
 from dotterelbridge.claims.errors import ClaimTableFull
+from dotterelbridge.claims.errors import KeyFromFuture
 from dotterelbridge.claims.errors import UndatedKeyRefused
 from dotterelbridge.claims.events import ClaimEvent
 from dotterelbridge.claims.keys import hash_key
@@ -77,12 +78,13 @@
         own: VmId,
         vm_count: int,
         reports_time: bool,
+        volatile: bool = False,
     ) -> None:
         self._replicated = log
         self._settings = settings
         self._clock = clock
         self._own = own
-        self._limits = _create_limits(settings, vm_count)
+        self._limits = _create_limits(settings, vm_count, volatile)
         self._reports_time = reports_time
         self._machine = ClaimMachine()
         log.add_machine(MACHINE_NAME, self._machine)
@@ -99,10 +101,7 @@
     ) -> ClaimReply:
         key_time_ms = read_key_time(key)
         if key_time_ms is None and self._settings.require_dated_keys:
-            raise UndatedKeyRefused(
-                "the idempotency key does not tell when it was made",
-                "send a UUIDv7 as Idempotency-Key",
-            )
+            raise _refuse_undated()
         command = Begin(
             stamp=self._create_stamp(),
             key=hash_key(business, key),
@@ -316,19 +315,24 @@
     own: VmId,
     vm_count: int,
     reports_time: bool,
+    volatile: bool = False,
 ) -> ReplicatedClaimService:
     """Return the claims' part of the daemon.
 
     :param vm_count: number of VMs in the deployment.
     :param reports_time: whether this VM reports its time when idle; true
         on the VMs that hold the log.
+    :param volatile: whether the log is lost when all its members are;
+        keys that an earlier table may have held are then refused.
     """
     return ReplicatedClaimService(
-        log, settings, clock, own, vm_count, reports_time
+        log, settings, clock, own, vm_count, reports_time, volatile
     )
 
 
-def _create_limits(settings: ClaimsSettings, vm_count: int) -> ClaimLimits:
+def _create_limits(
+    settings: ClaimsSettings, vm_count: int, volatile: bool
+) -> ClaimLimits:
     return ClaimLimits(
         attempt_limit_ms=settings.attempt_limit_s * MS_PER_S,
         answer_age_ms=settings.answer_age_s * MS_PER_S,
@@ -339,6 +343,8 @@
         undated_key_age_ms=settings.undated_key_age_s * MS_PER_S,
         remembered=settings.remembered_limit,
         clock_quorum=min(settings.clock_quorum, vm_count),
+        key_skew_ms=settings.key_skew_s * MS_PER_S,
+        volatile=volatile,
     )
 
 
@@ -348,6 +354,13 @@
     )
 
 
+def _refuse_undated() -> UndatedKeyRefused:
+    return UndatedKeyRefused(
+        "the idempotency key does not tell when it was made",
+        "send a UUIDv7 as Idempotency-Key",
+    )
+
+
 def _raise_refusal(verdict: Verdict) -> None:
     if verdict is Verdict.FULL:
         events.log(_log, ClaimEvent.TABLE_FULL)
@@ -359,6 +372,13 @@
         raise ClaimsNotReady(
             "the claims have just started", "send the call again in a second"
         )
+    if verdict is Verdict.UNDATED:
+        raise _refuse_undated()
+    if verdict is Verdict.AHEAD:
+        raise KeyFromFuture(
+            "the idempotency key tells a time that has not come yet",
+            "set the clock of the caller and send the call again",
+        )
     if verdict is Verdict.RELEASED:
         raise AttemptReleased(
             "the attempt gave up its key", "send the call again"
--- a/dotterelbridge/claims/settings.py
+++ b/dotterelbridge/claims/settings.py
@@ -40,6 +40,8 @@
     """Whether to refuse keys that are not UUIDv7."""
     clock_quorum: Annotated[int, _Positive] = 2
     """VMs whose clocks must have reached a time before it counts."""
+    key_skew_s: Annotated[int, _Positive] = 60
+    """How far the clocks of callers and VMs may be apart."""
     tick_interval_s: Annotated[int, _Positive] = 30
     """Longest time between two times that a VM with the log reports."""
     drain_limit_s: Annotated[int, _Positive] = 15
--- a/dotterelbridge/claims/table.py
+++ b/dotterelbridge/claims/table.py
@@ -27,10 +27,10 @@
 """Due claims that one command turns into tombstones, at most."""
 RELEASED_ATTEMPTS_LIMIT = 8
 """Released attempts remembered for one key."""
+BIRTH_SKEWS = 2
+"""Clock errors after a volatile table's birth whose keys are refused."""
 OUTDATED_FACTOR = 4
 """Entries of the due order for each claim before it is rebuilt."""
-KEY_CLOCK_SKEW_MS = 300_000
-"""How far ahead of log time a UUIDv7 key may be made."""
 
 
 class Phase(enum.IntEnum):
@@ -61,6 +61,7 @@
 class _Snapshot(msgspec.Struct, frozen=True, array_like=True):
     now_ms: int
     reports: dict[VmId, int]
+    birth_ms: int
     floor_ms: int
     open_count: int
     claims: list[tuple[bytes, Claim]]
@@ -80,6 +81,8 @@
         self._recorded: OrderedDict[bytes, None] = OrderedDict()
         self._due: list[tuple[int, bytes]] = []
         self._tombstones = Tombstones()
+        self._birth_ms = 0
+        """The first log time that was known."""
         self._floor_ms = 0
         """UUIDv7 keys made up to this time are refused."""
         self._open_count = 0
@@ -121,6 +124,7 @@
         snapshot = _Snapshot(
             now_ms=self._time.now_ms,
             reports=self._time.reports,
+            birth_ms=self._birth_ms,
             floor_ms=self._floor_ms,
             open_count=self._open_count,
             claims=list(self._claims.items()),
@@ -137,6 +141,7 @@
         self._recorded = OrderedDict.fromkeys(snapshot.recorded)
         self._rebuild_due()
         self._tombstones = Tombstones.unpack(snapshot.tombstones)
+        self._birth_ms = snapshot.birth_ms
         self._floor_ms = snapshot.floor_ms
         self._open_count = snapshot.open_count
         self._answer_bytes = sum(
@@ -146,6 +151,7 @@
     def _move_time(self, stamp: Stamp) -> None:
         limits = stamp.limits
         self._time.report(stamp.proposer, stamp.now_ms, limits.clock_quorum)
+        self._birth_ms = self._birth_ms or self._time.now_ms
         # The floor stays when the age is raised: keys below it may
         # already be forgotten.
         self._floor_ms = max(
@@ -161,7 +167,7 @@
         if command.attempt in claim.released:
             return ClaimResult(Verdict.RELEASED)
         if claim.phase is Phase.FREE:
-            return ClaimResult(self._grant(command, limits))
+            return ClaimResult(self._begin_unclaimed(command, limits))
         if claim.digest != command.digest:
             return ClaimResult(Verdict.MISMATCH)
         if claim.phase is Phase.RECORDED:
@@ -178,10 +184,27 @@
             return Verdict.EXPIRED
         if kind is TombstoneKind.UNKNOWN:
             return Verdict.UNKNOWN
-        made_ms = command.key_time_ms
+        refusal = self._refuse_by_date(command.key_time_ms, limits)
+        return refusal or self._grant(command, limits)
+
+    def _refuse_by_date(
+        self, made_ms: int | None, limits: ClaimLimits
+    ) -> Verdict | None:
+        """Refuse a key that may have run and been forgotten."""
         if made_ms is not None and made_ms <= self._floor_ms:
             return Verdict.EXPIRED
-        return self._grant(command, limits)
+        if not limits.volatile:
+            return None
+        if made_ms is None:
+            return Verdict.UNDATED
+        if made_ms > self._time.now_ms + limits.key_skew_ms:
+            return Verdict.AHEAD
+        # An earlier table, lost with its group, may have granted it. Its
+        # log time may have been ahead of this one by the clocks' error.
+        birth_margin_ms = BIRTH_SKEWS * limits.key_skew_ms
+        if made_ms <= self._birth_ms + birth_margin_ms:
+            return Verdict.UNKNOWN
+        return None
 
     def _grant(self, command: Begin, limits: ClaimLimits) -> Verdict:
         if (
@@ -206,13 +229,13 @@
                 digest=command.digest,
                 due_ms=unknown_ms + limits.answer_age_ms,
                 unknown_ms=unknown_ms,
-                dated_ms=self._read_date(command),
+                dated_ms=self._read_date(command, limits),
                 released=earlier.released if earlier else (),
             ),
         )
         return Verdict.GRANTED
 
-    def _read_date(self, command: Begin) -> int | None:
+    def _read_date(self, command: Begin, limits: ClaimLimits) -> int | None:
         """Return a key's time if it is not ahead of log time.
 
         A key from the future would still be accepted when the tombstone
@@ -222,7 +245,7 @@
         if made_ms is None:
             return None
         ahead_ms = made_ms - self._time.now_ms
-        return None if ahead_ms > KEY_CLOCK_SKEW_MS else made_ms
+        return None if ahead_ms > limits.key_skew_ms else made_ms
 
     def _record(self, command: Record, limits: ClaimLimits) -> Verdict:
         claim = self._claims.get(command.key)
--- a/tests/test_claims_stateful.py
+++ b/tests/test_claims_stateful.py
@@ -34,6 +34,8 @@
     undated_key_age_ms=100_000 * HOUR_MS,
     remembered=10_000,
     clock_quorum=2,
+    key_skew_ms=60_000,
+    volatile=False,
 )
 VMS = ("vm-1", "vm-2", "vm-3")
 FEW_PARTITIONS = 4
--- a/tests/test_claims_table.py
+++ b/tests/test_claims_table.py
@@ -35,6 +35,8 @@
     undated_key_age_ms=30 * DAY_MS,
     remembered=1000,
     clock_quorum=1,
+    key_skew_ms=60_000,
+    volatile=False,
 )
 
 
@@ -225,6 +227,38 @@
         assert verdict in (Verdict.EXPIRED, Verdict.RECORDED)
 
 
+def test_a_late_release_brings_no_forgotten_key_back():
+    caller = Caller()
+    made_ms = caller.now_ms
+    caller.begin("k", "a1", made_ms=made_ms)
+    caller.record("k", "a1")
+    caller.pass_time(LIMITS.answer_age_ms)
+    caller.pass_time(2 * DAY_MS)
+    caller.sweep_all()
+    # Of a resend whose claim was uncertain, only the release arrives.
+    assert caller.release("k", "a2") is Verdict.DONE
+    verdict = caller.try_begin("k", "a3", made_ms=made_ms)
+    assert verdict is Verdict.EXPIRED
+
+
+def test_a_volatile_table_refuses_keys_that_a_lost_one_may_have_held():
+    limits = msgspec.structs.replace(LIMITS, volatile=True)
+    lost = Caller(limits)
+    lost.pass_time(0)
+    lost.pass_time(HOUR_MS)
+    ahead_ms = lost.now_ms + LIMITS.key_skew_ms
+    assert lost.try_begin("k", "a", made_ms=ahead_ms) is Verdict.GRANTED
+    assert lost.try_begin("l", "a", made_ms=ahead_ms + 1) is Verdict.AHEAD
+    assert lost.try_begin("m", "a") is Verdict.UNDATED
+    again = Caller(limits)
+    again.now_ms = lost.now_ms - LIMITS.key_skew_ms
+    again.pass_time(0)
+    again.pass_time(HOUR_MS)
+    assert again.try_begin("k", "b", made_ms=ahead_ms) is Verdict.UNKNOWN
+    later_ms = ahead_ms + 1
+    assert again.try_begin("k", "b", made_ms=later_ms) is Verdict.GRANTED
+
+
 def test_a_key_from_the_future_counts_as_undated():
     caller = Caller()
     made_ms = caller.now_ms + 10 * DAY_MS
@@ -299,6 +333,7 @@
         ("017f22e2-79b0-4cc3-98c4-dc0c0c07398f", None),
         ("017f22e2-79b0-7cc3-18c4-dc0c0c07398f", None),
         ("booking-42", None),
+        ("~cork~017f22e2-79b0-7cc3-98c4-dc0c0c07398f", 1645557742000),
     ],
 )
 def test_only_a_uuid7_tells_its_time(key, made_ms):
