Hold keys that name a failure domain on that domain's own VMs

A key ~DOMAIN~UUIDV7 is held by a volatile group of three VMs of the domain, so a domain that is cut off takes the keyed calls of its own callers. VMs of other domains relay the steps. A group that was lost as a whole and formed anew refuses the keys made before. Off by default: [claims] home_keys.

--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -11,6 +11,7 @@
 import structlog
 
 from dotterelbridge import events
+from dotterelbridge.claims.homes import create_home_claims
 from dotterelbridge.claims.replicated import create_claim_service
 from dotterelbridge.claims.settings import ClaimsSettings
 from dotterelbridge.clock import Clock
@@ -147,14 +148,25 @@
 
     def _create_claims(self) -> None:
         settings = self._settings
+        claims = settings.section(ClaimsSettings)
         self._claims = create_claim_service(
             self._log,
-            settings.section(ClaimsSettings),
+            claims,
             self._clock,
             settings.daemon.vm,
             len(settings.vms()),
             self._holds_log,
         )
+        if claims.home_keys:
+            self._claims = create_home_claims(
+                self._claims,
+                claims,
+                self._network,
+                settings.own_vm(),
+                settings.vms(),
+                self._clock,
+                self._rng,
+            )
         self._add("claims", self._claims)
 
     def _create_sheet(self) -> None:
--- a/dotterelbridge/claims/outbox.py
+++ b/dotterelbridge/claims/outbox.py
@@ -4,15 +4,17 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from datetime import timedelta
+from typing import Any
+from typing import Protocol
 
 import anyio
 import structlog
 
 from dotterelbridge import events
-from dotterelbridge.claims.commands import AnyCommand
 from dotterelbridge.claims.events import ClaimEvent
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import ReplicationError
+from dotterelbridge.ids import AttemptId
 
 WORKERS = 8
 RETRY_PAUSE = timedelta(milliseconds=500)
@@ -20,19 +22,25 @@
 _log = structlog.get_logger(__name__)
 
 
+class Outcome(Protocol):
+    """A command or message that tells the outcome of an attempt."""
+
+    attempt: AttemptId
+
+
 class Outbox:
     """Sends commands until the log has taken them; bounded."""
 
     def __init__(
         self,
-        send: Callable[[AnyCommand], Awaitable[None]],
+        send: Callable[[Any], Awaitable[Any]],
         limit: int,
         clock: Clock,
     ) -> None:
         self._send = send
         self._limit = limit
         self._clock = clock
-        self._waiting: deque[AnyCommand] = deque()
+        self._waiting: deque[Outcome] = deque()
         self._added = anyio.Event()
         self._settled = anyio.Event()
         self._sending = 0
@@ -40,7 +48,7 @@
     def __len__(self) -> int:
         return len(self._waiting) + self._sending
 
-    def add(self, command: AnyCommand) -> None:
+    def add(self, command: Outcome) -> None:
         """Queue a command; the oldest is dropped when it is full."""
         if len(self._waiting) >= self._limit:
             dropped = self._waiting.popleft()
@@ -76,7 +84,7 @@
             settled, self._settled = self._settled, anyio.Event()
             settled.set()
 
-    async def _send_until_taken(self, command: AnyCommand) -> None:
+    async def _send_until_taken(self, command: Outcome) -> None:
         while True:
             try:
                 await self._send(command)
--- a/dotterelbridge/claims/replicated.py
+++ b/dotterelbridge/claims/replicated.py
@@ -25,12 +25,14 @@
 from dotterelbridge.claims.errors import AttemptReleased
 from dotterelbridge.claims.errors import ClaimsNotReady
 from dotterelbridge.claims.errors import ClaimTableFull
+from dotterelbridge.claims.errors import HomeUnknown
 from dotterelbridge.claims.errors import KeyFromFuture
 from dotterelbridge.claims.errors import UndatedKeyRefused
 from dotterelbridge.claims.events import ClaimEvent
 from dotterelbridge.claims.keys import hash_key
 from dotterelbridge.claims.keys import hash_text
 from dotterelbridge.claims.keys import read_key_time
+from dotterelbridge.claims.keys import split_home
 from dotterelbridge.claims.machine import MACHINE_NAME
 from dotterelbridge.claims.machine import ClaimMachine
 from dotterelbridge.claims.outbox import Outbox
@@ -86,6 +88,7 @@
         self._own = own
         self._limits = _create_limits(settings, vm_count, volatile)
         self._reports_time = reports_time
+        self._tick_interval = _choose_tick_interval(settings, volatile)
         self._machine = ClaimMachine()
         log.add_machine(MACHINE_NAME, self._machine)
         self._try_timeout = _milliseconds(settings.try_timeout_ms)
@@ -99,6 +102,7 @@
         digest: str,
         attempt: AttemptId,
     ) -> ClaimReply:
+        self._check_home(key)
         key_time_ms = read_key_time(key)
         if key_time_ms is None and self._settings.require_dated_keys:
             raise _refuse_undated()
@@ -291,7 +295,6 @@
             )
 
     async def _report_time(self) -> None:
-        interval = timedelta(seconds=self._settings.tick_interval_s)
         while True:
             tick = encode_command(Tick(stamp=self._create_stamp()))
             try:
@@ -301,7 +304,21 @@
             except ReplicationError:
                 await self._clock.sleep(timedelta(seconds=1))
                 continue
-            await self._clock.sleep(interval)
+            await self._clock.sleep(self._tick_interval)
+
+    def _check_home(self, key: IdempotencyKey) -> None:
+        """Refuse a key that names a home where none is held.
+
+        It must not be held here: once homes are turned on, it would be
+        looked for elsewhere and could run again.
+        """
+        domain, _ = split_home(key)
+        if domain is not None and not self._limits.volatile:
+            raise HomeUnknown(
+                f"keys of the failure domain {domain!r} are not held here",
+                "set home_keys in [claims], or send a key without '~' at "
+                "its start",
+            )
 
     def _create_stamp(self) -> Stamp:
         now_ms = int(self._clock.now().timestamp() * MS_PER_S)
@@ -354,6 +371,20 @@
     )
 
 
+def _choose_tick_interval(
+    settings: ClaimsSettings, volatile: bool
+) -> timedelta:
+    """Return the time between two reports of this VM's time.
+
+    A volatile table refuses keys from the future, so its log time may
+    lag by a part of the skew only.
+    """
+    interval = timedelta(seconds=settings.tick_interval_s)
+    if not volatile:
+        return interval
+    return min(interval, timedelta(seconds=settings.key_skew_s) / 4)
+
+
 def _refuse_undated() -> UndatedKeyRefused:
     return UndatedKeyRefused(
         "the idempotency key does not tell when it was made",
--- a/dotterelbridge/claims/settings.py
+++ b/dotterelbridge/claims/settings.py
@@ -38,6 +38,10 @@
     """Most keys remembered without answer; further calls are refused."""
     require_dated_keys: bool = False
     """Whether to refuse keys that are not UUIDv7."""
+    home_keys: bool = False
+    """Whether keys ``~DOMAIN~UUIDV7`` are held by that domain's VMs."""
+    home_heartbeat_ms: Annotated[int, msgspec.Meta(ge=50)] = 500
+    """Heartbeat of the group that holds a domain's keys."""
     clock_quorum: Annotated[int, _Positive] = 2
     """VMs whose clocks must have reached a time before it counts."""
     key_skew_s: Annotated[int, _Positive] = 60
