Keep callers waiting for a record half a second at most

A record that the log does not take goes on in the background anyway; with no majority each booked caller waited 2 s for nothing. Relayed outcomes get the same bound.

--- a/dotterelbridge/claims/relay.py
+++ b/dotterelbridge/claims/relay.py
@@ -48,8 +48,12 @@
         self._vms = vms
         self._network = network
         # The VM there answers within its own time to claim or to settle.
-        longest_ms = max(settings.begin_timeout_ms, settings.settle_timeout_ms)
-        self._timeout = timedelta(milliseconds=longest_ms) + RELAY_GRACE
+        self._begin_timeout = RELAY_GRACE + timedelta(
+            milliseconds=settings.begin_timeout_ms
+        )
+        self._settle_timeout = RELAY_GRACE + timedelta(
+            milliseconds=settings.settle_timeout_ms
+        )
         self.outbox = Outbox(self._send, settings.outbox_limit, clock)
 
     async def begin(
@@ -127,12 +131,14 @@
 
     async def _send(self, step: RelayedStep) -> ClaimReply | None:
         """Send a step to the VMs of the domain until one answers."""
+        begins = step.step is ClaimStep.BEGIN
+        timeout = self._begin_timeout if begins else self._settle_timeout
         lost: PeerError | None = None
         for vm in self._vms:
             if not self._network.connected(vm):
                 continue
             try:
-                answer = await self._network.request(vm, step, self._timeout)
+                answer = await self._network.request(vm, step, timeout)
             except RequestNotSent:
                 continue
             except PeerError as error:
--- a/dotterelbridge/claims/settings.py
+++ b/dotterelbridge/claims/settings.py
@@ -16,7 +16,7 @@
     """Time to claim a key; then the call is refused as not run."""
     try_timeout_ms: Annotated[int, msgspec.Meta(ge=50)] = 1000
     """Time after which the log is asked again, by way of another VM."""
-    settle_timeout_ms: Annotated[int, msgspec.Meta(ge=50)] = 2000
+    settle_timeout_ms: Annotated[int, msgspec.Meta(ge=50)] = 500
     """Time that an answer waits for its record; it goes on after that."""
     attempt_limit_s: Annotated[int, _Positive] = 600
     """A claim without outcome for so long is unknown for good."""
