--- a/dotterelbridge/serving/listener.py
+++ b/dotterelbridge/serving/listener.py
@@ -34,6 +34,11 @@
         """Port that the listener is bound to."""
         return self._socket.getsockname()[1]
 
+    @property
+    def connections(self) -> int:
+        """Open connections."""
+        return self._server.connections
+
     async def run(self) -> None:
         """Serve until cancelled."""
         await self._server.start(self._socket)
--- /dev/null
+++ b/tests/serving/test_server.py
@@ -0,0 +1,267 @@
+"""The HTTP server, spoken to in raw bytes."""
+
+import asyncio
+import contextlib
+
+import anyio
+import pytest
+
+from dotterelbridge.serving.settings import ServingSettings
+from tests.serving.fakes import run_async
+from tests.serving.fakes import run_world
+from tests.serving.fakes import wait_until
+
+GET = b"GET /v1/models HTTP/1.1\r\nhost: x\r\n\r\n"
+
+
+def settings(**fields) -> ServingSettings:
+    return ServingSettings(port=0, balancer_lead_s=0, **fields)
+
+
+async def connect(world):
+    return await asyncio.open_connection("127.0.0.1", world.port)
+
+
+async def exchange(world, data: bytes) -> bytes:
+    """Send bytes and return all until the server closes."""
+    reader, writer = await connect(world)
+    writer.write(data)
+    received = b""
+    with contextlib.suppress(ConnectionResetError):
+        while chunk := await reader.read(65536):
+            received += chunk
+    writer.close()
+    return received
+
+
+async def read_answer(reader) -> tuple[bytes, bytes]:
+    """Return head and body of an answer with a length."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.partition(b"content-length: ")[2].split(b"\r\n")[0])
+    return head, await reader.readexactly(length)
+
+
+async def echo(received):
+    await received.answer(received.body)
+
+
+def post(body: bytes, *headers: bytes, path=b"/services/booking/x") -> bytes:
+    lines = [b"POST " + path + b" HTTP/1.1", b"host: x", *headers]
+    lines.append(b"content-length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+@run_async
+async def test_connection_serves_one_request_after_another():
+    async with run_world() as world:
+        await world.add_service("s1", echo)
+        reader, writer = await connect(world)
+        for number in range(5):
+            body = b"call %d" % number
+            writer.write(post(body))
+            assert (await read_answer(reader))[1] == body
+        writer.close()
+
+
+@run_async
+async def test_requests_sent_ahead_are_answered_in_order():
+    async with run_world() as world:
+        await world.add_service("s1", echo)
+        reader, writer = await connect(world)
+        writer.write(b"".join(post(b"call %d" % n) for n in range(8)))
+        for number in range(8):
+            assert (await read_answer(reader))[1] == b"call %d" % number
+        writer.close()
+
+
+@run_async
+async def test_too_many_requests_sent_ahead_close_the_connection():
+    async with run_world() as world:
+        await world.add_service("s1", echo)
+        await exchange(world, post(b"") * 200)
+        await wait_until(lambda: world.app.in_flight == 0)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nbad header\r\n\r\n", b"400"),
+        (
+            b"POST / HTTP/1.1\r\ncontent-length: 3\r\n"
+            b"transfer-encoding: chunked\r\n\r\nabc",
+            b"400",
+        ),
+        (b"GET / HTTP/1.1\r\nx: " + b"y" * 100_000, b"431"),
+    ],
+)
+def test_malformed_heads_are_refused_as_not_run(data, status):
+    async def check():
+        async with run_world() as world:
+            answer = await exchange(world, data)
+            assert answer.startswith(b"HTTP/1.1 " + status)
+            assert b"dotterelbridge-run: no" in answer
+            assert b'"remedy"' in answer
+
+    anyio.run(check)
+
+
+@run_async
+async def test_chunked_request_body_arrives_whole():
+    async with run_world() as world:
+        await world.add_service("s1", echo)
+        reader, writer = await connect(world)
+        writer.write(
+            b"POST /services/booking/x HTTP/1.1\r\nhost: x\r\n"
+            b"transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n"
+        )
+        await anyio.sleep(0)
+        writer.write(b"2\r\nde\r\n0\r\n\r\n")
+        assert (await read_answer(reader))[1] == b"abcde"
+        writer.close()
+
+
+@run_async
+async def test_body_of_many_parts_arrives_whole():
+    async with run_world() as world:
+        await world.add_service("s1", echo)
+        reader, writer = await connect(world)
+        body = bytes(range(256)) * 8192
+        writer.write(post(body))
+        assert (await read_answer(reader))[1] == body
+        writer.close()
+
+
+@run_async
+async def test_expect_continue_is_answered_before_the_body():
+    async with run_world() as world:
+        await world.add_service("s1", echo)
+        reader, writer = await connect(world)
+        head, _, body = post(b"late", b"expect: 100-continue").partition(
+            b"\r\n\r\n"
+        )
+        writer.write(head + b"\r\n\r\n")
+        interim = await reader.readuntil(b"\r\n\r\n")
+        assert interim == b"HTTP/1.1 100 Continue\r\n\r\n"
+        writer.write(body)
+        assert (await read_answer(reader))[1] == b"late"
+        writer.close()
+
+
+@run_async
+async def test_old_protocol_version_is_closed_after_the_answer():
+    async with run_world() as world:
+        answer = await exchange(world, b"GET /healthz HTTP/1.0\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert b"connection: close" in answer
+
+
+@run_async
+async def test_refused_body_is_not_read_to_its_end():
+    async with run_world(serving=settings(body_limit_kb=64)) as world:
+        reader, writer = await connect(world)
+        writer.write(post(b"x" * 200_000))
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 413")
+        assert b"connection: close" in head
+        writer.close()
+
+
+@run_async
+async def test_request_that_never_becomes_whole_is_closed():
+    async with run_world(serving=settings(body_timeout_s=1)) as world:
+        assert await exchange(world, GET[:10]) == b""
+        answer = await exchange(world, post(b"half" * 9)[:-20])
+        assert answer.startswith(b"HTTP/1.1 400")
+        assert b"dotterelbridge-run: no" in answer
+
+
+@run_async
+async def test_idle_connection_is_closed_and_a_busy_one_is_not():
+    async with run_world(serving=settings(idle_limit_s=1)) as world:
+        assert await exchange(world, GET) != b""
+        go_on = anyio.Event()
+
+        async def wait(received):
+            await go_on.wait()
+            await echo(received)
+
+        await world.add_service("s1", wait)
+        reader, writer = await connect(world)
+        writer.write(post(b"busy"))
+        # Meanwhile an idle one reaches its limit.
+        await exchange(world, GET)
+        go_on.set()
+        assert (await read_answer(reader))[1] == b"busy"
+        writer.close()
+
+
+@run_async
+async def test_connections_beyond_the_limit_are_closed():
+    async with run_world(serving=settings(connections_limit=3)) as world:
+        kept = []
+        for _ in range(3):
+            kept.append(await connect(world))
+            kept[-1][1].write(GET)
+            await read_answer(kept[-1][0])
+        assert await exchange(world, GET) == b""
+        kept.pop()[1].close()
+        await wait_until(lambda: world.listener.connections == 2)
+        reader, writer = await connect(world)
+        writer.write(GET)
+        await read_answer(reader)
+        writer.close()
+        for _, writer in kept:
+            writer.close()
+
+
+@run_async
+async def test_thousands_of_idle_connections_leave_serving_alone():
+    async with run_world() as world:
+        await world.add_service("s1", echo)
+        idle = [await connect(world) for _ in range(2000)]
+        await wait_until(lambda: world.listener.connections == 2000)
+        reader, writer = await connect(world)
+        for number in range(20):
+            body = b"call %d" % number
+            writer.write(post(body))
+            assert (await read_answer(reader))[1] == body
+        for _, other in [*idle, (reader, writer)]:
+            other.close()
+        await wait_until(lambda: world.listener.connections == 0)
+
+
+@run_async
+async def test_fault_of_the_program_shows_no_traceback():
+    async with run_world() as world:
+
+        def break_down(name):
+            raise RuntimeError("secret detail")
+
+        world.router.find_row = break_down
+        reader, writer = await connect(world)
+        writer.write(post(b"{}"))
+        head, body = await read_answer(reader)
+        assert head.startswith(b"HTTP/1.1 500")
+        assert b"secret" not in body
+        assert b"dotterelbridge-run: unknown" in head
+        writer.close()
+
+
+@run_async
+async def test_request_that_is_arriving_survives_the_drain():
+    async with run_world() as world:
+        await world.add_service("s1", echo)
+        reader, writer = await connect(world)
+        data = post(b"whole")
+        writer.write(data[:20])
+        connections = world.listener._server._connections
+        await wait_until(lambda: any(c.is_receiving for c in connections))
+        async with anyio.create_task_group() as group:
+            group.start_soon(world.listener.drain)
+            await wait_until(lambda: world.listener._server._closing)
+            writer.write(data[20:])
+            head, body = await read_answer(reader)
+        assert body == b"whole"
+        assert b"connection: close" in head
+        writer.close()
