--- /dev/null
+++ b/tests/serving/scene.py
@@ -0,0 +1,136 @@
+"""A world on one loop, for the synchronous steps of features."""
+
+import asyncio
+import contextlib
+
+import httpx
+
+from dotterelbridge.routing.settings import RoutingSettings
+from dotterelbridge.targets.settings import TargetsSettings
+from tests.serving.fakes import model_row
+from tests.serving.fakes import run_world
+from tests.serving.fakes import stream_body
+from tests.serving.test_callers import CHAT
+from tests.serving.test_callers import create_client
+
+STEP_LIMIT_S = 60
+
+
+class Reply:
+    """What one caller got."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers = {}
+        self.body = b""
+        self.whole = False
+
+
+class Scene:
+    """Engines, the serving side and its callers; started on first use."""
+
+    def __init__(self) -> None:
+        self.runner = asyncio.Runner()
+        self.stopping = None
+        self.holder = None
+        self.engines = []
+        self.row = {"deadline_ms": 30000}
+        self.routing = {}
+        self.tokens = 30
+        self.replies: list[Reply] = []
+        self.tasks: list[asyncio.Task] = []
+        self.world = None
+        self.client = None
+
+    def do(self, coroutine):
+        """Run a coroutine, with a generous limit."""
+        return self.runner.run(asyncio.wait_for(coroutine, STEP_LIMIT_S))
+
+    def add_engine(self, name, behaviour) -> None:
+        """Add an engine before the first caller comes."""
+        self.engines.append((name, behaviour))
+
+    async def start(self) -> None:
+        """Start the world, once."""
+        if self.world is not None:
+            return
+        started = asyncio.Event()
+        self.stopping = asyncio.Event()
+        self.holder = asyncio.create_task(self._hold(started))
+        await started.wait()
+
+    async def _hold(self, started: asyncio.Event) -> None:
+        """Keep the world open in one task, as its scopes want."""
+        async with (
+            run_world(
+                rows=(model_row(**self.row),),
+                routing=RoutingSettings(**self.routing),
+                targets=TargetsSettings(silence_limit_ms=500),
+            ) as self.world,
+            create_client(self.world) as self.client,
+        ):
+            for name, behaviour in self.engines:
+                await self.world.add_engine(name, behaviour)
+            started.set()
+            await self.stopping.wait()
+
+    async def start_caller(self, **headers: str) -> Reply:
+        """Start a caller, which streams in a task of its own."""
+        await self.start()
+        reply = Reply()
+        self.replies.append(reply)
+        self.tasks.append(asyncio.create_task(self._call(reply, headers)))
+        return reply
+
+    async def _call(self, reply: Reply, headers: dict[str, str]) -> None:
+        body = {"model": "quote", "stream": True}
+        named = {
+            f"Dotterelbridge-{name.capitalize()}": value
+            for name, value in headers.items()
+        }
+        with contextlib.suppress(httpx.RemoteProtocolError):
+            async with self.client.stream(
+                "POST", CHAT, json=body, headers=named
+            ) as response:
+                reply.status = response.status_code
+                reply.headers = response.headers
+                async for chunk in response.aiter_raw():
+                    reply.body += chunk
+                reply.whole = True
+
+    async def finish_callers(self) -> None:
+        """Wait until every caller has its answer."""
+        await asyncio.gather(*self.tasks)
+
+    def list_whole(self) -> list[Reply]:
+        """Return the replies that are the stream, byte for byte."""
+        expected = stream_body(self.tokens)
+        return [r for r in self.replies if r.whole and r.body == expected]
+
+    def list_refused(self, status: int) -> list[Reply]:
+        """Return the replies that refuse with a status, as not run."""
+        return [
+            reply
+            for reply in self.replies
+            if reply.status == status
+            and reply.headers["dotterelbridge-run"] == "no"
+        ]
+
+    def count_requests(self) -> int:
+        """Return the requests that all engines got."""
+        targets = self.world.targets.values()
+        return sum(len(target.received) for target in targets)
+
+    def close(self) -> None:
+        """End the world."""
+
+        async def finish():
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
+            if self.world is not None:
+                self.stopping.set()
+                await self.holder
+
+        self.do(finish())
+        self.runner.close()
