--- a/dotterelbridge/serving/server.py
+++ b/dotterelbridge/serving/server.py
@@ -68,7 +68,9 @@
         self._empty = False
         self._closing = False
         self.since = server.clock.monotonic()
-        """When the connection became idle, or its write stalled."""
+        """When the connection became idle, a request began to arrive, or
+        the caller last took a byte."""
+        self._unsent = 0
 
     @property
     def is_idle(self) -> bool:
@@ -85,6 +87,15 @@
         """Whether the caller doesn't take what was written."""
         return self._drained is not None
 
+    def note_progress(self, now: float) -> None:
+        """Start the stall limit anew if the caller took some bytes."""
+        if self._transport is None:
+            return
+        unsent = self._transport.get_write_buffer_size()
+        if unsent < self._unsent:
+            self.since = now
+        self._unsent = unsent
+
     def announce_close(self) -> None:
         """Tell the caller with its next answer that this is the last."""
         self._closing = True
@@ -124,6 +135,8 @@
 
     def data_received(self, data: bytes) -> None:
         if self._parsed is None:
+            if not self._head_size and self.is_idle:
+                self.since = self._server.clock.monotonic()
             self._head_size += len(data)
         try:
             self._parser.feed_data(data)
@@ -451,6 +464,7 @@
         stalled_before = now - self._settings.stall_limit_s
         for connection in list(self._connections):
             if connection.is_stalled:
+                connection.note_progress(now)
                 if connection.since < stalled_before:
                     connection.abort()
             elif connection.is_idle:
--- a/tests/serving/test_server.py
+++ b/tests/serving/test_server.py
@@ -196,6 +196,47 @@
         writer.close()
 
 
+@run_async
+async def test_request_that_begins_after_a_long_pause_is_served():
+    limits = settings(idle_limit_s=60, body_timeout_s=1)
+    async with run_world(serving=limits) as world:
+        await world.add_service("s1", echo)
+        reader, writer = await connect(world)
+        # Idle for longer than a request may take to arrive.
+        world.listener._server.sweep()
+        connection = next(iter(world.listener._server._connections))
+        connection.since -= 10
+        data = post(b"whole")
+        writer.write(data[:20])
+        await wait_until(lambda: connection.is_receiving)
+        world.listener._server.sweep()
+        writer.write(data[20:])
+        assert (await read_answer(reader))[1] == b"whole"
+        writer.close()
+
+
+@run_async
+async def test_slow_reader_of_a_large_answer_gets_it_whole():
+    size = 16_000_000
+
+    async def answer_much(received):
+        await received.answer(b"x" * size)
+
+    async with run_world(serving=settings(stall_limit_s=1)) as world:
+        await world.add_service("s1", answer_much)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", world.port, limit=65536
+        )
+        writer.write(post(b""))
+        await reader.readuntil(b"\r\n\r\n")
+        left = size
+        while left:
+            # Slower than the stall limit allows for the whole of it.
+            left -= len(await reader.readexactly(min(left, 1_000_000)))
+            await anyio.sleep(0.2)
+        writer.close()
+
+
 @run_async
 async def test_connections_beyond_the_limit_are_closed():
     async with run_world(serving=settings(connections_limit=3)) as world:
