Estimate the wait for a place in an engine's batch apart from prefill

The estimate multiplied the whole time by one load factor, so a cached prefix shortened the wait for a place too and a full engine that held the prefix won over an empty one. Now: learnt unloaded time less the prefix's saving, plus the requests beyond the engine's capacity (learnt from what ran while others waited) times the time a place takes to be freed. Requests that the lagging report misses count on top. Background work waits here while an engine is full, and gives way at an engine too busy for urgent work.

--- a/dotterelbridge/routing/chooser.py
+++ b/dotterelbridge/routing/chooser.py
@@ -13,7 +13,7 @@
 from dotterelbridge.targets.cache_index import CacheIndex
 
 _DEFAULT_FIRST_TOKEN_S = 0.15
-_CACHED_SAVING = 0.8
+_CACHED_SAVING = 0.5
 """Share of the time to first token that a fully cached prompt saves."""
 _DISTANCE_S = {
     Distance.OWN_DOMAIN: 0.0,
@@ -125,7 +125,7 @@
             target.view.info.target, call.item, call.prompt_blocks, now
         )
         unit_s *= 1 - _CACHED_SAVING * cached
-        own_s = unit_s * target.load_factor()
+        own_s = unit_s * target.batch_factor() + target.queue_delay_s()
         # A target that keeps others waiting is slow, whatever it was.
         waited_s = target.oldest_wait(now)
         return max(own_s, waited_s) + _DISTANCE_S[target.distance]
--- a/dotterelbridge/routing/router.py
+++ b/dotterelbridge/routing/router.py
@@ -52,6 +52,8 @@
 _log = structlog.get_logger(__name__)
 _DEFAULT_HOLD_S = 1.0
 _CLIENT_SWEEP_TICKS = 5
+_RELIEF_MARGIN = 1.5
+"""Factor on the expected time to first token, whose spread is wide."""
 _LOAD_RETRY = timedelta(seconds=2)
 
 
@@ -194,8 +196,7 @@
             slot.first_token_at = now
             elapsed = now - slot.taken_at
             target = slot.target
-            unloaded_s = elapsed / slot.load_factor
-            target.speed.record_first_token(unloaded_s, now)
+            target.speed.record_first_token(slot.unloaded_s(elapsed), now)
             target.limit.record_first_token(elapsed, target.in_flight, now)
             if target.has_room:
                 self._dispatch_target(target)
@@ -422,6 +423,7 @@
             target = self._choose(waiter, usable, now)
             if target is None:
                 return None
+            self._relieve(waiter, target, now)
             slot = target.take(waiter.call, model, now)
             waiter.call.attempts += 1
             target.retries.earn()
@@ -448,6 +450,8 @@
         self, waiter: Waiter, usable: list[Target], now: float
     ) -> Target | None:
         roomy = [target for target in usable if target.has_room]
+        if self._gives_way(waiter, now):
+            roomy = [target for target in roomy if not target.is_full]
         wanted = [
             target
             for target in roomy
@@ -455,6 +459,17 @@
         ]
         return self._choose_by_distance(waiter, wanted or roomy, now)
 
+    def _gives_way(self, waiter: Waiter, now: float) -> bool:
+        """Whether a request waits here rather than in an engine's queue.
+
+        Background work does, so that it can't fill places that urgent
+        work needs next; until it has waited for its limit.
+        """
+        if waiter.call.priority is not Priority.BACKGROUND:
+            return False
+        limit_s = self._settings.background_wait_limit_ms / 1000
+        return now - waiter.enqueued_at < limit_s
+
     def _choose_by_distance(
         self, waiter: Waiter, targets: list[Target], now: float
     ) -> Target | None:
@@ -538,27 +553,44 @@
             self._queue.take(waiter)
             waiter.grant(slot)
 
+    def _relieve(self, waiter: Waiter, target: Target, now: float) -> None:
+        """Cancel a background stream at a target too busy for urgent work.
+
+        The place in the engine's batch is what urgent work waits for then.
+        """
+        if waiter.call.priority is not Priority.URGENT:
+            return
+        expected_s = self._chooser.estimate_first_token_s(
+            waiter.call, target, now
+        )
+        if now + expected_s * _RELIEF_MARGIN > waiter.deadline_at:
+            self._displace(target)
+
     def _make_room(self, waiter: Waiter) -> None:
-        """Cancel one background stream for an urgent request."""
+        """Cancel one background stream for an urgent request that waits."""
         if waiter.call.priority is not Priority.URGENT:
             return
         for _, holders in self._list_holders(waiter.call):
             for target in holders:
-                slot = target.find_displaceable()
-                if slot is None or target.is_ejected:
-                    continue
-                metrics.record_displacement()
-                displace, slot.displace = slot.displace, None
-                slot.displaced = True
-                slot.call.cancellations += 1
-                events.log(
-                    _log,
-                    RoutingEvent.BACKGROUND_CANCELLED,
-                    request=slot.call.request,
-                    target=target.view.info.target,
-                )
-                displace()
-                return
+                if not target.is_ejected and self._displace(target):
+                    return
+
+    def _displace(self, target: Target) -> bool:
+        slot = target.find_displaceable()
+        if slot is None:
+            return False
+        metrics.record_displacement()
+        displace, slot.displace = slot.displace, None
+        slot.displaced = True
+        slot.call.cancellations += 1
+        events.log(
+            _log,
+            RoutingEvent.BACKGROUND_CANCELLED,
+            request=slot.call.request,
+            target=target.view.info.target,
+        )
+        displace()
+        return True
 
     def _explain_expiry(self, call: Call) -> RoutingRefused:
         if next(self._list_holders(call), None) is None:
--- a/dotterelbridge/routing/settings.py
+++ b/dotterelbridge/routing/settings.py
@@ -50,5 +50,7 @@
     """Wait of a background stream that made room for urgent work."""
     cache_polls_per_s: _Positive = 4
     """Requests for cache events, to all engines together."""
+    report_lag_ms: Annotated[int, msgspec.Meta(ge=0)] = 1000
+    """Age of an engine's load report when it is received."""
     sweep_interval_ms: _Positive = 50
     """Interval of the checks for silence, deadlines and ejections."""
--- a/dotterelbridge/routing/target.py
+++ b/dotterelbridge/routing/target.py
@@ -46,7 +46,11 @@
     """The stream made room for urgent work."""
 
 
-_RUNNING_COST = 1 / 32
+_WAIT_SHARE_LIMIT = 0.8
+"""Share of an observed time that an expected wait may explain."""
+_UNKNOWN_CAPACITY = 16
+_UNKNOWN_HOLD_S = 2.0
+_RUNNING_COST = 1 / 64
 """Slowdown by each running request, in shares of the unloaded time."""
 _FAILURES = (Outcome.CONNECT_FAILED, Outcome.BROKEN, Outcome.FAILED)
 
@@ -82,6 +86,8 @@
         self.slots: dict[Slot, None] = {}
         self._not_ready: dict[str, float] = {}
         self._leaving_said = False
+        self._capacity: int | None = None
+        """Requests that the engine runs at once, once it was seen full."""
 
     @property
     def in_flight(self) -> int:
@@ -103,11 +109,27 @@
         """Whether a request may be sent now."""
         return self.in_flight < self.limit.limit
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the engine has no free place in its batch."""
+        if self.view.waiting:
+            return True
+        running = self.view.running + self.sent_since_report()
+        return self._capacity is not None and running >= self._capacity
+
     def update(self, view: TargetView) -> None:
         """Take a new view."""
         if view.state is not self.view.state:
             self._leaving_said = False
         self.view = view
+        self._learn_capacity(view)
+
+    def _learn_capacity(self, view: TargetView) -> None:
+        """Take what runs while others wait for the engine's capacity."""
+        if (view.waiting and view.running) or (
+            self._capacity is not None and view.running > self._capacity
+        ):
+            self._capacity = view.running
 
     def lacks(self, model: str, now: float) -> bool:
         """Whether the target just said that the item isn't ready."""
@@ -121,16 +143,31 @@
 
     def sent_since_report(self) -> int:
         """Requests in flight that the last load report can't include."""
-        reported_at = self.view.reported_at
-        return sum(1 for slot in self.slots if slot.taken_at > reported_at)
+        lag_s = self._settings.report_lag_ms / 1000
+        included_before = self.view.reported_at - lag_s
+        return sum(1 for slot in self.slots if slot.taken_at > included_before)
 
-    def load_factor(self) -> float:
-        """Return how many times the unloaded time a first token takes.
+    def queue_delay_s(self) -> float:
+        """Return how long a new request would wait at the engine.
 
-        From the last report, with this VM's later requests on top.
+        From the last report, with this VM's later requests on top: each
+        request beyond the engine's capacity waits for one place to be
+        freed.
         """
         running = self.view.running + self.sent_since_report()
-        return 1.0 + self.view.waiting + running * _RUNNING_COST
+        capacity = self._capacity
+        if capacity is None:
+            ahead = self.view.waiting
+            capacity = max(running, _UNKNOWN_CAPACITY)
+        else:
+            ahead = max(0, self.view.waiting + running + 1 - capacity)
+        hold_s = self.speed.hold_s or _UNKNOWN_HOLD_S
+        return ahead * hold_s / capacity
+
+    def batch_factor(self) -> float:
+        """Return how many times an empty engine's time the batch takes."""
+        running = self.view.running + self.sent_since_report()
+        return 1.0 + running * _RUNNING_COST
 
     def oldest_wait(self, now: float) -> float:
         """Longest current wait for a first token, in seconds."""
@@ -151,7 +188,8 @@
             target=self.view.info.target,
         )
         slot = Slot(self, call, model, now)
-        slot.load_factor = self.load_factor()
+        slot.queue_delay_s = self.queue_delay_s()
+        slot.batch_factor = self.batch_factor()
         self.slots[slot] = None
         return slot
 
@@ -206,13 +244,19 @@
         self.tokens = 0
         self.bytes_relayed = 0
         """Bytes of the request and of the answer so far."""
-        self.load_factor = 1.0
-        """The target's load factor when the place was taken."""
+        self.queue_delay_s = 0.0
+        """Wait that was expected at the engine, in seconds."""
+        self.batch_factor = 1.0
         self.displace: Callable[[], None] | None = None
         """Ends the attempt so that urgent work gets its place; set by
         serving while the stream can be resumed."""
         self.displaced = False
 
+    def unloaded_s(self, elapsed: float) -> float:
+        """Return an observed time to first token without the load's part."""
+        waited_s = min(self.queue_delay_s, elapsed * _WAIT_SHARE_LIMIT)
+        return (elapsed - waited_s) / self.batch_factor
+
     @property
     def item(self) -> ItemName:
         """Name of the model, adapter or service."""
--- a/tests/routing/test_limits.py
+++ b/tests/routing/test_limits.py
@@ -167,6 +167,48 @@
     assert slot.call.priority is URGENT
 
 
+@pytest.mark.parametrize(
+    ("priority", "waiting", "displaced"),
+    [(URGENT, 20, 1), (URGENT, 0, 0), (NORMAL, 20, 0)],
+)
+def test_urgent_call_relieves_an_engine_that_is_too_busy(
+    priority, waiting, displaced
+):
+    async def check():
+        world = RoutingWorld()
+        world.add_engine("e1")
+        background = await world.router.acquire(world.call(BACKGROUND))
+        gone = []
+        background.displace = lambda: gone.append(1)
+        world.add_engine("e1", running=16, waiting=waiting)
+        slot = await world.router.acquire(world.call(priority, 1.0))
+        assert slot.target.view.info.target == "e1"
+        assert len(gone) == displaced
+
+    anyio.run(check)
+
+
+@run_async
+async def test_background_waits_while_engines_are_full_but_not_for_good():
+    world = RoutingWorld(background_wait_limit_ms=1000)
+    world.add_engine("e1", running=16, waiting=3)
+    async with anyio.create_task_group() as group:
+        waiting = Waiting(world, group)
+        await waiting.start(world.call(BACKGROUND, 100))
+        await waiting.start(world.call(NORMAL))
+        assert [s.call.priority for s in waiting.granted] == [NORMAL]
+        # Room again: the report says so.
+        world.add_engine("e1", running=3)
+        await settle()
+        assert len(waiting.granted) == 2
+        world.add_engine("e1", running=16, waiting=3)
+        await waiting.start(world.call(BACKGROUND, 100))
+        world.advance(1.1)
+        world.add_engine("e1", running=16, waiting=4)
+        await settle()
+        assert len(waiting.granted) == 3
+
+
 @run_async
 async def test_background_stream_gives_way_a_bounded_number_of_times():
     world = RoutingWorld(background_cancellations_limit=2, **ONE_PLACE)
