Keep /readyz false until the VM knows the sheet

Cause: a VM without a disk that restarts holds no sheet until its first poll is answered, but said that it was ready from the start. The balancer sent it callers, who were told that their model is not on the sheet. Change: the callers' application takes conditions for /readyz; the sheet's part says whether it holds a sheet or has had contact to the log, which says that there is none. Not covered: a voter that returns with an empty disk may have a leader before it has applied the sheet.

--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -223,6 +223,7 @@
             routing,
             self._rng,
         )
+        self._app.require(self._sheet.is_known)
         self._registry.add("serving", self._app)
         self._listener = create_caller_listener(
             self._app, serving, self._clock
--- a/dotterelbridge/serving/callers.py
+++ b/dotterelbridge/serving/callers.py
@@ -1,5 +1,6 @@
 """The callers' HTTP interface, as an ASGI application."""
 
+from collections.abc import Callable
 from datetime import timedelta
 import random
 from typing import Any
@@ -82,6 +83,7 @@
         self._calls: dict[Call, float] = {}
         self._requests = 0
         self._draining = False
+        self._conditions: list[Callable[[], bool]] = []
         self._all_answered = anyio.Event()
 
     @property
@@ -89,6 +91,15 @@
         """Requests that have no whole answer yet."""
         return self._requests
 
+    def require(self, condition: Callable[[], bool]) -> None:
+        """Keep /readyz false while the condition does not hold."""
+        self._conditions.append(condition)
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send new requests here."""
+        return not self._draining and all(met() for met in self._conditions)
+
     def start_draining(self) -> None:
         """Turn /readyz false."""
         if self._draining:
@@ -140,7 +151,7 @@
                 self._all_answered.set()
 
     async def _serve_health(self, path: str, sink: AnswerSink) -> None:
-        ready = path == "/healthz" or not self._draining
+        ready = path == "/healthz" or self.ready
         writer = AnswerWriter(sink, "")
         await writer.send_whole(
             200 if ready else 503,
--- a/dotterelbridge/sheet/store.py
+++ b/dotterelbridge/sheet/store.py
@@ -30,6 +30,7 @@
 from dotterelbridge.sheet.messages import SheetSubmission
 from dotterelbridge.sheet.messages import VmSheetStatus
 from dotterelbridge.sheet.parser import KnownNames
+from dotterelbridge.sheet.rows import EMPTY_SHEET
 from dotterelbridge.sheet.rows import SheetRevision
 from dotterelbridge.sheet.settings import SheetSettings
 from dotterelbridge.sheet.source import SheetSource
@@ -100,6 +101,15 @@
     def current(self) -> SheetRevision:
         return self._force.current()
 
+    def is_known(self) -> bool:
+        """Return whether this VM holds a sheet, or knows of none yet.
+
+        A VM that starts without stored state knows neither before it has
+        had contact to the log.
+        """
+        held = self._force.current().revision > EMPTY_SHEET.revision
+        return held or self._detached_ms() < UNKNOWN_CONTACT_MS
+
     def subscribe(self, callback: Callable[[SheetRevision], None]) -> None:
         self._force.subscribe(callback)
 
