--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -30,6 +30,13 @@
 HTTP_TIMEOUT_S = 30.0
 HEADERS = {"Authorization": f"Bearer {TOKEN}"}
 VOTERS = 3
+SIZES_FOR_SLOPE = 3
+FIELDS = (
+    "cpu_percent",
+    "rss_mb",
+    "sent_bytes_per_s",
+    "received_bytes_per_s",
+)
 
 
 class Size(msgspec.Struct, frozen=True, kw_only=True):
@@ -231,43 +238,34 @@
 
 
 def report_axis(axis: str, results: dict[int, dict]) -> None:
-    """Print means by role for each size, and the slopes over all VMs."""
+    """Print means by role for each size, and the slope for each role."""
     table = Table(title=axis)
-    for column in (axis, "phase", "role", "VMs", "CPU %", "RSS MB"):
+    columns = ("phase", "role", "VMs", "CPU %", "RSS MB", "sent", "received")
+    for column in (axis, *columns):
         table.add_column(column)
-    table.add_column("sent B/s")
-    table.add_column("received B/s")
-    points: dict[tuple[str, str], list[tuple[float, float]]] = {}
+    points: dict[tuple[str, str, str], list[tuple[float, float]]] = {}
     for number, phases in results.items():
         for phase, samples in phases.items():
             for role in sorted({s.role for s in samples}):
                 some = [s for s in samples if s.role == role]
-                table.add_row(
-                    str(number), phase, role, str(len(some)), *means(some)
-                )
-            for field in ("cpu_percent", "rss_mb", "sent_bytes_per_s"):
-                mean = statistics.mean(getattr(s, field) for s in samples)
-                points.setdefault((phase, field), []).append((number, mean))
+                row = [str(number), phase, role, str(len(some))]
+                table.add_row(*row, *(f"{mean(some, f):.2f}" for f in FIELDS))
+                for field in FIELDS:
+                    pair = (number, mean(some, field))
+                    points.setdefault((phase, role, field), []).append(pair)
     console = Console(width=100)
     console.print(table)
-    for (phase, field), pairs in points.items():
-        slope, base = fit_slope(pairs)
-        console.print(
-            f"{axis}, {phase}: {field} = {base:.3f} + {slope:.5f} x {axis}"
-        )
+    for (phase, role, field), pairs in points.items():
+        if len(pairs) >= SIZES_FOR_SLOPE:
+            slope, base = fit_slope(pairs)
+            console.print(
+                f"{phase}, {role}: {field} = {base:.3f} + {slope:.5f} x {axis}"
+            )
 
 
-def means(samples: list[Sample]) -> list[str]:
-    """Return the means of the figures as text."""
-    return [
-        f"{statistics.mean(getattr(s, field) for s in samples):.2f}"
-        for field in (
-            "cpu_percent",
-            "rss_mb",
-            "sent_bytes_per_s",
-            "received_bytes_per_s",
-        )
-    ]
+def mean(samples: list[Sample], field: str) -> float:
+    """Return the mean of one field."""
+    return statistics.mean(getattr(sample, field) for sample in samples)
 
 
 def main() -> None:
