List all settings from the code; drop two dead options

Cause: over 100 options have no page, and [daemon] caller_address and caller_port were accepted and did nothing since [serving] has them. Change: settings_reference reads the section types and their texts; 'config options' prints them, 'make docs' writes docs/SETTINGS.md, a test compares the two. Conclusion: an option without a page or without effect stands out.

--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,9 @@
 bench: install ## replay the shipped traces against their outcomes
 	$(BIN)/python -m bench.replay --all
 
-docs: install ## write the generated pages (docs/EVENTS.md)
+docs: install ## write the generated pages (EVENTS, SETTINGS)
+	$(BIN)/python -m dotterelbridge.cli.program config options \
+		--markdown > docs/SETTINGS.md
 	$(BIN)/python -m dotterelbridge.cli.program events \
 		--markdown > docs/EVENTS.md
 
--- a/dotterelbridge/cli/definition.py
+++ b/dotterelbridge/cli/definition.py
@@ -111,6 +111,15 @@
     config = _add_group(commands, "config", "Check settings files.")
     check = config.add_parser("check", help="report every fault in a file")
     check.add_argument("file", metavar="FILE")
+    options = config.add_parser("options", help="list all settings")
+    options.add_argument(
+        "section", metavar="SECTION", nargs="?", help="one section only"
+    )
+    options.add_argument(
+        "--markdown",
+        action="store_true",
+        help="in the form of docs/SETTINGS.md",
+    )
 
 
 def _add_sheet_commands(commands) -> None:
--- a/dotterelbridge/cli/program.py
+++ b/dotterelbridge/cli/program.py
@@ -20,6 +20,7 @@
 
 COMMANDS: dict[tuple[str, str | None], Command] = {
     ("config", "check"): config_commands.check_config,
+    ("config", "options"): config_commands.list_options,
     ("sheet", "check"): sheet_commands.check_sheet,
     ("sheet", "submit"): sheet_commands.submit_sheet,
     ("sheet", "show"): sheet_commands.show_sheet,
--- a/dotterelbridge/settings.py
+++ b/dotterelbridge/settings.py
@@ -62,8 +62,6 @@
 
     vm: VmId
     """Name of this VM; has a section [vm:NAME]."""
-    caller_address: str = "0.0.0.0"
-    caller_port: Port = 8000
     operator_address: str = LOOPBACK
     operator_port: Port = 8001
     operator_token_file: str
--- a/dotterelbridge/settings_schema.py
+++ b/dotterelbridge/settings_schema.py
@@ -49,7 +49,7 @@
                         section=name,
                         option=option,
                         found="nothing",
-                        allowed=_describe_type(field.type),
+                        allowed=describe_type(field.type),
                     )
                 )
             continue
@@ -61,7 +61,7 @@
                     section=name,
                     option=option,
                     found=repr(raw[option]),
-                    allowed=f"{_describe_type(field.type)} ({error})",
+                    allowed=f"{describe_type(field.type)} ({error})",
                 )
             )
     if faults:
@@ -98,7 +98,8 @@
     return wanted
 
 
-def _describe_type(wanted: type) -> str:
+def describe_type(wanted: type) -> str:
+    """Return what an option of the type may hold, for people."""
     base = _strip_metadata(wanted)
     limits = _describe_limits(wanted)
     if isinstance(base, type) and hasattr(base, "__members__"):
@@ -108,7 +109,7 @@
         return "a list separated by commas"
     if origin in (types.UnionType, typing.Union):
         options = [a for a in typing.get_args(base) if a is not type(None)]
-        return " or ".join(_describe_type(option) for option in options)
+        return " or ".join(describe_type(option) for option in options)
     names = {
         int: "a whole number",
         float: "a number",
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -1,10 +1,13 @@
-"""The event catalogue and its page."""
+"""The generated pages match the code."""
 
 import pathlib
 
+import pytest
+
 from dotterelbridge import catalogue
+from dotterelbridge import settings_reference
 
-PAGE = pathlib.Path(__file__).parent.parent / "docs" / "EVENTS.md"
+DOCS = pathlib.Path(__file__).parent.parent / "docs"
 
 
 def test_numbers_are_unique():
@@ -12,7 +15,14 @@
     assert len(numbers) == len(set(numbers))
 
 
-def test_page_matches_the_code():
-    assert PAGE.read_text() == catalogue.render_markdown(), (
-        "run 'make docs' and commit docs/EVENTS.md"
+@pytest.mark.parametrize(
+    ("page", "render"),
+    [
+        ("EVENTS.md", catalogue.render_markdown),
+        ("SETTINGS.md", settings_reference.render_markdown),
+    ],
+)
+def test_page_matches_the_code(page, render):
+    assert (DOCS / page).read_text() == render(), (
+        f"run 'make docs' and commit docs/{page}"
     )
