--- a/dotterelbridge/claims/replicated.py
+++ b/dotterelbridge/claims/replicated.py
@@ -25,11 +25,14 @@
 from dotterelbridge.claims.errors import AttemptReleased
 from dotterelbridge.claims.errors import ClaimsNotReady
 from dotterelbridge.claims.errors import ClaimTableFull
+from dotterelbridge.claims.errors import HomeUnknown
+from dotterelbridge.claims.errors import KeyFromFuture
 from dotterelbridge.claims.errors import UndatedKeyRefused
 from dotterelbridge.claims.events import ClaimEvent
 from dotterelbridge.claims.keys import hash_key
 from dotterelbridge.claims.keys import hash_text
 from dotterelbridge.claims.keys import read_key_time
+from dotterelbridge.claims.keys import split_home
 from dotterelbridge.claims.machine import MACHINE_NAME
 from dotterelbridge.claims.machine import ClaimMachine
 from dotterelbridge.claims.outbox import Outbox
@@ -77,13 +80,15 @@
         own: VmId,
         vm_count: int,
         reports_time: bool,
+        volatile: bool = False,
     ) -> None:
         self._replicated = log
         self._settings = settings
         self._clock = clock
         self._own = own
-        self._limits = _create_limits(settings, vm_count)
+        self._limits = _create_limits(settings, vm_count, volatile)
         self._reports_time = reports_time
+        self._tick_interval = _choose_tick_interval(settings, volatile)
         self._machine = ClaimMachine()
         log.add_machine(MACHINE_NAME, self._machine)
         self._try_timeout = _milliseconds(settings.try_timeout_ms)
@@ -97,12 +102,10 @@
         digest: str,
         attempt: AttemptId,
     ) -> ClaimReply:
+        self._check_home(key)
         key_time_ms = read_key_time(key)
         if key_time_ms is None and self._settings.require_dated_keys:
-            raise UndatedKeyRefused(
-                "the idempotency key does not tell when it was made",
-                "send a UUIDv7 as Idempotency-Key",
-            )
+            raise _refuse_undated()
         command = Begin(
             stamp=self._create_stamp(),
             key=hash_key(business, key),
@@ -168,9 +171,27 @@
                 group.start_soon(self._report_time)
 
     async def wait_settled(self) -> None:
-        """Return once all outcomes are in the log, as before a stop."""
+        """Return once all outcomes are in the log."""
         await self._outbox.wait_empty()
 
+    async def drain(self) -> None:
+        """Wait a bounded time for the outcomes, before the VM stops.
+
+        A key whose outcome is lost becomes unknown; it never runs again.
+        """
+        limit = timedelta(seconds=self._settings.drain_limit_s)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._end_drain, group.cancel_scope, limit)
+            await self.wait_settled()
+            group.cancel_scope.cancel()
+
+    async def _end_drain(
+        self, scope: anyio.CancelScope, limit: timedelta
+    ) -> None:
+        await self._clock.sleep(limit)
+        events.log(_log, ClaimEvent.OUTCOMES_LEFT, waiting=len(self._outbox))
+        scope.cancel()
+
     def dump(self) -> dict[str, Any]:
         return {
             "table": self._machine.table.describe(),
@@ -274,7 +295,6 @@
             )
 
     async def _report_time(self) -> None:
-        interval = timedelta(seconds=self._settings.tick_interval_s)
         while True:
             tick = encode_command(Tick(stamp=self._create_stamp()))
             try:
@@ -284,7 +304,21 @@
             except ReplicationError:
                 await self._clock.sleep(timedelta(seconds=1))
                 continue
-            await self._clock.sleep(interval)
+            await self._clock.sleep(self._tick_interval)
+
+    def _check_home(self, key: IdempotencyKey) -> None:
+        """Refuse a key that names a home where none is held.
+
+        It must not be held here: once homes are turned on, it would be
+        looked for elsewhere and could run again.
+        """
+        domain, _ = split_home(key)
+        if domain is not None and not self._limits.volatile:
+            raise HomeUnknown(
+                f"keys of the failure domain {domain!r} are not held here",
+                "set home_keys in [claims], or send a key without '~' at "
+                "its start",
+            )
 
     def _create_stamp(self) -> Stamp:
         now_ms = int(self._clock.now().timestamp() * MS_PER_S)
@@ -298,19 +332,24 @@
     own: VmId,
     vm_count: int,
     reports_time: bool,
+    volatile: bool = False,
 ) -> ReplicatedClaimService:
     """Return the claims' part of the daemon.
 
     :param vm_count: number of VMs in the deployment.
     :param reports_time: whether this VM reports its time when idle; true
         on the VMs that hold the log.
+    :param volatile: whether the log is lost when all its members are;
+        keys that an earlier table may have held are then refused.
     """
     return ReplicatedClaimService(
-        log, settings, clock, own, vm_count, reports_time
+        log, settings, clock, own, vm_count, reports_time, volatile
     )
 
 
-def _create_limits(settings: ClaimsSettings, vm_count: int) -> ClaimLimits:
+def _create_limits(
+    settings: ClaimsSettings, vm_count: int, volatile: bool
+) -> ClaimLimits:
     return ClaimLimits(
         attempt_limit_ms=settings.attempt_limit_s * MS_PER_S,
         answer_age_ms=settings.answer_age_s * MS_PER_S,
@@ -321,6 +360,8 @@
         undated_key_age_ms=settings.undated_key_age_s * MS_PER_S,
         remembered=settings.remembered_limit,
         clock_quorum=min(settings.clock_quorum, vm_count),
+        key_skew_ms=settings.key_skew_s * MS_PER_S,
+        volatile=volatile,
     )
 
 
@@ -330,6 +371,27 @@
     )
 
 
+def _choose_tick_interval(
+    settings: ClaimsSettings, volatile: bool
+) -> timedelta:
+    """Return the time between two reports of this VM's time.
+
+    A volatile table refuses keys from the future, so its log time may
+    lag by a part of the skew only.
+    """
+    interval = timedelta(seconds=settings.tick_interval_s)
+    if not volatile:
+        return interval
+    return min(interval, timedelta(seconds=settings.key_skew_s) / 4)
+
+
+def _refuse_undated() -> UndatedKeyRefused:
+    return UndatedKeyRefused(
+        "the idempotency key does not tell when it was made",
+        "send a UUIDv7 as Idempotency-Key",
+    )
+
+
 def _raise_refusal(verdict: Verdict) -> None:
     if verdict is Verdict.FULL:
         events.log(_log, ClaimEvent.TABLE_FULL)
@@ -341,6 +403,13 @@
         raise ClaimsNotReady(
             "the claims have just started", "send the call again in a second"
         )
+    if verdict is Verdict.UNDATED:
+        raise _refuse_undated()
+    if verdict is Verdict.AHEAD:
+        raise KeyFromFuture(
+            "the idempotency key tells a time that has not come yet",
+            "set the clock of the caller and send the call again",
+        )
     if verdict is Verdict.RELEASED:
         raise AttemptReleased(
             "the attempt gave up its key", "send the call again"
--- a/dotterelbridge/claims/settings.py
+++ b/dotterelbridge/claims/settings.py
@@ -16,7 +16,7 @@
     """Time to claim a key; then the call is refused as not run."""
     try_timeout_ms: Annotated[int, msgspec.Meta(ge=50)] = 1000
     """Time after which the log is asked again, by way of another VM."""
-    settle_timeout_ms: Annotated[int, msgspec.Meta(ge=50)] = 2000
+    settle_timeout_ms: Annotated[int, msgspec.Meta(ge=50)] = 500
     """Time that an answer waits for its record; it goes on after that."""
     attempt_limit_s: Annotated[int, _Positive] = 600
     """A claim without outcome for so long is unknown for good."""
@@ -38,9 +38,17 @@
     """Most keys remembered without answer; further calls are refused."""
     require_dated_keys: bool = False
     """Whether to refuse keys that are not UUIDv7."""
+    home_keys: bool = False
+    """Whether keys ``~DOMAIN~UUIDV7`` are held by that domain's VMs."""
+    home_heartbeat_ms: Annotated[int, msgspec.Meta(ge=50)] = 500
+    """Heartbeat of the group that holds a domain's keys."""
     clock_quorum: Annotated[int, _Positive] = 2
     """VMs whose clocks must have reached a time before it counts."""
+    key_skew_s: Annotated[int, _Positive] = 60
+    """How far the clocks of callers and VMs may be apart."""
     tick_interval_s: Annotated[int, _Positive] = 30
     """Longest time between two times that a VM with the log reports."""
+    drain_limit_s: Annotated[int, _Positive] = 15
+    """Time that a stopping VM waits to record the last outcomes."""
     outbox_limit: Annotated[int, _Positive] = 2000
     """Outcomes that wait for the log; the oldest go first."""
