Take items at an engine for no sign of earlier holders

An engine that reports number 0 has had no fenced order since it started; only a number above 0, or this domain's record at the other domains, tells of earlier holders.

--- a/dotterelbridge/placement/ledger.py
+++ b/dotterelbridge/placement/ledger.py
@@ -391,8 +391,9 @@
         is_first = not account.incarnation
         if not account.observe(inventory, asked_at):
             return []
-        if is_first and (account.copies or not account.forgot_fence):
-            # An earlier holder gave orders.
+        if is_first and not account.forgot_fence:
+            # An earlier holder gave orders. Items alone do not tell: an
+            # engine may start with some.
             self._has_past = True
         self._note_overfull(account)
         after = {o.order.order_id for o in self._unsettled(account)}
--- a/tests/test_placement_ledger.py
+++ b/tests/test_placement_ledger.py
@@ -333,3 +333,27 @@
         opened.order
     )
     assert restored.expires_at == 5.0 + LATE_S
+
+
+def test_items_that_an_engine_started_with_are_no_sign_of_earlier_holders():
+    ledger = create_ledger()
+    ledger.restore([], 0.0, record_lost=True, has_past=False)
+    item = create_item("preloaded")
+    ledger.observe(create_inventory(1, item, fencing_number=0), 0.0)
+    ledger.observe(create_inventory(2, item), 1.0)
+    load(ledger, 1, create_item("a"), 1.0)
+
+
+def test_number_that_one_engine_has_seen_makes_a_forgetful_one_wait():
+    ledger = MemoryLedger(
+        {"t": Fencing.ENFORCED, "u": Fencing.ENFORCED}, 10.0, LATE_S, 15.0
+    )
+    ledger.restore([], 0.0, record_lost=True, has_past=False)
+    other = msgspec.structs.replace(
+        create_inventory(1, fencing_number=3), target="u"
+    )
+    ledger.observe(other, 0.0)
+    ledger.observe(create_inventory(1, fencing_number=0), 0.0)
+    ledger.observe(create_inventory(2), 1.0)
+    with pytest.raises(LoadRefused, match="record was lost"):
+        load(ledger, 1, create_item("a"), 1.0)
