Join again when a late request of an earlier life took one's place

The earlier one stayed as a learner for good; had the later one still been a learner, it would have been removed and never asked again. Change: a VM asks to join whenever the group does not list it; the leader removes a learner whose VM answers under another identity.

--- a/dotterelbridge/replication/joining.py
+++ b/dotterelbridge/replication/joining.py
@@ -46,15 +46,17 @@
         self._state = context.state
 
     async def run(self) -> None:
-        """Try until this member's log holds a configuration."""
-        if self._belongs_to_group():
-            return
-        events.log(_log, ReplicationEvent.JOINING, member=self._state.member)
+        """Ask to join whenever the group does not list this member."""
         interval = timedelta(
             milliseconds=self._context.settings.join_interval_ms
         )
-        while not self._belongs_to_group():
-            await self._try_once(interval)
+        if not self._is_listed():
+            events.log(
+                _log, ReplicationEvent.JOINING, member=self._state.member
+            )
+        while True:
+            if not self._is_listed():
+                await self._try_once(interval)
             share = 0.5 + self._context.random.random()
             await self._context.clock.sleep(interval * share)
 
@@ -80,6 +82,10 @@
             accepted = await self._add(leadership, request, sender)
         return JoinReply(leader=self._state.leader_vm, accepted=accepted)
 
+    def _is_listed(self) -> bool:
+        found = self._state.configuration.find(self._state.member)
+        return found is not None
+
     def _belongs_to_group(self) -> bool:
         return bool(self._state.configuration.group_id)
 
@@ -98,7 +104,7 @@
         member_of_group = [r for r in replies.values() if r.group_id]
         if member_of_group:
             await self._ask_to_join(replies, timeout)
-        elif self._may_form_group(replies):
+        elif self._may_form_group(replies) and not self._belongs_to_group():
             await self._form_group(replies)
 
     async def _ask_voters(self, timeout: timedelta) -> dict[VmId, StatusReply]:
--- a/dotterelbridge/replication/leadership.py
+++ b/dotterelbridge/replication/leadership.py
@@ -29,6 +29,8 @@
 from dotterelbridge.replication.messages import AppendRequest
 from dotterelbridge.replication.messages import HandOverRequest
 from dotterelbridge.replication.messages import SnapshotRequest
+from dotterelbridge.replication.messages import StatusReply
+from dotterelbridge.replication.messages import StatusRequest
 from dotterelbridge.replication.signal import Signal
 from dotterelbridge.replication.storage import Snapshot
 
@@ -49,6 +51,8 @@
         """When the newest message was sent that the member answered."""
         self.probing = True
         """Whether to send no entries before the next answer."""
+        self.is_gone = False
+        """Whether the VM came back under another identity."""
         self.scope = anyio.CancelScope()
 
 
@@ -309,10 +313,32 @@
             )
             if reply is not None:
                 self._note_ack(progress, sent_at)
+            elif not self._state.configuration.is_voter(
+                progress.member.member
+            ):
+                await self._check_identity(progress)
             elapsed = self._context.clock.monotonic() - sent_at
             left = self._context.heartbeat.total_seconds() - elapsed
             await self._context.clock.sleep(timedelta(seconds=max(left, 0)))
 
+    async def _check_identity(self, progress: _Progress) -> None:
+        """Note a learner whose VM lives under another identity now.
+
+        Its request to join can arrive after that of the later identity.
+        """
+        request = StatusRequest(log=self._context.log_name)
+        try:
+            reply = await self._context.network.request(
+                progress.member.vm, request, self._context.heartbeat * 2
+            )
+        except PeerError:
+            return
+        if not isinstance(reply, StatusReply):
+            return
+        if reply.member != progress.member.member:
+            progress.is_gone = True
+            self._progress_made.notify()
+
     async def _send_entries(self, progress: _Progress) -> None:
         pace = Pace(self._context)
         while True:
@@ -540,6 +566,9 @@
         superseded = configuration.find_superseded()
         if superseded:
             return configuration.without(superseded.member)
+        for member_id, progress in self._progress.items():
+            if progress.is_gone and not configuration.is_voter(member_id):
+                return configuration.without(member_id)
         learner = configuration.find_candidate_voter(
             self._context.initial_voters
         )
--- a/tests/test_replication_rules.py
+++ b/tests/test_replication_rules.py
@@ -150,6 +150,36 @@
     run_in_virtual_time(scenario)
 
 
+def test_late_request_of_an_earlier_life_to_join_does_not_stay():
+    """It arrives while the later life is a learner that still lags."""
+
+    async def scenario():
+        async with run_group(3) as group:
+            leader = await group.wait_leader()
+            wiped = next(vm for vm in group.vms if vm != leader)
+            group.network.passes = lambda source, sink, frame: (
+                sink != wiped or not _carries_entries(frame)
+            )
+            group.wipe(wiped)
+            node = group.start(wiped)
+            log = group.nodes[leader].log
+            await group.wait_until(
+                lambda: log.configuration.find(node.log.member)
+            )
+            await log.add_learner(f"{wiped}-earlier", wiped)
+            await group.wait_until(
+                lambda: (
+                    not log.configuration.find(node.log.member)
+                    or not log.configuration.find(f"{wiped}-earlier")
+                )
+            )
+            group.network.passes = lambda source, sink, frame: True
+            await group.wait_until(group.is_whole)
+            assert log.configuration.is_voter(node.log.member)
+
+    run_in_virtual_time(scenario)
+
+
 def test_read_does_not_apply_an_entry_that_the_leader_replaced():
     async def scenario():
         async with run_group(3) as group:
