Let no learner take the place of another; find forgotten learners

Change: only a newer voter supersedes a member; several learners of one VM may stand until their VM tells which is alive; a learner that hears no leader for four election timeouts asks to join again. Tests: the earlier test is replaced by three, each of which fails without its part (tried on a copy).

--- a/dotterelbridge/replication/entries.py
+++ b/dotterelbridge/replication/entries.py
@@ -107,30 +107,23 @@
             member for member in self.members if member.member != member_id
         )
 
-    def find_candidate_voter(self, vms: Iterable[VmId]) -> Member | None:
-        """Return a learner that should vote once it has caught up.
+    def list_candidate_voters(self, vms: Iterable[VmId]) -> list[Member]:
+        """Return the learners that should vote once they have caught up.
 
-        That is one on a VM that is listed as voter, or on the VM of an
-        older voter; the newest identity of a VM counts.
+        Those are on a VM that is listed as voter, or on one of a voter.
         """
         wanted = set(vms) | {member.vm for member in self.voters()}
-        for member in self.members:
-            if not member.voter and member.vm in wanted:
-                return member
-        return None
+        return [m for m in self.members if not m.voter and m.vm in wanted]
 
     def find_superseded(self) -> Member | None:
-        """Return a member whose VM came back under a newer identity.
+        """Return a member whose VM has a newer voter, or None.
 
-        A voter counts as superseded only by a voter, so that it is not
-        removed before its replacement holds the log.
+        A learner supersedes nobody: it may be a late one of an earlier
+        life, and a voter must stay until its replacement holds the log.
         """
         for position, member in enumerate(self.members):
             later = self.members[position + 1 :]
-            if any(
-                other.vm == member.vm and (other.voter or not member.voter)
-                for other in later
-            ):
+            if any(o.vm == member.vm and o.voter for o in later):
                 return member
         return None
 
--- a/dotterelbridge/replication/joining.py
+++ b/dotterelbridge/replication/joining.py
@@ -36,6 +36,8 @@
 
 _FIRST_TERM = Term(1)
 _GROUP_ID_BITS = 64
+_FORGOTTEN_AFTER = 4
+"""Election timeouts of silence after which a learner asks again."""
 
 
 class Joiner:
@@ -46,16 +48,16 @@
         self._state = context.state
 
     async def run(self) -> None:
-        """Ask to join whenever the group does not list this member."""
+        """Ask to join whenever the group seems not to list this member."""
         interval = timedelta(
             milliseconds=self._context.settings.join_interval_ms
         )
-        if not self._is_listed():
+        if self._should_ask():
             events.log(
                 _log, ReplicationEvent.JOINING, member=self._state.member
             )
         while True:
-            if not self._is_listed():
+            if self._should_ask():
                 await self._try_once(interval)
             share = 0.5 + self._context.random.random()
             await self._context.clock.sleep(interval * share)
@@ -82,9 +84,17 @@
             accepted = await self._add(leadership, request, sender)
         return JoinReply(leader=self._state.leader_vm, accepted=accepted)
 
-    def _is_listed(self) -> bool:
+    def _should_ask(self) -> bool:
+        """Return whether this member is not listed, or a forgotten learner.
+
+        The entry that added a learner can be lost with its leader, and
+        the next leader then does not know the learner.
+        """
         found = self._state.configuration.find(self._state.member)
-        return found is not None
+        if found is None:
+            return True
+        patience = self._context.election_timeout * _FORGOTTEN_AFTER
+        return not found.voter and not self._state.heard_within(patience)
 
     def _belongs_to_group(self) -> bool:
         return bool(self._state.configuration.group_id)
--- a/dotterelbridge/replication/leadership.py
+++ b/dotterelbridge/replication/leadership.py
@@ -569,11 +569,11 @@
         for member_id, progress in self._progress.items():
             if progress.is_gone and not configuration.is_voter(member_id):
                 return configuration.without(member_id)
-        learner = configuration.find_candidate_voter(
+        for learner in configuration.list_candidate_voters(
             self._context.initial_voters
-        )
-        if learner and self.has_caught_up(learner.member):
-            return configuration.with_voter(learner.member)
+        ):
+            if self.has_caught_up(learner.member):
+                return configuration.with_voter(learner.member)
         return None
 
     def has_caught_up(self, member_id: MemberId) -> bool:
--- a/tests/test_replication_rules.py
+++ b/tests/test_replication_rules.py
@@ -151,31 +151,65 @@
 
 
 def test_late_request_of_an_earlier_life_to_join_does_not_stay():
+    async def scenario():
+        async with run_group(3) as group:
+            leader = await group.wait_leader()
+            vm = next(vm for vm in group.vms if vm != leader)
+            log = group.nodes[leader].log
+            await log.add_learner(f"{vm}-earlier", vm)
+            await group.wait_until(group.is_whole)
+
+    run_in_virtual_time(scenario)
+
+
+def test_late_request_of_an_earlier_life_does_not_remove_the_later():
     """It arrives while the later life is a learner that still lags."""
 
     async def scenario():
         async with run_group(3) as group:
             leader = await group.wait_leader()
             wiped = next(vm for vm in group.vms if vm != leader)
+            group.wipe(wiped)
             group.network.passes = lambda source, sink, frame: (
                 sink != wiped or not _carries_entries(frame)
             )
-            group.wipe(wiped)
             node = group.start(wiped)
             log = group.nodes[leader].log
             await group.wait_until(
                 lambda: log.configuration.find(node.log.member)
             )
             await log.add_learner(f"{wiped}-earlier", wiped)
+            await anyio.sleep(5)
+            assert log.configuration.find(node.log.member)
+            group.network.passes = lambda source, sink, frame: True
+            await group.wait_until(group.is_whole)
+
+    run_in_virtual_time(scenario)
+
+
+def test_learner_that_a_new_leader_does_not_know_asks_again():
+    async def scenario():
+        async with run_group(3) as group:
+            leader = await group.wait_leader()
+            wiped, other = (vm for vm in group.vms if vm != leader)
+            group.wipe(wiped)
+            group.network.passes = lambda source, sink, frame: (
+                sink != other or not _carries_entries(frame)
+            )
+            node = group.start(wiped)
             await group.wait_until(
-                lambda: (
-                    not log.configuration.find(node.log.member)
-                    or not log.configuration.find(f"{wiped}-earlier")
-                )
+                lambda: node.log.configuration.find(node.log.member)
             )
+            last = group.nodes[other].log.dump()["last_index"]
+            group.kill(leader)
+            group.kill(other)
+            storage = group.storages[leader]
+            storage.entries = [e for e in storage.entries if e.index <= last]
+            await anyio.sleep(10)
             group.network.passes = lambda source, sink, frame: True
+            group.start(leader)
+            group.start(other)
             await group.wait_until(group.is_whole)
-            assert log.configuration.is_voter(node.log.member)
 
     run_in_virtual_time(scenario)
 
