--- a/tests/test_placement_world.py
+++ b/tests/test_placement_world.py
@@ -3,9 +3,7 @@
 import anyio
 import pytest
 
-from dotterelbridge.ids import ItemKind
 from dotterelbridge.membership.view import Fencing
-from dotterelbridge.targets.engine import EngineItem
 from dotterelbridge.targets.engine import OrderAction
 from standins.virtual_time import run_in_virtual_time
 from tests.placement_fakes import World
@@ -22,12 +20,6 @@
     return world
 
 
-def create_item(name, memory_mb=200):
-    return EngineItem(
-        kind=ItemKind.MODEL, name=name, version="1", memory_mb=memory_mb
-    )
-
-
 def keys_of(rows):
     return {f"{row.name}@{row.version}" for row in rows}
 
