Know that waiting callers were taken before the shutdown begins

The scenario of queued requests failed once on a busy machine: callers that had not connected yet when the listener closed counted as waiting. They now send Expect: 100-continue and wait for the interim answer, which the application asks for.

--- a/tests/serving/test_shutdown_features.py
+++ b/tests/serving/test_shutdown_features.py
@@ -34,6 +34,7 @@
 
     def __init__(self) -> None:
         self.received = b""
+        self.taken = False
         self.reading = asyncio.Event()
         self.reading.set()
 
@@ -44,8 +45,13 @@
         )
         writer.write(
             b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n"
-            b"content-length: %d\r\n\r\n%b" % (len(BODY), BODY)
+            b"expect: 100-continue\r\n"
+            b"content-length: %d\r\n\r\n" % len(BODY)
         )
+        # Sent once the request has been taken.
+        await reader.readuntil(b"100 Continue\r\n\r\n")
+        self.taken = True
+        writer.write(BODY)
         while True:
             await self.reading.wait()
             chunk = await reader.read(65536)
@@ -168,11 +174,8 @@
 def start_waiting(scene, count):
     async def start():
         held = len(scene.engine.received)
-        await scene.start_callers(count)
-        # A request without a body's end would be refused; an answer to
-        # a later one shows that all of them were taken.
-        async with httpx.AsyncClient() as client:
-            await client.get(f"http://127.0.0.1:{scene.port}/healthz")
+        callers = await scene.start_callers(count)
+        await wait_until(lambda: all(caller.taken for caller in callers))
         assert len(scene.engine.received) == held
 
     scene.do(start())
