Give up a silent kept connection at the request's deadline

What loses track of connections loses old ones: a kept one is given up once the deadline passed without a byte, the next attempt gets a new connection, and the first time costs no retry budget.

--- a/dotterelbridge/routing/call.py
+++ b/dotterelbridge/routing/call.py
@@ -27,6 +27,8 @@
     resumable: bool = False
     """Whether a stream can go on at another target."""
     attempts: int = 0
+    silences: int = 0
+    """Attempts that ended by silence."""
     cancellations: int = 0
     """Times that this background stream made room for urgent work."""
 
--- a/dotterelbridge/serving/attempts.py
+++ b/dotterelbridge/serving/attempts.py
@@ -125,6 +125,12 @@
         """Return when another attempt may follow; otherwise raise."""
         if not may_retry(call, error):
             raise error
+        if isinstance(error, TargetSilent):
+            call.silences += 1
+            if call.silences == 1:
+                # The connection's fault, not the target's: once, and on a
+                # new connection, it costs no budget.
+                return
         try:
             self._router.check_retry(call, slot.target)
         except RetriesSpent as spent:
--- a/dotterelbridge/serving/callers.py
+++ b/dotterelbridge/serving/callers.py
@@ -58,6 +58,7 @@
 MODELS_PATH = "/v1/models"
 SERVICES_PREFIX = "/services/"
 _BYTES_PER_KB = 1024
+_KEPT_LIMIT_MIN = timedelta(milliseconds=500)
 _JSON = [(b"content-type", b"application/json")]
 _WITHHELD_HEADERS = HOP_HEADERS | {b"host", b"expect", b"x-request-id"}
 
@@ -360,7 +361,8 @@
                 (b"x-priority", slot.call.priority.value.encode()),
             ],
             body=wanted.encode_for(slot.model),
-            fresh_connection=not slot.call.idempotent,
+            fresh_connection=_needs_new_connection(slot.call),
+            kept_first_byte_limit=_find_kept_limit(slot),
         )
 
 
@@ -379,7 +381,7 @@
             and not name.startswith(b"dotterelbridge-")
         ],
         body=request.body,
-        fresh_connection=not call.idempotent,
+        fresh_connection=_needs_new_connection(call),
     )
 
 
@@ -389,6 +391,16 @@
     return list_prompt_blocks(row.name, request.body)
 
 
+def _needs_new_connection(call: Call) -> bool:
+    return not call.idempotent or call.silences > 0
+
+
+def _find_kept_limit(slot: Slot) -> timedelta:
+    """Return the silence that gives a kept connection up: the deadline."""
+    left_s = slot.call.deadline_at - slot.taken_at
+    return max(_KEPT_LIMIT_MIN, timedelta(seconds=left_s))
+
+
 async def _run_until_hang_up(receive, run) -> None:
     """Run, or cancel the run once the caller's connection is gone."""
     failure: list[Exception] = []
--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -42,6 +42,9 @@
     fresh_connection: bool = False
     """Whether to open a connection: a kept one may just be closing, which
     leaves unknown whether the request ran."""
+    kept_first_byte_limit: timedelta | None = None
+    """Silence before the first byte that gives a kept connection up; the
+    settings' limit holds for new ones, and without this one for all."""
 
 
 class Exchange:
@@ -113,6 +116,8 @@
         """
         connection = await self._take_connection(request.fresh_connection)
         self._busy.add(connection)
+        limit = self._find_first_byte_limit(request, connection)
+        connection.first_byte_limit_s = limit
         try:
             connection.start(
                 self._write_head(request),
@@ -142,10 +147,9 @@
 
         Called a few times a second, in place of a timer for each chunk.
         """
-        first_byte_s = self._settings.first_byte_limit_ms / 1000
         silence_s = self._settings.silence_limit_ms / 1000
         for connection in list(self._busy):
-            if connection.is_silent(first_byte_s, silence_s):
+            if connection.is_silent(silence_s):
                 connection.fail_silent()
         oldest = self._clock.monotonic() - self._settings.idle_limit_ms / 1000
         kept = []
@@ -197,6 +201,20 @@
             )
         return await self._connect()
 
+    def _find_first_byte_limit(
+        self, request: ExchangeRequest, connection: TargetConnection
+    ) -> float:
+        """Return the limit in seconds.
+
+        A connection that was lost track of is an old one, so that only
+        kept ones are given up early.
+        """
+        limit_s = self._settings.first_byte_limit_ms / 1000
+        is_new = connection.exchanges == 0
+        if is_new or request.kept_first_byte_limit is None:
+            return limit_s
+        return min(limit_s, request.kept_first_byte_limit.total_seconds())
+
     async def _connect(self) -> TargetConnection:
         loop = asyncio.get_running_loop()
         try:
--- a/dotterelbridge/targets/connection.py
+++ b/dotterelbridge/targets/connection.py
@@ -51,6 +51,8 @@
         self.complete = False
         self.in_exchange = False
         self.exchanges = 0
+        self.first_byte_limit_s = float("inf")
+        """Silence before the head that ends the exchange."""
         self.unsolicited = False
         self.opened_at = clock.monotonic()
         self.last_byte_at = self.opened_at
@@ -156,12 +158,13 @@
             self._transport.resume_reading()
         return data
 
-    def is_silent(self, first_byte_limit: float, limit: float) -> bool:
-        """Whether the exchange carried no byte for its limit (seconds)."""
+    def is_silent(self, limit_s: float) -> bool:
+        """Whether the exchange carried no byte for its limit."""
         if not self.in_exchange or self.complete or self._paused:
             return False
-        allowed = limit if self.headers_done else first_byte_limit
-        return self._clock.monotonic() - self.last_byte_at > allowed
+        if not self.headers_done:
+            limit_s = self.first_byte_limit_s
+        return self._clock.monotonic() - self.last_byte_at > limit_s
 
     def fail_silent(self) -> None:
         """End the exchange because of silence."""
--- a/tests/serving/test_streams.py
+++ b/tests/serving/test_streams.py
@@ -181,6 +181,35 @@
         await wait_until(lambda: target_client.counts()["idle"] == 1)
 
 
+@run_async
+async def test_kept_connection_that_stays_silent_is_given_up_early():
+    rows = (model_row(deadline_ms=600),)
+    # A new connection is not given up while the test lasts, and a retry
+    # out of a budget isn't to be had.
+    targets = TargetsSettings(first_byte_limit_ms=600_000)
+    routing = RoutingSettings(attempts_limit=1)
+    async with (
+        run_world(rows, targets=targets, routing=routing) as world,
+        create_client(world) as client,
+    ):
+        engine = await world.add_engine("e1", stream_tokens(2))
+        await post_stream(client)
+        await wait_until(lambda: world.app.in_flight == 0)
+        known = engine.received[0].writer
+
+        async def drop_known(received):
+            if received.writer is known:
+                await received.wait_closed()
+                return
+            await stream_tokens(2)(received)
+
+        engine.behaviour = drop_known
+        response = await post_stream(client)
+        assert response.content == stream_body(2)
+        assert engine.received[1].writer is known
+        assert engine.received[2].writer is not known
+
+
 @pytest.mark.parametrize(
     "tail",
     [
