Move a request whose first byte is late, within the retry budget

An idempotent inference request on a new connection is given up after twice its deadline when another target holds the item and the budgets allow a retry; otherwise it waits as before. The silence counts as a slow first token in the target's estimate, not as a failure: many late answers mean load as often as a fault.

--- a/dotterelbridge/routing/router.py
+++ b/dotterelbridge/routing/router.py
@@ -155,6 +155,19 @@
         for budget in budgets:
             budget.spend()
 
+    def may_move(self, call: Call, target: Target) -> bool:
+        """Whether a late request may be given up and run elsewhere."""
+        budgets = (target.retries, self._class_retries[call.priority])
+        if any(not budget.has_retry for budget in budgets):
+            return False
+        if call.attempts >= self._settings.attempts_limit:
+            return False
+        return any(
+            other is not target and not other.is_ejected and other.has_room
+            for _, holders in self._list_holders(call)
+            for other in holders
+        )
+
     async def acquire(
         self,
         call: Call,
@@ -217,6 +230,10 @@
             self._log_ejection(target, ejected_s)
         if outcome is Outcome.SILENT:
             self._probes.append(target)
+            if slot.first_token_at is None:
+                # Known to be slow at least, so that others come first.
+                elapsed = now - slot.taken_at
+                target.speed.record_first_token(elapsed, now)
         self._dispatch_target(target)
 
     # DemandSource.
--- a/dotterelbridge/serving/callers.py
+++ b/dotterelbridge/serving/callers.py
@@ -59,6 +59,8 @@
 MODELS_PATH = "/v1/models"
 SERVICES_PREFIX = "/services/"
 _BYTES_PER_KB = 1024
+_LATE_FACTOR = 2
+"""Times the deadline after which a request is given up at a target."""
 _KEPT_LIMIT_MIN = timedelta(milliseconds=500)
 _JSON = [(b"content-type", b"application/json")]
 _WITHHELD_HEADERS = HOP_HEADERS | {b"host", b"expect", b"x-request-id"}
@@ -374,8 +376,19 @@
             body=wanted.encode_for(slot.model),
             fresh_connection=_needs_new_connection(slot.call),
             kept_first_byte_limit=_find_kept_limit(slot),
+            new_first_byte_limit=self._find_new_limit(slot),
         )
 
+    def _find_new_limit(self, slot: Slot) -> timedelta | None:
+        """Return the silence after which a request moves elsewhere.
+
+        None where it can't: a late answer is better than none then.
+        """
+        call = slot.call
+        if not call.idempotent or not self._router.may_move(call, slot.target):
+            return None
+        return _LATE_FACTOR * _find_kept_limit(slot)
+
 
 def _create_service_request(
     request: CallerRequest, path: str, call: Call, attempt: AttemptId
--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -43,8 +43,9 @@
     """Whether to open a connection: a kept one may just be closing, which
     leaves unknown whether the request ran."""
     kept_first_byte_limit: timedelta | None = None
-    """Silence before the first byte that gives a kept connection up; the
-    settings' limit holds for new ones, and without this one for all."""
+    """Silence before the first byte that gives a kept connection up."""
+    new_first_byte_limit: timedelta | None = None
+    """The same for a new connection; without them the settings' holds."""
 
 
 class Exchange:
@@ -206,14 +207,16 @@
     ) -> float:
         """Return the limit in seconds.
 
-        A connection that was lost track of is an old one, so that only
-        kept ones are given up early.
+        A connection that was lost track of is an old one, so that kept
+        ones are given up earlier.
         """
         limit_s = self._settings.first_byte_limit_ms / 1000
-        is_new = connection.exchanges == 0
-        if is_new or request.kept_first_byte_limit is None:
+        asked = request.kept_first_byte_limit
+        if connection.exchanges == 0:
+            asked = request.new_first_byte_limit
+        if asked is None:
             return limit_s
-        return min(limit_s, request.kept_first_byte_limit.total_seconds())
+        return min(limit_s, asked.total_seconds())
 
     async def _connect(self) -> TargetConnection:
         loop = asyncio.get_running_loop()
--- a/tests/serving/test_streams.py
+++ b/tests/serving/test_streams.py
@@ -210,6 +210,53 @@
         assert engine.received[2].writer is not known
 
 
+@run_async
+async def test_request_whose_first_byte_is_late_moves_to_another_target():
+    async def never_answer(received):
+        await received.wait_closed()
+
+    rows = (model_row(deadline_ms=300),)
+    targets = TargetsSettings(first_byte_limit_ms=600_000)
+    async with (
+        run_world(rows, targets=targets) as world,
+        create_client(world) as client,
+    ):
+        silent = await world.add_engine("e1", never_answer)
+        await world.add_engine("e2", stream_tokens(5))
+        for _ in range(10):
+            response = await post_stream(client)
+            assert response.content == stream_body(5)
+        # Its lateness counts against it, without another failure.
+        assert 1 <= len(silent.received) < 10
+
+
+@run_async
+async def test_late_request_stays_where_it_is_when_it_cannot_move():
+    go_on = anyio.Event()
+
+    async def wait(received):
+        await go_on.wait()
+        await stream_tokens(5)(received)
+
+    rows = (model_row(deadline_ms=100),)
+    async with run_world(rows) as world, create_client(world) as client:
+        engine = await world.add_engine("e1", wait)
+        async with anyio.create_task_group() as group:
+
+            async def call():
+                response = await post_stream(client)
+                assert response.content == stream_body(5)
+
+            group.start_soon(call)
+            await wait_until(lambda: len(engine.received) == 1)
+            connection = next(
+                iter(next(iter(world.router._targets.values())).client._busy)
+            )
+            assert connection.first_byte_limit_s == 30.0
+            go_on.set()
+        assert len(engine.received) == 1
+
+
 @pytest.mark.parametrize(
     "tail",
     [
