Give up a target of another domain that answers nothing

In the partition trace, chats of the cut-off domain for models that are loaded only elsewhere waited up to 28 s, until the cut healed: no other target to move to. A target of another domain that sends no byte for twice the deadline (1 s at least) is given up; the caller gets 502 at once when there is no other. In the own domain, without another holder, a late answer is still waited for.

--- a/dotterelbridge/serving/attempts.py
+++ b/dotterelbridge/serving/attempts.py
@@ -131,6 +131,8 @@
                 # The connection's fault, not the target's: once, and on a
                 # new connection, it costs no budget.
                 return
+            if not self._router.may_move(call, slot.target):
+                raise error
         try:
             self._router.check_retry(call, slot.target)
         except RetriesSpent as spent:
--- a/dotterelbridge/serving/callers.py
+++ b/dotterelbridge/serving/callers.py
@@ -25,6 +25,7 @@
 from dotterelbridge.routing.errors import RoutingRefused
 from dotterelbridge.routing.router import Router
 from dotterelbridge.routing.settings import RoutingSettings
+from dotterelbridge.routing.target import Distance
 from dotterelbridge.routing.target import Slot
 from dotterelbridge.serving.answer import HOP_HEADERS
 from dotterelbridge.serving.answer import SINK_EXTENSION
@@ -59,6 +60,7 @@
 MODELS_PATH = "/v1/models"
 SERVICES_PREFIX = "/services/"
 _BYTES_PER_KB = 1024
+_NEW_LIMIT_MIN = timedelta(seconds=1)
 _LATE_FACTOR = 2
 """Times the deadline after which a request is given up at a target."""
 _KEPT_LIMIT_MIN = timedelta(milliseconds=500)
@@ -380,14 +382,19 @@
         )
 
     def _find_new_limit(self, slot: Slot) -> timedelta | None:
-        """Return the silence after which a request moves elsewhere.
+        """Return the silence after which a request is given up there.
 
-        None where it can't: a late answer is better than none then.
+        None where a late answer is better than none: at a target of the
+        own failure domain, with no other to move to. A silent target of
+        another domain is probably cut off.
         """
         call = slot.call
-        if not call.idempotent or not self._router.may_move(call, slot.target):
+        if not call.idempotent:
             return None
-        return _LATE_FACTOR * _find_kept_limit(slot)
+        is_near = slot.target.distance is Distance.OWN_DOMAIN
+        if is_near and not self._router.may_move(call, slot.target):
+            return None
+        return max(_NEW_LIMIT_MIN, _LATE_FACTOR * _find_kept_limit(slot))
 
 
 def _create_service_request(
--- a/tests/serving/test_streams.py
+++ b/tests/serving/test_streams.py
@@ -230,6 +230,26 @@
         assert 1 <= len(silent.received) < 10
 
 
+@run_async
+async def test_silent_target_of_another_domain_is_given_up():
+    async def never_answer(received):
+        await received.wait_closed()
+
+    rows = (model_row(deadline_ms=100),)
+    targets = TargetsSettings(first_byte_limit_ms=600_000)
+    async with (
+        run_world(rows, targets=targets) as world,
+        create_client(world) as client,
+    ):
+        engine = await world.add_engine(
+            "e1", never_answer, domain="cork-1", region="cork"
+        )
+        response = await post_stream(client)
+        assert response.status_code == 502
+        assert response.headers["dotterelbridge-run"] == "unknown"
+        assert len(engine.received) == 2
+
+
 @run_async
 async def test_late_request_stays_where_it_is_when_it_cannot_move():
     go_on = anyio.Event()
