--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -58,6 +58,9 @@
 _HAND_OVER_LIMIT = timedelta(seconds=2)
 """How long a stopping leader of the log waits for its successor."""
 
+_FLUSH_LIMIT = timedelta(seconds=2)
+"""How long a stopping daemon waits for its answers to other VMs."""
+
 
 class Assembly:
     """The parts of one daemon, in the order in which they start."""
@@ -100,6 +103,7 @@
         await self._claims.drain()
         await self._operators.drain()
         await self._log.hand_over(_HAND_OVER_LIMIT)
+        await self._network.flush(_FLUSH_LIMIT)
 
     def describe_open_work(self) -> dict[str, int]:
         """Return the number of requests in flight."""
@@ -236,6 +240,7 @@
             routing,
             self._rng,
         )
+        self._app.require(self._sheet.is_known)
         self._registry.add("serving", self._app)
         self._listener = create_caller_listener(
             self._app, serving, self._clock
