--- a/bench/sheet.py
+++ b/bench/sheet.py
@@ -35,8 +35,8 @@
 from dotterelbridge.ids import Priority
 from dotterelbridge.ids import Region
 from dotterelbridge.ids import SheetNumber
+from dotterelbridge.sheet.cells import KnownNames
 from dotterelbridge.sheet.force import SheetInForce
-from dotterelbridge.sheet.parser import KnownNames
 from dotterelbridge.sheet.parser import format_sheet
 from dotterelbridge.sheet.rows import SheetRow
 from dotterelbridge.sheet.settings import SheetSettings
--- a/bench/state_node.py
+++ b/bench/state_node.py
@@ -35,7 +35,7 @@
 from dotterelbridge.replication.factory import create_replicated_log
 from dotterelbridge.replication.file_storage import create_file_storage
 from dotterelbridge.replication.settings import ReplicationSettings
-from dotterelbridge.sheet.parser import KnownNames
+from dotterelbridge.sheet.cells import KnownNames
 from dotterelbridge.sheet.settings import SheetSettings
 from dotterelbridge.sheet.store import create_sheet_store
 
--- a/dotterelbridge/claims/replicated.py
+++ b/dotterelbridge/claims/replicated.py
@@ -13,7 +13,6 @@
 from dotterelbridge.claims.commands import Abandon
 from dotterelbridge.claims.commands import AnyCommand
 from dotterelbridge.claims.commands import Begin
-from dotterelbridge.claims.commands import ClaimLimits
 from dotterelbridge.claims.commands import ClaimResult
 from dotterelbridge.claims.commands import Record
 from dotterelbridge.claims.commands import Release
@@ -22,12 +21,7 @@
 from dotterelbridge.claims.commands import Verdict
 from dotterelbridge.claims.commands import decode_result
 from dotterelbridge.claims.commands import encode_command
-from dotterelbridge.claims.errors import AttemptReleased
-from dotterelbridge.claims.errors import ClaimsNotReady
-from dotterelbridge.claims.errors import ClaimTableFull
 from dotterelbridge.claims.errors import HomeUnknown
-from dotterelbridge.claims.errors import KeyFromFuture
-from dotterelbridge.claims.errors import UndatedKeyRefused
 from dotterelbridge.claims.events import ClaimEvent
 from dotterelbridge.claims.keys import hash_key
 from dotterelbridge.claims.keys import hash_text
@@ -36,11 +30,14 @@
 from dotterelbridge.claims.machine import MACHINE_NAME
 from dotterelbridge.claims.machine import ClaimMachine
 from dotterelbridge.claims.outbox import Outbox
+from dotterelbridge.claims.refusals import create_undated_refusal
+from dotterelbridge.claims.refusals import raise_refusal
 from dotterelbridge.claims.service import ClaimReply
 from dotterelbridge.claims.service import ClaimService
 from dotterelbridge.claims.service import ClaimState
 from dotterelbridge.claims.service import RecordedAnswer
 from dotterelbridge.claims.settings import ClaimsSettings
+from dotterelbridge.claims.settings import create_limits
 from dotterelbridge.clock import Clock
 from dotterelbridge.dump import Dumpable
 from dotterelbridge.errors import CommitUnknown
@@ -54,7 +51,6 @@
 
 RETRY_PAUSE = timedelta(milliseconds=50)
 BYTES_PER_KB = 1024
-BYTES_PER_MB = 1024 * BYTES_PER_KB
 
 _log = structlog.get_logger(__name__)
 _answer_decoder = msgspec.msgpack.Decoder(RecordedAnswer)
@@ -86,7 +82,7 @@
         self._settings = settings
         self._clock = clock
         self._own = own
-        self._limits = _create_limits(settings, vm_count, volatile)
+        self._limits = create_limits(settings, vm_count, volatile)
         self._reports_time = reports_time
         self._tick_interval = _choose_tick_interval(settings, volatile)
         self._machine = ClaimMachine()
@@ -105,7 +101,7 @@
         self._check_home(key)
         key_time_ms = read_key_time(key)
         if key_time_ms is None and self._settings.require_dated_keys:
-            raise _refuse_undated()
+            raise create_undated_refusal()
         command = Begin(
             stamp=self._create_stamp(),
             key=hash_key(business, key),
@@ -218,7 +214,7 @@
                 except NotCommitted as error:
                     await self._pause(deadline, error)
                 else:
-                    _raise_refusal(result.verdict)
+                    raise_refusal(result.verdict)
                     return result
         except NotCommitted as error:
             if not uncertain:
@@ -347,22 +343,15 @@
     )
 
 
-def _create_limits(
-    settings: ClaimsSettings, vm_count: int, volatile: bool
-) -> ClaimLimits:
-    return ClaimLimits(
-        attempt_limit_ms=settings.attempt_limit_s * MS_PER_S,
-        answer_age_ms=settings.answer_age_s * MS_PER_S,
-        answers_bytes=settings.answers_limit_mb * BYTES_PER_MB,
-        answers=settings.answers_limit,
-        attempts=settings.attempts_limit,
-        dated_key_age_ms=settings.dated_key_age_s * MS_PER_S,
-        undated_key_age_ms=settings.undated_key_age_s * MS_PER_S,
-        remembered=settings.remembered_limit,
-        clock_quorum=min(settings.clock_quorum, vm_count),
-        key_skew_ms=settings.key_skew_s * MS_PER_S,
-        volatile=volatile,
-    )
+def _create_reply(result: ClaimResult) -> ClaimReply:
+    answer = None
+    if result.answer is not None:
+        answer = _answer_decoder.decode(result.answer)
+    return ClaimReply(state=ClaimState(result.verdict.value), answer=answer)
+
+
+def _milliseconds(value: int) -> timedelta:
+    return timedelta(milliseconds=value)
 
 
 def _create_release(command: Begin) -> Release:
@@ -383,45 +372,3 @@
     if not volatile:
         return interval
     return min(interval, timedelta(seconds=settings.key_skew_s) / 4)
-
-
-def _refuse_undated() -> UndatedKeyRefused:
-    return UndatedKeyRefused(
-        "the idempotency key does not tell when it was made",
-        "send a UUIDv7 as Idempotency-Key",
-    )
-
-
-def _raise_refusal(verdict: Verdict) -> None:
-    if verdict is Verdict.FULL:
-        events.log(_log, ClaimEvent.TABLE_FULL)
-        raise ClaimTableFull(
-            "no further idempotency key can be claimed",
-            "send the call again later; operators: see [claims]",
-        )
-    if verdict is Verdict.NOT_READY:
-        raise ClaimsNotReady(
-            "the claims have just started", "send the call again in a second"
-        )
-    if verdict is Verdict.UNDATED:
-        raise _refuse_undated()
-    if verdict is Verdict.AHEAD:
-        raise KeyFromFuture(
-            "the idempotency key tells a time that has not come yet",
-            "set the clock of the caller and send the call again",
-        )
-    if verdict is Verdict.RELEASED:
-        raise AttemptReleased(
-            "the attempt gave up its key", "send the call again"
-        )
-
-
-def _create_reply(result: ClaimResult) -> ClaimReply:
-    answer = None
-    if result.answer is not None:
-        answer = _answer_decoder.decode(result.answer)
-    return ClaimReply(state=ClaimState(result.verdict.value), answer=answer)
-
-
-def _milliseconds(value: int) -> timedelta:
-    return timedelta(milliseconds=value)
--- a/dotterelbridge/claims/settings.py
+++ b/dotterelbridge/claims/settings.py
@@ -4,8 +4,11 @@
 
 import msgspec
 
+from dotterelbridge.claims.commands import MS_PER_S
+from dotterelbridge.claims.commands import ClaimLimits
 from dotterelbridge.settings_schema import Section
 
+BYTES_PER_MB = 1024 * 1024
 _Positive = msgspec.Meta(ge=1)
 
 
@@ -52,3 +55,22 @@
     """Time that a stopping VM waits to record the last outcomes."""
     outbox_limit: Annotated[int, _Positive] = 2000
     """Outcomes that wait for the log; the oldest go first."""
+
+
+def create_limits(
+    settings: ClaimsSettings, vm_count: int, volatile: bool
+) -> ClaimLimits:
+    """Return the limits as commands carry them."""
+    return ClaimLimits(
+        attempt_limit_ms=settings.attempt_limit_s * MS_PER_S,
+        answer_age_ms=settings.answer_age_s * MS_PER_S,
+        answers_bytes=settings.answers_limit_mb * BYTES_PER_MB,
+        answers=settings.answers_limit,
+        attempts=settings.attempts_limit,
+        dated_key_age_ms=settings.dated_key_age_s * MS_PER_S,
+        undated_key_age_ms=settings.undated_key_age_s * MS_PER_S,
+        remembered=settings.remembered_limit,
+        clock_quorum=min(settings.clock_quorum, vm_count),
+        key_skew_ms=settings.key_skew_s * MS_PER_S,
+        volatile=volatile,
+    )
--- a/dotterelbridge/cli/sheet_commands.py
+++ b/dotterelbridge/cli/sheet_commands.py
@@ -15,10 +15,10 @@
 from dotterelbridge.cli.environment import Environment
 from dotterelbridge.cli.exit_status import ExitStatus
 from dotterelbridge.clock import Clock
+from dotterelbridge.sheet.cells import KnownNames
 from dotterelbridge.sheet.delta import RowChanges
 from dotterelbridge.sheet.delta import compute_changes
-from dotterelbridge.sheet.parser import KnownNames
-from dotterelbridge.sheet.parser import SheetFaulty
+from dotterelbridge.sheet.faults import SheetFaulty
 from dotterelbridge.sheet.parser import parse_sheet
 from dotterelbridge.sheet.rows import SheetRevision
 from dotterelbridge.sheet.rows import SheetRow
--- a/dotterelbridge/sheet/messages.py
+++ b/dotterelbridge/sheet/messages.py
@@ -12,7 +12,7 @@
 from dotterelbridge.peers.messages import register_message
 from dotterelbridge.sheet.aggregate import SubmitOutcome
 from dotterelbridge.sheet.delta import SheetDelta
-from dotterelbridge.sheet.parser import SheetFault
+from dotterelbridge.sheet.faults import SheetFault
 
 
 @register_message("sheet-poll")
--- a/dotterelbridge/sheet/operators.py
+++ b/dotterelbridge/sheet/operators.py
@@ -9,7 +9,7 @@
 from dotterelbridge.ids import SheetNumber
 from dotterelbridge.sheet.aggregate import SubmitOutcome
 from dotterelbridge.sheet.aggregate import SubmitState
-from dotterelbridge.sheet.parser import SheetFaulty
+from dotterelbridge.sheet.faults import SheetFaulty
 from dotterelbridge.sheet.parser import format_sheet
 from dotterelbridge.sheet.store import SheetStore
 from dotterelbridge.sheet.submission import SheetNotAccepted
--- a/dotterelbridge/sheet/store.py
+++ b/dotterelbridge/sheet/store.py
@@ -19,6 +19,7 @@
 from dotterelbridge.replication.log import ReplicatedLog
 from dotterelbridge.sheet.aggregate import Sheet
 from dotterelbridge.sheet.aggregate import SubmitOutcome
+from dotterelbridge.sheet.cells import KnownNames
 from dotterelbridge.sheet.delta import SheetDelta
 from dotterelbridge.sheet.feed import UNKNOWN_CONTACT_MS
 from dotterelbridge.sheet.feed import Contact
@@ -29,7 +30,6 @@
 from dotterelbridge.sheet.messages import SheetStatusRequest
 from dotterelbridge.sheet.messages import SheetSubmission
 from dotterelbridge.sheet.messages import VmSheetStatus
-from dotterelbridge.sheet.parser import KnownNames
 from dotterelbridge.sheet.rows import EMPTY_SHEET
 from dotterelbridge.sheet.rows import SheetRevision
 from dotterelbridge.sheet.settings import SheetSettings
--- a/dotterelbridge/sheet/submission.py
+++ b/dotterelbridge/sheet/submission.py
@@ -24,15 +24,15 @@
 from dotterelbridge.sheet.aggregate import SubmitState
 from dotterelbridge.sheet.aggregate import decode_outcome
 from dotterelbridge.sheet.aggregate import encode_command
+from dotterelbridge.sheet.cells import KnownNames
 from dotterelbridge.sheet.delta import compute_changes
 from dotterelbridge.sheet.delta import pack_rows
 from dotterelbridge.sheet.events import SheetEvent
+from dotterelbridge.sheet.faults import SheetFaulty
 from dotterelbridge.sheet.messages import SheetSubmission
 from dotterelbridge.sheet.messages import SheetSubmitted
 from dotterelbridge.sheet.messages import SubmitFailure
 from dotterelbridge.sheet.parser import BYTES_PER_MB
-from dotterelbridge.sheet.parser import KnownNames
-from dotterelbridge.sheet.parser import SheetFaulty
 from dotterelbridge.sheet.parser import parse_sheet_in_steps
 from dotterelbridge.sheet.rows import SheetRow
 from dotterelbridge.sheet.settings import SheetSettings
--- a/tests/sheet_cluster.py
+++ b/tests/sheet_cluster.py
@@ -26,8 +26,8 @@
 from dotterelbridge.replication.settings import ReplicationSettings
 from dotterelbridge.replication.storage import LogStorage
 from dotterelbridge.replication.storage import create_memory_storage
-from dotterelbridge.sheet.parser import COLUMNS
-from dotterelbridge.sheet.parser import KnownNames
+from dotterelbridge.sheet.cells import COLUMNS
+from dotterelbridge.sheet.cells import KnownNames
 from dotterelbridge.sheet.settings import SheetSettings
 from dotterelbridge.sheet.store import SheetStore
 from dotterelbridge.sheet.store import create_sheet_store
--- a/tests/test_sheet_features.py
+++ b/tests/test_sheet_features.py
@@ -20,8 +20,8 @@
 from dotterelbridge.ids import VmId
 from dotterelbridge.logs import RecentEvents
 from dotterelbridge.serving.operators import create_operator_app
+from dotterelbridge.sheet.cells import COLUMNS
 from dotterelbridge.sheet.operators import create_sheet_routes
-from dotterelbridge.sheet.parser import COLUMNS
 from tests.sheet_cluster import ClusterRunner
 from tests.sheet_cluster import make_csv
 
--- a/tests/test_sheet_parser.py
+++ b/tests/test_sheet_parser.py
@@ -8,9 +8,9 @@
 from dotterelbridge.ids import ItemKind
 from dotterelbridge.ids import Priority
 from dotterelbridge.ids import Region
-from dotterelbridge.sheet.parser import COLUMNS
-from dotterelbridge.sheet.parser import KnownNames
-from dotterelbridge.sheet.parser import SheetFaulty
+from dotterelbridge.sheet.cells import COLUMNS
+from dotterelbridge.sheet.cells import KnownNames
+from dotterelbridge.sheet.faults import SheetFaulty
 from dotterelbridge.sheet.parser import format_sheet
 from dotterelbridge.sheet.parser import parse_sheet
 from dotterelbridge.sheet.rows import SheetRow
--- a/tests/test_sheet_spread.py
+++ b/tests/test_sheet_spread.py
@@ -10,9 +10,9 @@
 from dotterelbridge.ids import SheetNumber
 from dotterelbridge.ids import VmId
 from dotterelbridge.sheet.aggregate import SubmitState
+from dotterelbridge.sheet.cells import KnownNames
+from dotterelbridge.sheet.faults import SheetFaulty
 from dotterelbridge.sheet.parser import LINES_PER_STEP
-from dotterelbridge.sheet.parser import KnownNames
-from dotterelbridge.sheet.parser import SheetFaulty
 from dotterelbridge.sheet.parser import parse_sheet
 from dotterelbridge.sheet.parser import parse_sheet_in_steps
 from dotterelbridge.sheet.rows import EMPTY_SHEET
