--- a/standins/engine.py
+++ b/standins/engine.py
@@ -7,10 +7,7 @@
 import argparse
 import asyncio
 from collections import Counter
-from collections import OrderedDict
 from collections import deque
-import heapq
-import itertools
 import random
 import time
 from typing import Any
@@ -24,18 +21,21 @@
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import OrderId
 from dotterelbridge.ids import TargetId
-from dotterelbridge.targets.engine import CacheEvent
-from dotterelbridge.targets.engine import CacheEventKind
 from dotterelbridge.targets.engine import EngineItem
 from dotterelbridge.targets.engine import EngineLoad
 from dotterelbridge.targets.engine import EngineOrder
 from dotterelbridge.targets.engine import EngineRole
 from dotterelbridge.targets.engine import Inventory
-from dotterelbridge.targets.engine import LoadedItem
 from dotterelbridge.targets.engine import LoadState
 from dotterelbridge.targets.engine import OrderAction
 from dotterelbridge.targets.engine import OrderAnswer
 from dotterelbridge.targets.engine import OrderStatus
+from standins.accelerator import Memory
+from standins.accelerator import item_key
+from standins.batch import PRIORITY_RANKS
+from standins.batch import Batch
+from standins.batch import Stream
+from standins.prefix_cache import PrefixCache
 from standins.server import Exchange
 from standins.server import StandIn
 from standins.server import serve
@@ -45,18 +45,10 @@
 from standins.tokens import prompt_blocks
 from standins.weights import TransferPool
 
-PRIORITY_RANKS = {"urgent": 0, "normal": 1, "background": 2}
 PREFILL_TOKENS_PER_S = 8000.0
-SINGLE_STREAM_STEP = 0.75
-"""Part of the full batch's token time that a lone stream takes."""
-WAITING_PER_SLOT = 4
 BLOCK_MB = 8
 KV_BLOCK_BYTES = 4096
 LOAD_REPORT_LAG_S = 1.0
-CACHE_EVENT_LAG_S = (0.2, 2.0)
-CACHE_EVENT_LOSS = 0.05
-CACHE_EVENTS_KEPT = 10_000
-CACHE_EVENTS_PER_ANSWER = 1000
 SETTLED_ORDERS_KEPT = 1000
 UNLOAD_SHARE = 0.1
 """Part of the load time that an unload takes."""
@@ -70,230 +62,6 @@
 }
 
 
-class Stream:
-    """One request that waits or runs."""
-
-    def __init__(self, item: str, rank: int, tokens: list[str]) -> None:
-        self.item = item
-        self.rank = rank
-        self.tokens = tokens
-        self.generated = 0
-        self.prefill_s = 0.0
-        self.first_token_at = 0.0
-        self.broken = False
-        self.progress = asyncio.Event()
-
-    @property
-    def finished(self) -> bool:
-        """Whether all tokens are generated or the stream was broken."""
-        return self.broken or self.generated >= len(self.tokens)
-
-
-class Batch:
-    """Continuous batching: one ticker generates a token for each stream."""
-
-    def __init__(self, slots: int, token_s: float) -> None:
-        self.slots = slots
-        self.running: set[Stream] = set()
-        self.slow_factor = 1.0
-        self.tokens_per_second = 0.0
-        self._token_s = token_s
-        self._waiting: list[tuple[int, int, Stream]] = []
-        self._arrivals = itertools.count()
-        self._work = asyncio.Event()
-
-    @property
-    def waiting(self) -> int:
-        """Number of streams that wait for a slot."""
-        return len(self._waiting)
-
-    @property
-    def full(self) -> bool:
-        """Whether new work is refused."""
-        return self.waiting >= self.slots * WAITING_PER_SLOT
-
-    def add(self, stream: Stream) -> None:
-        """Queue a stream by priority, then by arrival."""
-        entry = (stream.rank, next(self._arrivals), stream)
-        heapq.heappush(self._waiting, entry)
-        self._admit()
-
-    def remove(self, stream: Stream) -> None:
-        """Take a stream out, finished or not."""
-        self.running.discard(stream)
-        self._waiting = [e for e in self._waiting if e[2] is not stream]
-        heapq.heapify(self._waiting)
-        self._admit()
-
-    def break_streams(self, item: str) -> int:
-        """Break the streams of an item; returns their number."""
-        queued = [entry[2] for entry in self._waiting]
-        broken = [s for s in [*self.running, *queued] if s.item == item]
-        for stream in broken:
-            stream.broken = True
-            stream.progress.set()
-        return len(broken)
-
-    def count_running(self, item: str) -> int:
-        """Return the number of running streams of an item."""
-        return sum(stream.item == item for stream in self.running)
-
-    async def run(self) -> None:
-        """Generate tokens until cancelled."""
-        next_step = time.monotonic()
-        while True:
-            if not self.running:
-                self._work.clear()
-                self.tokens_per_second = 0.0
-                await self._work.wait()
-                next_step = time.monotonic()
-            step_s = self._step_seconds()
-            next_step = max(next_step + step_s, time.monotonic())
-            await asyncio.sleep(next_step - time.monotonic())
-            self.tokens_per_second = self._step() / step_s
-
-    def _step_seconds(self) -> float:
-        share = SINGLE_STREAM_STEP
-        share += (1 - SINGLE_STREAM_STEP) * len(self.running) / self.slots
-        return self._token_s * share * self.slow_factor
-
-    def _step(self) -> int:
-        now = time.monotonic()
-        tokens = 0
-        for stream in list(self.running):
-            if stream.first_token_at <= now:
-                stream.generated += 1
-                tokens += 1
-                stream.progress.set()
-            if stream.finished:
-                self.running.discard(stream)
-        self._admit()
-        return tokens
-
-    def _admit(self) -> None:
-        while self._waiting and len(self.running) < self.slots:
-            stream = heapq.heappop(self._waiting)[2]
-            prefill_s = stream.prefill_s * self.slow_factor
-            stream.first_token_at = time.monotonic() + prefill_s
-            self.running.add(stream)
-            self._work.set()
-
-
-class PrefixCache:
-    """Least recently used prompt blocks, and their late, gappy events."""
-
-    def __init__(self, blocks: int, source: random.Random) -> None:
-        self._limit = blocks
-        self._random = source
-        self._blocks: OrderedDict[str, str] = OrderedDict()
-        self._events: deque[tuple[float, CacheEvent]] = deque(
-            maxlen=CACHE_EVENTS_KEPT
-        )
-        self._sequence = itertools.count(1)
-        self._visible_at = 0.0
-
-    def __contains__(self, block: str) -> bool:
-        return block in self._blocks
-
-    def use(self, model: str, blocks: list[str]) -> int:
-        """Store the blocks of a prompt; returns how many led it."""
-        hits = 0
-        for block in blocks:
-            if block not in self._blocks:
-                break
-            hits += 1
-        for block in blocks:
-            self.store(model, block)
-        return hits
-
-    def store(self, model: str, block: str) -> None:
-        """Store one block, in place of the least recently used one."""
-        if block in self._blocks:
-            self._blocks.move_to_end(block)
-            return
-        self._blocks[block] = model
-        self._publish(CacheEventKind.STORED, model, block)
-        if len(self._blocks) > self._limit:
-            evicted, owner = self._blocks.popitem(last=False)
-            self._publish(CacheEventKind.REMOVED, owner, evicted)
-
-    def clear(self, model: str) -> None:
-        """Drop all blocks of a model."""
-        for block in [b for b, m in self._blocks.items() if m == model]:
-            del self._blocks[block]
-        self._publish(CacheEventKind.CLEARED, model, "")
-
-    def read_events(self, after: int) -> list[CacheEvent]:
-        """Return the events that are visible by now."""
-        now = time.monotonic()
-        visible = (
-            event
-            for visible_at, event in self._events
-            if visible_at <= now and event.sequence > after
-        )
-        return list(itertools.islice(visible, CACHE_EVENTS_PER_ANSWER))
-
-    def _publish(self, kind: CacheEventKind, model: str, block: str) -> None:
-        event = CacheEvent(
-            sequence=next(self._sequence),
-            kind=kind,
-            model=ItemName(model),
-            block=block,
-        )
-        lag = self._random.uniform(*CACHE_EVENT_LAG_S)
-        self._visible_at = max(self._visible_at, time.monotonic() + lag)
-        if self._random.random() >= CACHE_EVENT_LOSS:
-            self._events.append((self._visible_at, event))
-
-
-class Memory:
-    """Items in accelerator memory, and what exceeded it."""
-
-    def __init__(self, memory_mb: int, kv_reserved_mb: int) -> None:
-        self.memory_mb = memory_mb
-        self.kv_reserved_mb = kv_reserved_mb
-        self.items: dict[str, LoadedItem] = {}
-        self.sequence = 0
-        self.peak_mb = kv_reserved_mb
-        self.over_commits = 0
-
-    def used_mb(self) -> int:
-        """Return the memory taken, KV cache included."""
-        weights = sum(entry.item.memory_mb for entry in self.items.values())
-        return weights + self.kv_reserved_mb
-
-    def put(self, item: EngineItem, state: LoadState) -> bool:
-        """Set the state of an item; returns whether it fits."""
-        key = item_key(item)
-        added = key not in self.items
-        self.items[key] = LoadedItem(item=item, state=state)
-        self.sequence += 1
-        self.peak_mb = max(self.peak_mb, self.used_mb())
-        fits = not added or self.used_mb() <= self.memory_mb
-        self.over_commits += not fits
-        return fits
-
-    def remove(self, key: str) -> None:
-        """Free the memory of an item."""
-        self.items.pop(key, None)
-        self.sequence += 1
-
-    def find_ready(self, model: str) -> str | None:
-        """Return the key of a ready item, the newest version by default."""
-        ready = [
-            key
-            for key, entry in self.items.items()
-            if entry.state is LoadState.READY
-            and model in (key, entry.item.name)
-        ]
-        return max(ready, default=None)
-
-
-def item_key(item: EngineItem) -> str:
-    """Return NAME@VERSION."""
-    return f"{item.name}@{item.version}"
-
-
 class EngineStandIn(StandIn):
     """A model engine that generates predictable tokens."""
 
