--- a/bench/replay.py
+++ b/bench/replay.py
@@ -12,10 +12,8 @@
 import tempfile
 import time
 
-import httpx
 from rich.console import Console
 from rich.progress import Progress
-from rich.table import Table
 
 from bench.audit import Figures
 from bench.audit import audit
@@ -23,11 +21,10 @@
 from bench.callers import Callers
 from bench.callers import Outcome
 from bench.callers import Reply
-from bench.deployment import LOOPBACK
 from bench.deployment import STOP_TIMEOUT_S
-from bench.deployment import TOKEN
 from bench.deployment import Deployment
-from bench.trace import Bound
+from bench.report import print_table
+from bench.sheet_watch import SheetWatch
 from bench.trace import Call
 from bench.trace import Event
 from bench.trace import Fault
@@ -44,9 +41,6 @@
 BENCH = pathlib.Path(__file__).parent
 CHOOSERS = ("estimate", "round_robin", "random", "least_outstanding")
 POLICIES = tuple(policy.value for policy in PolicyName)
-SHEET_TIMEOUT_S = 30.0
-STATUS_INTERVAL_S = 0.2
-STATUS_TIMEOUT_S = 1.0
 PROBE_DEADLINE_MS = 60_000
 DEFAULT_SLOW_FACTOR = 10.0
 DEFAULT_DELAY_MS = 4000
@@ -72,78 +66,6 @@
 }
 
 
-class SheetWatch:
-    """Follows the sheet's revision on every VM."""
-
-    def __init__(self, deployment: Deployment) -> None:
-        self._deployment = deployment
-        self._revisions: dict[VmId, int] = dict.fromkeys(deployment.vms, 0)
-        self.unreachable: set[str] = set()
-        """VMs that are killed, stopped or cut off now."""
-        self.reverts = 0
-        self.refusals: list[str] = []
-        self.in_force_s: list[float] = []
-        headers = {"Authorization": f"Bearer {TOKEN}"}
-        self._client = httpx.AsyncClient(headers=headers)
-
-    async def run(self) -> None:
-        """Ask every VM for its revision until cancelled."""
-        async with asyncio.TaskGroup() as tasks:
-            for vm in self._deployment.vms:
-                tasks.create_task(self._watch(vm))
-
-    async def submit(self, event: SheetChange, vm: VmId) -> bool:
-        """Submit a sheet and wait until it is in force.
-
-        The time counts from the acceptance to the last VM that could be
-        reached all the while.
-        """
-        content = (BENCH / "traces" / event.sheet).read_bytes()
-        url = f"{self._url(vm)}/sheet?number={event.number}"
-        try:
-            answer = await self._client.put(
-                url, content=content, timeout=SHEET_TIMEOUT_S
-            )
-        except httpx.TransportError as error:
-            self.refusals.append(f"sheet {event.number}: {error!r}")
-            return False
-        if not answer.is_success:
-            self.refusals.append(f"sheet {event.number}: {answer.text}")
-            return False
-        revision = answer.json()["revision"]
-        self.in_force_s.append(await self._wait_in_force(revision))
-        return True
-
-    async def _wait_in_force(self, revision: int) -> float:
-        started = time.monotonic()
-        waiting = set(self._revisions)
-        while time.monotonic() - started < SHEET_TIMEOUT_S:
-            waiting -= self.unreachable
-            waiting = {v for v in waiting if self._revisions[v] < revision}
-            if not waiting:
-                return time.monotonic() - started
-            await asyncio.sleep(STATUS_INTERVAL_S / 4)
-        return SHEET_TIMEOUT_S
-
-    def _url(self, vm: VmId) -> str:
-        port = self._deployment.operator_ports[vm]
-        return f"http://{LOOPBACK}:{port}/operators/v1"
-
-    async def _watch(self, vm: VmId) -> None:
-        while True:
-            try:
-                answer = await self._client.get(
-                    f"{self._url(vm)}/status", timeout=STATUS_TIMEOUT_S
-                )
-                revision = answer.json()["sheet_revision"]
-                ready = vm not in self.unreachable
-                self.reverts += ready and revision < self._revisions[vm]
-                self._revisions[vm] = revision
-            except httpx.TransportError:
-                pass
-            await asyncio.sleep(STATUS_INTERVAL_S)
-
-
 class Replay:
     """One run of a trace on a fresh deployment."""
 
@@ -402,38 +324,6 @@
     return overrides
 
 
-def print_table(
-    name: str, figures: Figures, bounds: list[Bound], other: Figures | None
-) -> None:
-    """Print one table; with ``other``, the ratio to it as well."""
-    table = Table(title=name)
-    columns = ["figure", "value", "stated", "result"]
-    columns += ["against", "ratio"] if other else []
-    for column in columns:
-        side = "left" if column == "figure" else "right"
-        table.add_column(column, justify=side)
-    stated = {bound.figure: bound for bound in bounds}
-    for figure, value in figures.items():
-        row = [figure, f"{value:,.2f}", *describe_bound(stated, figure, value)]
-        if other:
-            base = other.get(figure, 0.0)
-            ratio = f"{value / base:.3f}" if base else "-"
-            row += [f"{base:,.2f}", ratio]
-        table.add_row(*row)
-    Console(width=100).print(table)
-
-
-def describe_bound(stated: dict, figure: str, value: float) -> list[str]:
-    """Return the bound of a figure and whether it holds."""
-    bound = stated.get(figure)
-    if bound is None:
-        return ["", ""]
-    limit = bound.at_most
-    sign = "<=" if limit is not None else ">="
-    limit = bound.at_least if limit is None else limit
-    return [f"{sign} {limit:g}", "ok" if bound.holds(value) else "FAILED"]
-
-
 def replay_trace(arguments: argparse.Namespace, trace: pathlib.Path) -> bool:
     """Replay, print and return whether all stated outcomes hold."""
     bounds = read_outcomes(trace.with_suffix(".outcome.ini"))
