--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -34,6 +35,9 @@
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.1
+LOG_TAIL = 2000
+LOWEST_PORT = 12_000
+FIRST_EPHEMERAL_PORT = 32_768
 ITEMS_OPTION = "--items="
 TOKEN = "bench-operator-token"
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
@@ -249,7 +253,7 @@
         while not self.is_ready(vm):
             process = self.processes[vm]
             if not process.alive or time.monotonic() > until:
-                tail = process.log.read_text()[-2000:]
+                tail = process.log.read_text()[-LOG_TAIL:]
                 raise RuntimeError(f"{vm} is not ready: {tail}")
             time.sleep(POLL_S)
 
@@ -329,10 +333,10 @@
 
     def _start_forwarder(self) -> None:
         process = self._add("forwarder", "bench.forwarder")
-        pipe, output = process.pipes
+        pipe, _ = process.pipes
         pipe.write(msgspec.json.encode(self.links) + b"\n")
         pipe.flush()
-        output.readline()
+        wait_for_ready_line(process)
 
     def _start_targets(self) -> None:
         d = self.description
@@ -360,7 +364,7 @@
                 )
             )
         for process in started:
-            process.pipes[1].readline()
+            wait_for_ready_line(process)
             # An engine that starts again has lost its memory.
             process.drop_option(ITEMS_OPTION)
 
@@ -457,11 +461,25 @@
             section["port"] = str(ports[name])
 
 
+def wait_for_ready_line(process: Process) -> None:
+    """Wait for a stand-in's line; raises RuntimeError when it ended."""
+    if not process.pipes[1].readline().startswith(b"ready"):
+        tail = process.log.read_text()[-LOG_TAIL:]
+        raise RuntimeError(f"{process.name} did not start: {tail}")
+
+
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that no listener has now."""
+    """Return ports that are free now.
+
+    They lie below the range that connections take their own ports from,
+    so that only another listener can take one before it is used.
+    """
+    ports: list[int] = []
     with contextlib.ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.create_server((LOOPBACK, 0)))
-            for _ in range(count)
-        ]
-        return [each.getsockname()[1] for each in sockets]
+        while len(ports) < count:
+            port = random.randrange(LOWEST_PORT, FIRST_EPHEMERAL_PORT)
+            with contextlib.suppress(OSError):
+                listener = socket.create_server((LOOPBACK, port))
+                stack.enter_context(listener)
+                ports.append(port)
+    return ports
