--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -11,6 +11,7 @@
 import structlog
 
 from dotterelbridge import events
+from dotterelbridge.claims.homes import create_home_claims
 from dotterelbridge.claims.replicated import create_claim_service
 from dotterelbridge.claims.settings import ClaimsSettings
 from dotterelbridge.clock import Clock
@@ -57,6 +58,9 @@
 _HAND_OVER_LIMIT = timedelta(seconds=2)
 """How long a stopping leader of the log waits for its successor."""
 
+_FLUSH_LIMIT = timedelta(seconds=2)
+"""How long a stopping daemon waits for its answers to other VMs."""
+
 
 class Assembly:
     """The parts of one daemon, in the order in which they start."""
@@ -96,8 +100,10 @@
     async def drain(self) -> None:
         """Take no new work; return when all requests are answered."""
         await self._listener.drain()
+        await self._claims.drain()
         await self._operators.drain()
         await self._log.hand_over(_HAND_OVER_LIMIT)
+        await self._network.flush(_FLUSH_LIMIT)
 
     def describe_open_work(self) -> dict[str, int]:
         """Return the number of requests in flight."""
@@ -146,14 +152,25 @@
 
     def _create_claims(self) -> None:
         settings = self._settings
+        claims = settings.section(ClaimsSettings)
         self._claims = create_claim_service(
             self._log,
-            settings.section(ClaimsSettings),
+            claims,
             self._clock,
             settings.daemon.vm,
             len(settings.vms()),
             self._holds_log,
         )
+        if claims.home_keys:
+            self._claims = create_home_claims(
+                self._claims,
+                claims,
+                self._network,
+                settings.own_vm(),
+                settings.vms(),
+                self._clock,
+                self._rng,
+            )
         self._add("claims", self._claims)
 
     def _create_sheet(self) -> None:
