Let a cut link drop new connections as a broken network does

Cause: the forwarder went on accepting while a link was cut, so that a daemon's new connection to a cut-off engine hung where a real one runs into its connect timeout.

--- a/bench/forwarder.py
+++ b/bench/forwarder.py
@@ -8,11 +8,16 @@
 import asyncio
 from collections import Counter
 import json
+import socket
 import sys
 
 import msgspec
 
 CHUNK_BYTES = 65536
+LOOPBACK = "127.0.0.1"
+BACKLOG = 1024
+FILLERS = 4
+"""Connections that fill the queue of a listener that accepts nothing."""
 
 
 class Link(msgspec.Struct, frozen=True, kw_only=True):
@@ -26,30 +31,107 @@
     """Time that a byte takes each way."""
 
 
+class Listener:
+    """The listening end of a link; blocked, it lets new connections wait.
+
+    With a full queue the kernel drops what asks for a connection, as a
+    cut network does, so that the client's connect runs into its timeout.
+    """
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+        self.open = asyncio.Event()
+        self.open.set()
+        self.socket = socket.create_server(
+            (LOOPBACK, link.listen_port), backlog=BACKLOG
+        )
+        self.socket.setblocking(False)
+        self._fillers: list[socket.socket] = []
+
+    def block(self) -> None:
+        """Accept nothing from now on."""
+        if not self.open.is_set():
+            return
+        self.open.clear()
+        self.socket.listen(0)
+        self._fill()
+
+    def unblock(self) -> None:
+        """Accept again."""
+        for filler in self._fillers:
+            filler.close()
+        self._fillers = []
+        self.socket.listen(BACKLOG)
+        self.open.set()
+
+    async def accept(self) -> socket.socket:
+        """Return the next connection while the link is not cut."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await self.open.wait()
+            connection, _ = await loop.sock_accept(self.socket)
+            if self.open.is_set():
+                return connection
+            # The accept had begun before the cut; its place is taken again.
+            self._fillers.append(connection)
+            self._fill()
+
+    def _fill(self) -> None:
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((LOOPBACK, self.link.listen_port))
+            self._fillers.append(filler)
+
+
 class Forwarder:
     """All links; a cut direction holds its bytes back until it heals."""
 
     def __init__(self) -> None:
         self._open: dict[tuple[str, str], asyncio.Event] = {}
+        self._listeners: list[Listener] = []
+        self._tasks: set[asyncio.Task] = set()
         self._bytes: Counter[str] = Counter()
 
-    async def listen(self, link: Link) -> None:
+    def listen(self, link: Link) -> None:
         """Carry the connections of one link."""
+        listener = Listener(link)
+        self._listeners.append(listener)
+        self._start_task(self._serve(listener))
 
-        async def on_connect(reader, writer) -> None:
-            await self._carry(link, reader, writer)
+    async def _serve(self, listener: Listener) -> None:
+        while True:
+            connection = await listener.accept()
+            streams = await asyncio.open_connection(sock=connection)
+            self._start_task(self._carry(listener.link, *streams))
 
-        await asyncio.start_server(on_connect, "127.0.0.1", link.listen_port)
+    def _start_task(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def execute(self, command: dict) -> None:
         """Execute one command."""
         if "cut" in command:
             self._gate(*command["cut"]).clear()
+            self._update_listeners()
         if "heal" in command:
             self._gate(*command["heal"]).set()
+            self._update_listeners()
         if "bytes" in command:
             print(json.dumps(self._bytes), flush=True)
 
+    def _update_listeners(self) -> None:
+        for listener in self._listeners:
+            link = listener.link
+            there = self._gate(link.client, link.server)
+            back = self._gate(link.server, link.client)
+            if there.is_set() and back.is_set():
+                if not listener.open.is_set():
+                    listener.unblock()
+            else:
+                listener.block()
+
     def _gate(self, source: str, sink: str) -> asyncio.Event:
         gate = self._open.get((source, sink))
         if gate is None:
@@ -65,7 +147,7 @@
             await there.wait()
             await back.wait()
             up_reader, up_writer = await asyncio.open_connection(
-                "127.0.0.1", link.port
+                LOOPBACK, link.port
             )
             writers.append(up_writer)
             delay_s = link.delay_ms / 1000
@@ -104,7 +186,7 @@
     protocol = asyncio.StreamReaderProtocol(lines)
     await loop.connect_read_pipe(lambda: protocol, sys.stdin)
     for link in msgspec.json.decode(await lines.readline(), type=list[Link]):
-        await forwarder.listen(link)
+        forwarder.listen(link)
     print("ready", flush=True)
     while line := await lines.readline():
         forwarder.execute(json.loads(line))
