--- a/bench/callers.py
+++ b/bench/callers.py
@@ -201,7 +201,7 @@
             if reply.first_token_s is None:
                 reply.first_token_s = now - last
             else:
-                reply.gaps_s = [*reply.gaps_s, now - last]
+                reply.gaps_s.append(now - last)
             last = now
             received.append(read_token(line))
         reply.outcome = judge_tokens(received, expected)
