Wait for a vote as long as the voter's disk may take

Cause: on a busy machine single gaps after a leader's death were above 2 s. A vote that was not stored within half a timeout was given up, and the candidate began again with a new term. Change: a vote may take the whole election timeout; a pre-vote, which needs no disk, a third of it in place of half, so that a silent voter delays the next try less. That this was the cause is not proved: the long gaps were single ones.

--- a/dotterelbridge/replication/election.py
+++ b/dotterelbridge/replication/election.py
@@ -1,5 +1,7 @@
 """Elections: pre-vote, vote, and the promise not to disturb a leader."""
 
+from datetime import timedelta
+
 import anyio
 import structlog
 
@@ -152,7 +154,7 @@
         )
         try:
             reply = await self._context.network.request(
-                member.vm, request, self._context.election_timeout / 2
+                member.vm, request, self._find_patience(pre_vote)
             )
         except PeerError:
             return None
@@ -162,6 +164,16 @@
             await adopt_term(self._context, reply.term)
         return reply
 
+    def _find_patience(self, pre_vote: bool) -> timedelta:
+        """Return how long to wait for an answer.
+
+        A vote waits for the voter's disk and is worth waiting for. A
+        pre-vote needs no disk, and a silent voter must not delay the
+        next try.
+        """
+        timeout = self._context.election_timeout
+        return timeout / 3 if pre_vote else timeout
+
     def _reply(self, granted: bool) -> VoteReply:
         return VoteReply(
             member=self._state.member,
