--- a/dotterelbridge/serving/callers.py
+++ b/dotterelbridge/serving/callers.py
@@ -25,6 +25,7 @@
 from dotterelbridge.routing.errors import RoutingRefused
 from dotterelbridge.routing.router import Router
 from dotterelbridge.routing.settings import RoutingSettings
+from dotterelbridge.routing.target import Distance
 from dotterelbridge.routing.target import Slot
 from dotterelbridge.serving.answer import HOP_HEADERS
 from dotterelbridge.serving.answer import SINK_EXTENSION
@@ -59,6 +60,10 @@
 MODELS_PATH = "/v1/models"
 SERVICES_PREFIX = "/services/"
 _BYTES_PER_KB = 1024
+_NEW_LIMIT_MIN = timedelta(seconds=1)
+_LATE_FACTOR = 2
+"""Times the deadline after which a request is given up at a target."""
+_KEPT_LIMIT_MIN = timedelta(milliseconds=500)
 _JSON = [(b"content-type", b"application/json")]
 _WITHHELD_HEADERS = HOP_HEADERS | {b"host", b"expect", b"x-request-id"}
 
@@ -371,9 +376,26 @@
                 (b"x-priority", slot.call.priority.value.encode()),
             ],
             body=wanted.encode_for(slot.model),
-            fresh_connection=not slot.call.idempotent,
+            fresh_connection=_needs_new_connection(slot.call),
+            kept_first_byte_limit=_find_kept_limit(slot),
+            new_first_byte_limit=self._find_new_limit(slot),
         )
 
+    def _find_new_limit(self, slot: Slot) -> timedelta | None:
+        """Return the silence after which a request is given up there.
+
+        None where a late answer is better than none: at a target of the
+        own failure domain, with no other to move to. A silent target of
+        another domain is probably cut off.
+        """
+        call = slot.call
+        if not call.idempotent:
+            return None
+        is_near = slot.target.distance is Distance.OWN_DOMAIN
+        if is_near and not self._router.may_move(call, slot.target):
+            return None
+        return max(_NEW_LIMIT_MIN, _LATE_FACTOR * _find_kept_limit(slot))
+
 
 def _create_service_request(
     request: CallerRequest, path: str, call: Call, attempt: AttemptId
@@ -390,7 +412,7 @@
             and not name.startswith(b"dotterelbridge-")
         ],
         body=request.body,
-        fresh_connection=not call.idempotent,
+        fresh_connection=_needs_new_connection(call),
     )
 
 
@@ -400,6 +422,16 @@
     return list_prompt_blocks(row.name, request.body)
 
 
+def _needs_new_connection(call: Call) -> bool:
+    return not call.idempotent or call.silences > 0
+
+
+def _find_kept_limit(slot: Slot) -> timedelta:
+    """Return the silence that gives a kept connection up: the deadline."""
+    left_s = slot.call.deadline_at - slot.taken_at
+    return max(_KEPT_LIMIT_MIN, timedelta(seconds=left_s))
+
+
 async def _run_until_hang_up(receive, run) -> None:
     """Run, or cancel the run once the caller's connection is gone."""
     failure: list[Exception] = []
--- a/tests/serving/test_streams.py
+++ b/tests/serving/test_streams.py
@@ -181,6 +181,102 @@
         await wait_until(lambda: target_client.counts()["idle"] == 1)
 
 
+@run_async
+async def test_kept_connection_that_stays_silent_is_given_up_early():
+    rows = (model_row(deadline_ms=600),)
+    # A new connection is not given up while the test lasts, and a retry
+    # out of a budget isn't to be had.
+    targets = TargetsSettings(first_byte_limit_ms=600_000)
+    routing = RoutingSettings(attempts_limit=1)
+    async with (
+        run_world(rows, targets=targets, routing=routing) as world,
+        create_client(world) as client,
+    ):
+        engine = await world.add_engine("e1", stream_tokens(2))
+        await post_stream(client)
+        await wait_until(lambda: world.app.in_flight == 0)
+        known = engine.received[0].writer
+
+        async def drop_known(received):
+            if received.writer is known:
+                await received.wait_closed()
+                return
+            await stream_tokens(2)(received)
+
+        engine.behaviour = drop_known
+        response = await post_stream(client)
+        assert response.content == stream_body(2)
+        assert engine.received[1].writer is known
+        assert engine.received[2].writer is not known
+
+
+@run_async
+async def test_request_whose_first_byte_is_late_moves_to_another_target():
+    async def never_answer(received):
+        await received.wait_closed()
+
+    rows = (model_row(deadline_ms=300),)
+    targets = TargetsSettings(first_byte_limit_ms=600_000)
+    async with (
+        run_world(rows, targets=targets) as world,
+        create_client(world) as client,
+    ):
+        silent = await world.add_engine("e1", never_answer)
+        await world.add_engine("e2", stream_tokens(5))
+        for _ in range(10):
+            response = await post_stream(client)
+            assert response.content == stream_body(5)
+        # Its lateness counts against it, without another failure.
+        assert 1 <= len(silent.received) < 10
+
+
+@run_async
+async def test_silent_target_of_another_domain_is_given_up():
+    async def never_answer(received):
+        await received.wait_closed()
+
+    rows = (model_row(deadline_ms=100),)
+    targets = TargetsSettings(first_byte_limit_ms=600_000)
+    async with (
+        run_world(rows, targets=targets) as world,
+        create_client(world) as client,
+    ):
+        engine = await world.add_engine(
+            "e1", never_answer, domain="cork-1", region="cork"
+        )
+        response = await post_stream(client)
+        assert response.status_code == 502
+        assert response.headers["dotterelbridge-run"] == "unknown"
+        assert len(engine.received) == 2
+
+
+@run_async
+async def test_late_request_stays_where_it_is_when_it_cannot_move():
+    go_on = anyio.Event()
+
+    async def wait(received):
+        await go_on.wait()
+        await stream_tokens(5)(received)
+
+    rows = (model_row(deadline_ms=100),)
+    async with run_world(rows) as world, create_client(world) as client:
+        engine = await world.add_engine("e1", wait)
+        async with anyio.create_task_group() as group:
+
+            async def call():
+                response = await post_stream(client)
+                assert response.content == stream_body(5)
+
+            group.start_soon(call)
+            await wait_until(lambda: len(engine.received) == 1)
+            connection = next(
+                iter(next(iter(world.router._targets.values())).client._busy)
+            )
+            assert connection.first_byte_limit_s == 30.0
+            go_on.set()
+        assert len(engine.received) == 1
+
+
 @pytest.mark.parametrize(
     "tail",
     [
