Leave out a silent failure domain for a while

Requests for models that are loaded only beyond a cut went there one after another, each to fail after twice its deadline. After two silent requests a domain gets none for 5 s, then one; meanwhile such requests are refused as not run at their deadline and count as demand.

--- a/dotterelbridge/routing/router.py
+++ b/dotterelbridge/routing/router.py
@@ -27,6 +27,7 @@
 from dotterelbridge.routing.cache_feed import CacheFeed
 from dotterelbridge.routing.call import Call
 from dotterelbridge.routing.chooser import create_chooser
+from dotterelbridge.routing.cuts import DomainCuts
 from dotterelbridge.routing.demand import DemandCounter
 from dotterelbridge.routing.errors import DeadlinePassed
 from dotterelbridge.routing.errors import DeadlineUnreachable
@@ -102,6 +103,7 @@
         }
         self.demand = DemandCounter()
         self._probes: list[Target] = []
+        self._cuts = DomainCuts()
         self._cache_feed = CacheFeed(
             lambda: self._targets,
             self.cache,
@@ -207,6 +209,7 @@
         if slot.first_token_at is None:
             now = self._clock.monotonic()
             slot.first_token_at = now
+            self._cuts.record_answer(slot.target)
             elapsed = now - slot.taken_at
             target = slot.target
             target.speed.record_first_token(slot.unloaded_s(elapsed), now)
@@ -231,6 +234,7 @@
         if outcome is Outcome.SILENT:
             self._probes.append(target)
             if slot.first_token_at is None:
+                self._cuts.record_silence(target, now)
                 # Known to be slow at least, so that others come first.
                 elapsed = now - slot.taken_at
                 target.speed.record_first_token(elapsed, now)
@@ -414,10 +418,17 @@
         """Yield the versions that may serve, best first, with holders."""
         for model in self._list_acceptable(call):
             holders = self._by_model.get(model, {}).values()
-            ready = [target for target in holders if target.takes_new_work]
+            ready = [
+                target
+                for target in holders
+                if target.takes_new_work and not self._is_cut_off(target)
+            ]
             if ready:
                 yield model, ready
 
+    def _is_cut_off(self, target: Target) -> bool:
+        return self._cuts.is_cut_off(target, self._clock.monotonic())
+
     def _list_acceptable(self, call: Call) -> Iterator[str]:
         if call.is_service:
             yield call.item
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -7,11 +7,14 @@
 
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import TargetId
+from dotterelbridge.routing.errors import ItemNotLoaded
 from dotterelbridge.routing.target import Outcome
 from dotterelbridge.targets.cache_index import CacheIndex
 from dotterelbridge.targets.engine import CacheEvent
 from dotterelbridge.targets.engine import CacheEventKind
 from tests.routing.fakes import RoutingWorld
+from tests.routing.fakes import Waiting
+from tests.routing.fakes import settle
 from tests.serving.fakes import model_row
 from tests.serving.fakes import run_async
 
@@ -214,6 +217,46 @@
         assert await world.serve(world.call(), 0.01) == "own"
 
 
+@run_async
+async def test_domain_that_answers_nothing_counts_as_cut_off_for_a_while():
+    world = RoutingWorld()
+    for name in ("far1", "far2"):
+        world.add_engine(name, domain="cork-1", region="cork")
+
+    async def send(outcome):
+        slot = await world.router.acquire(world.call())
+        if outcome is Outcome.SUCCEEDED:
+            world.router.record_tokens(slot, 1)
+        world.router.release(slot, outcome)
+
+    await send(Outcome.SILENT)
+    await send(Outcome.SILENT)
+    async with anyio.create_task_group() as group:
+        waiting = Waiting(world, group)
+        await waiting.start(world.call(deadline_s=1.0))
+        world.advance(1.1)
+        await settle()
+        assert isinstance(waiting.refused[0], ItemNotLoaded)
+    # One more silence after a while renews it, an answer ends it.
+    world.advance(4.0)
+    await send(Outcome.SILENT)
+    with pytest.raises(TimeoutError), anyio.fail_after(0.01):
+        await send(Outcome.SILENT)
+    world.advance(5.1)
+    await send(Outcome.SUCCEEDED)
+    await send(Outcome.SILENT)
+    await send(Outcome.SUCCEEDED)
+
+
+@run_async
+async def test_silence_in_the_own_domain_cuts_nothing_off():
+    world = RoutingWorld()
+    world.add_engine("own")
+    for _ in range(5):
+        slot = await world.router.acquire(world.call())
+        world.router.release(slot, Outcome.SILENT)
+
+
 @run_async
 async def test_far_target_is_used_when_the_deadline_holds_only_there():
     world = RoutingWorld()
