--- a/tests/test_replication_rules.py
+++ b/tests/test_replication_rules.py
@@ -150,6 +150,70 @@
     run_in_virtual_time(scenario)
 
 
+def test_late_request_of_an_earlier_life_to_join_does_not_stay():
+    async def scenario():
+        async with run_group(3) as group:
+            leader = await group.wait_leader()
+            vm = next(vm for vm in group.vms if vm != leader)
+            log = group.nodes[leader].log
+            await log.add_learner(f"{vm}-earlier", vm)
+            await group.wait_until(group.is_whole)
+
+    run_in_virtual_time(scenario)
+
+
+def test_late_request_of_an_earlier_life_does_not_remove_the_later():
+    """It arrives while the later life is a learner that still lags."""
+
+    async def scenario():
+        async with run_group(3) as group:
+            leader = await group.wait_leader()
+            wiped = next(vm for vm in group.vms if vm != leader)
+            group.wipe(wiped)
+            group.network.passes = lambda source, sink, frame: (
+                sink != wiped or not _carries_entries(frame)
+            )
+            node = group.start(wiped)
+            log = group.nodes[leader].log
+            await group.wait_until(
+                lambda: log.configuration.find(node.log.member)
+            )
+            await log.add_learner(f"{wiped}-earlier", wiped)
+            await anyio.sleep(5)
+            assert log.configuration.find(node.log.member)
+            group.network.passes = lambda source, sink, frame: True
+            await group.wait_until(group.is_whole)
+
+    run_in_virtual_time(scenario)
+
+
+def test_learner_that_a_new_leader_does_not_know_asks_again():
+    async def scenario():
+        async with run_group(3) as group:
+            leader = await group.wait_leader()
+            wiped, other = (vm for vm in group.vms if vm != leader)
+            group.wipe(wiped)
+            group.network.passes = lambda source, sink, frame: (
+                sink != other or not _carries_entries(frame)
+            )
+            node = group.start(wiped)
+            await group.wait_until(
+                lambda: node.log.configuration.find(node.log.member)
+            )
+            last = group.nodes[other].log.dump()["last_index"]
+            group.kill(leader)
+            group.kill(other)
+            storage = group.storages[leader]
+            storage.entries = [e for e in storage.entries if e.index <= last]
+            await anyio.sleep(10)
+            group.network.passes = lambda source, sink, frame: True
+            group.start(leader)
+            group.start(other)
+            await group.wait_until(group.is_whole)
+
+    run_in_virtual_time(scenario)
+
+
 def test_read_does_not_apply_an_entry_that_the_leader_replaced():
     async def scenario():
         async with run_group(3) as group:
