Refuse a keyed call at once when its claim is unknown

Cause: on CommitUnknown the refusal waited for a release that the claim service sends by itself in the background, up to 0.5 s; a call that is given up has to get its answer at once. Change: serving no longer sends that release. Figures: the new test, whose release never ends, timed out at the client's 30 s before and passes after.

--- a/dotterelbridge/claims/service.py
+++ b/dotterelbridge/claims/service.py
@@ -57,8 +57,8 @@
 
         :param digest: hash of method, path, and body of the request.
         :raises NotCommitted: the claim certainly failed; nothing may run.
-        :raises CommitUnknown: the claim may stand; nothing may run, and
-            the key may have been used up.
+        :raises CommitUnknown: the claim may stand; nothing may run. The
+            service goes on freeing the key in the background.
         """
 
     @abc.abstractmethod
--- a/dotterelbridge/serving/keyed.py
+++ b/dotterelbridge/serving/keyed.py
@@ -92,7 +92,8 @@
                 )
             ) from error
         except CommitUnknown as error:
-            await self._release(keyed, attempt)
+            # The claim service frees the key by itself; a refusal that
+            # waited for it would come late.
             raise ClaimRefused(
                 Failure(
                     status=503,
--- a/tests/serving/test_calls.py
+++ b/tests/serving/test_calls.py
@@ -187,6 +187,19 @@
     anyio.run(check)
 
 
+@run_async
+async def test_refusal_does_not_wait_until_the_key_is_free():
+    async def never_release(business, key, attempt):
+        await anyio.sleep_forever()
+
+    async with run_world(ONCE) as world, create_client(world) as client:
+        world.claims.begin_error = CommitUnknown("no answer", "wait")
+        world.claims.release = never_release
+        response = await client.post(BOOK, headers=KEY)
+        assert response.status_code == 503
+        assert response.headers["dotterelbridge-run"] == "no"
+
+
 @run_async
 async def test_caller_that_hangs_up_does_not_end_a_keyed_run():
     go_on = anyio.Event()
