Load in a cut-off domain what its own callers ask for

Cause: a domain that is cut off counted the copies of domains it could not reach as serving its callers, and never gave up an item's only copy, so a model loaded only beyond the cut stayed away for as long as it lasted. Ruled out: routing, which refuses such calls at once as not run. Change: copies in domains that are not heard no longer count as elsewhere; an item that nothing reachable serves may take the room of one with less than half its demand.

--- a/dotterelbridge/placement/demand_policy.py
+++ b/dotterelbridge/placement/demand_policy.py
@@ -188,11 +188,39 @@
         hosts: list[AcceleratorView],
         urgency: tuple,
     ) -> bool:
-        """Take the room of an item that other domains still serve."""
-        reachable = key_of_row(row) in board.state.elsewhere
-        worth = board.rate(key_of_row(row)) if reachable else float("inf")
+        """Take the room of an item that other domains still serve.
+
+        An item that no domain serves may also take the room of one with
+        little demand that is nowhere else: where the sheet does not fit,
+        as in a domain that is cut off, the memory goes to what callers
+        ask for.
+        """
+        key = key_of_row(row)
+        rate = board.rate(key)
+        if key in board.state.elsewhere:
+            served_elsewhere = rate
+            served_here_only = 0.0
+        else:
+            served_elsewhere = float("inf")
+            served_here_only = rate
+        return self._displace_one(
+            board, row, hosts, urgency, True, served_elsewhere
+        ) or self._displace_one(
+            board, row, hosts, urgency, False, served_here_only
+        )
+
+    def _displace_one(
+        self,
+        board: Board,
+        row: SheetRow,
+        hosts: list[AcceleratorView],
+        urgency: tuple,
+        elsewhere: bool,
+        worth: float,
+    ) -> bool:
+        """Swap with an item that is, or is not, served elsewhere."""
         for host in hosts:
-            victim = self._find_displaced(board, host, row, worth)
+            victim = self._find_displaced(board, host, row, elsewhere, worth)
             if victim is not None:
                 self._swap(board, host, row, [victim], urgency)
                 return True
@@ -203,12 +231,14 @@
         board: Board,
         host: AcceleratorView,
         row: SheetRow,
+        elsewhere: bool,
         worth: float,
     ) -> str | None:
         candidates = [
             (board.rate(key), key)
             for key, copy in host.copies.items()
-            if key in board.state.elsewhere
+            if (key in board.state.elsewhere) is elsewhere
+            and (elsewhere or key in board.rows_by_key)
             and self._may_give_up(board, host, key)
             and board.free_mb[host.target] + copy.item.memory_mb
             >= row.memory_mb
--- a/dotterelbridge/placement/plan_input.py
+++ b/dotterelbridge/placement/plan_input.py
@@ -100,9 +100,15 @@
             )
 
     def _list_elsewhere(self) -> frozenset[str]:
-        own = self._domain
+        """Return what callers here can reach in other failure domains."""
+        heard = {
+            domain
+            for domain in self._membership.domains()
+            if domain != self._domain
+            and self._membership.is_domain_heard(domain)
+        }
         ready: set[str] = set()
         for view in self._membership.targets().values():
-            if view.info.failure_domain != own and view.takes_new_work:
+            if view.info.failure_domain in heard and view.takes_new_work:
                 ready |= view.ready_items
         return frozenset(ready)
--- a/tests/test_placement_policy.py
+++ b/tests/test_placement_policy.py
@@ -120,6 +120,22 @@
     assert loads_of(result) == [("b", "t0")]
 
 
+def test_item_in_demand_that_is_nowhere_takes_an_idle_items_room():
+    rows = [create_row("a", 600), create_row("b", 600)]
+    state = create_state(rows, [[rows[0]]], rates={"b": 1.0})
+    result = plan(state)
+    assert unloads_of(result) == [("a@1", "t0")]
+    assert loads_of(result) == [("b", "t0")]
+
+
+def test_item_takes_no_room_from_one_in_about_the_same_demand():
+    rows = [create_row("a", 600), create_row("b", 600)]
+    state = create_state(rows, [[rows[0]]], rates={"a": 0.6, "b": 1.0})
+    result = plan(state)
+    assert not result.unloads
+    assert "b" in result.unreachable
+
+
 def test_item_that_only_other_domains_have_is_absent_not_unreachable():
     rows = [create_row("a", 600), create_row("b", 600)]
     state = create_state(rows, [[rows[0]]], elsewhere=frozenset({"b@1"}))
--- a/tests/test_placement_world.py
+++ b/tests/test_placement_world.py
@@ -182,6 +182,25 @@
     run(scenario, domains=2)
 
 
+def test_domain_cut_off_loads_what_its_callers_ask_for():
+    async def scenario(world):
+        rows = [create_row(f"m{i}", 400) for i in range(8)]
+        world.sheet.set_rows(rows)
+        await world.wait_for(lambda: world.ready() == keys_of(rows), 300)
+        beyond = sorted(world.ready("d1") - world.ready("d0"))[0]
+        cut_off = [v.vm for v in world.vms if v.failure_domain == "d0"]
+        world.network.isolate(cut_off)
+        name = beyond.partition("@")[0]
+        for vm in cut_off:
+            world.demands[vm].arrivals = {name: 10}
+        await world.wait_for(lambda: beyond in world.ready("d0"), 600)
+        world.network.heal()
+        await world.wait_for(lambda: world.ready() == keys_of(rows), 600)
+        assert world.over_commits() == 0
+
+    run(scenario, domains=2, targets=2)
+
+
 @BOTH_KINDS
 def test_all_vms_restart_at_once_while_orders_are_late(fencing):
     async def scenario(world):
