--- a/dotterelbridge/daemon.py
+++ b/dotterelbridge/daemon.py
@@ -1,7 +1,6 @@
 """Entry point of ``dotterelbridged``: wires the parts and runs them."""
 
 from collections.abc import Sequence
-import functools
 import sys
 
 import anyio
@@ -32,10 +31,7 @@
     try:
         settings = load_settings(parsed.config)
         assembly = prepare(settings, env)
-        anyio.run(
-            functools.partial(run_until_drained, assembly),
-            backend_options={"use_uvloop": False},
-        )
+        anyio.run(run_until_drained, assembly)
     except DotterelbridgeError as error:
         env.print_error(PROGRAM, str(error))
         return ExitStatus.ERROR
