Tell the balancer when a VM is to leave

Cause: 'drain VM' marked the VM on every VM, but its own /readyz stayed true, so the balancer went on sending it callers. Change: /readyz needs that the VM is not leaving; requests that still come are served. Conclusion: leaving now holds for VMs as it does for targets.

--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -23,6 +23,7 @@
 from dotterelbridge.membership.platform import create_platform_list
 from dotterelbridge.membership.service import create_membership
 from dotterelbridge.membership.settings import MembershipSettings
+from dotterelbridge.membership.view import MemberState
 from dotterelbridge.membership.view import TargetKind
 from dotterelbridge.peers.settings import PeersSettings
 from dotterelbridge.peers.websocket_network import choose_peers_to_dial
@@ -241,12 +242,18 @@
             self._rng,
         )
         self._app.require(self._sheet.is_known)
+        self._app.require(self._is_staying)
         self._registry.add("serving", self._app)
         self._listener = create_caller_listener(
             self._app, serving, self._clock
         )
         self._running.append(self._listener.run)
 
+    def _is_staying(self) -> bool:
+        """Whether nobody asked for this VM to leave."""
+        own = self._settings.daemon.vm
+        return self._membership.vm_state(own) is not MemberState.LEAVING
+
     def _create_placement(self) -> None:
         settings = self._settings
         self._placement = create_placement(
--- a/tests/features/path.feature
+++ b/tests/features/path.feature
@@ -32,3 +32,10 @@
   Scenario: A state dump by signal
     When the daemon gets SIGUSR1
     Then the dump file names all parts
+
+  Scenario: A VM that operators drain gets no new callers
+    When operators drain the VM
+    Then the balancer sees that the VM is not ready
+    And a request that still comes is served
+    When operators end the drain
+    Then the balancer sees that the VM is ready
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -16,6 +16,7 @@
 from pytest_bdd import then
 from pytest_bdd import when
 
+from dotterelbridge.cli.exit_status import ExitStatus
 from standins.demo import Demo
 from standins.tokens import expected_tokens
 
@@ -55,6 +56,15 @@
     return demo
 
 
+def poll(condition):
+    """Return what a condition gives once it holds; fails after WAIT_S."""
+    end = time.monotonic() + WAIT_S
+    while not (found := condition()):
+        assert time.monotonic() < end, "gave up waiting"
+        time.sleep(0.05)
+    return found
+
+
 def create_body(tokens, text="A walk-in shower for Mrs Byrne"):
     return {
         "model": "quotes",
@@ -195,14 +205,14 @@
 @then("the dump file names all parts")
 def check_dump(demo):
     path = demo.folder / "dump.json"
-    end = time.monotonic() + WAIT_S
-    while time.monotonic() < end:
+
+    def read_parts():
         try:
-            parts = set(json.loads(path.read_text()))
-            break
+            return set(json.loads(path.read_text()))
         except (FileNotFoundError, json.JSONDecodeError):
-            time.sleep(0.05)
-    assert parts >= {
+            return set()
+
+    assert poll(read_parts) >= {
         "claims",
         "membership",
         "peers",
@@ -212,3 +222,33 @@
         "serving",
         "sheet",
     }
+
+
+@when("operators drain the VM")
+def drain_vm(demo):
+    assert demo.run_tool("drain", "dublin-vm-1") == ExitStatus.OK
+
+
+@when("operators end the drain")
+def undrain_vm(demo):
+    assert demo.run_tool("undrain", "dublin-vm-1") == ExitStatus.OK
+
+
+@then("the balancer sees that the VM is not ready")
+def check_not_ready(demo):
+    poll(lambda: not is_ready(demo))
+
+
+@then("a request that still comes is served")
+def check_served(demo):
+    body = create_body(3)
+    assert stream_chat(demo, body)[1] == expected_tokens(body)
+
+
+@then("the balancer sees that the VM is ready")
+def check_ready(demo):
+    poll(lambda: is_ready(demo))
+
+
+def is_ready(demo):
+    return httpx.get(f"{demo.caller_url}/readyz", timeout=WAIT_S).is_success
