--- a/dotterelbridge/placement/holder.py
+++ b/dotterelbridge/placement/holder.py
@@ -13,9 +13,11 @@
 
 import anyio
 import msgspec
+from opentelemetry.metrics import Observation
 import structlog
 
 from dotterelbridge import events
+from dotterelbridge import metrics
 from dotterelbridge.clock import Clock
 from dotterelbridge.dump import Dumpable
 from dotterelbridge.errors import LeaseLost
@@ -136,6 +138,13 @@
             self._create_state,
         )
         sheet.subscribe(self._note_sheet)
+        metrics.meter.create_observable_gauge(
+            "dotterelbridge.placement.memory",
+            callbacks=[self._observe_memory],
+            unit="MiBy",
+            description="Accelerator memory at the lease holder, by target "
+            "and kind: committed, free",
+        )
 
     # What operators ask.
 
@@ -601,6 +610,25 @@
     def _fencing_of(self, target: TargetId) -> Fencing:
         return self._membership.targets()[target].info.fencing
 
+    def _observe_memory(self, _options: object) -> list[Observation]:
+        holding = self._holding
+        if holding is None:
+            return []
+        return [
+            observation
+            for account in list(holding.ledger.accounts.values())
+            for observation in (
+                Observation(
+                    account.committed_mb,
+                    {"target": account.target, "kind": "committed"},
+                ),
+                Observation(
+                    account.free_mb,
+                    {"target": account.target, "kind": "free"},
+                ),
+            )
+        ]
+
     def _note_sheet(self, revision: SheetRevision) -> None:
         if self._holding is not None:
             self._holding.dirty = True
--- a/tests/features/path.feature
+++ b/tests/features/path.feature
@@ -39,3 +39,9 @@
     And a request that still comes is served
     When operators end the drain
     Then the balancer sees that the VM is ready
+
+  Scenario: The metrics of a daemon
+    When a caller streams a chat completion of 5 tokens
+    Then the metrics count the request and its deadline as met
+    And the metrics give the committed memory of both engines
+    And the metrics count the invariant checks and no failure
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -252,3 +252,50 @@
 
 def is_ready(demo):
     return httpx.get(f"{demo.caller_url}/readyz", timeout=WAIT_S).is_success
+
+
+def read_metrics(demo):
+    port = demo.ports["operator"]
+    token = (demo.folder / "token").read_text()
+    answer = httpx.get(
+        f"http://127.0.0.1:{port}/metrics",
+        headers={"Authorization": f"Bearer {token}"},
+        timeout=WAIT_S,
+    )
+    return answer.text
+
+
+def find_samples(text, name, *labels):
+    """Return the values of a metric whose line has all the labels."""
+    return [
+        float(line.split()[-1])
+        for line in text.splitlines()
+        if line.startswith(name) and all(label in line for label in labels)
+    ]
+
+
+@then("the metrics count the request and its deadline as met")
+def check_request_metrics(demo):
+    text = read_metrics(demo)
+    assert sum(find_samples(text, "dotterelbridge_requests_total")) >= 1
+    met = find_samples(text, "dotterelbridge_deadlines_total", "met=")
+    assert sum(met) >= 1
+
+
+@then("the metrics give the committed memory of both engines")
+def check_memory_metrics(demo):
+    def find_committed():
+        name = "dotterelbridge_placement_memory"
+        return find_samples(read_metrics(demo), name, 'kind="committed"')
+
+    poll(lambda: len(find_committed()) == 2)
+    assert all(value >= 4000 for value in find_committed())
+
+
+@then("the metrics count the invariant checks and no failure")
+def check_invariant_metrics(demo):
+    text = read_metrics(demo)
+    checks = find_samples(text, "dotterelbridge_invariant_checks_total")
+    assert sum(checks) > 0
+    name = "dotterelbridge_invariant_failures_total"
+    assert sum(find_samples(text, name)) == 0
