--- a/bench/daemons.py
+++ b/bench/daemons.py
@@ -11,7 +11,7 @@
 
 import httpx
 
-from bench.state_group import find_free_ports
+from standins.ports import find_free_ports
 
 TOKEN = "bench-token"
 DOMAINS = ("dublin", "cork", "galway")
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -6,14 +6,11 @@
 """
 
 import configparser
-import contextlib
 import io
 import json
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -29,6 +26,7 @@
 from dotterelbridge.membership.view import VmInfo
 from dotterelbridge.settings import Settings
 from dotterelbridge.settings import load_settings
+from standins.ports import find_free_ports
 
 ROOT = pathlib.Path(__file__).parent.parent
 LOOPBACK = "127.0.0.1"
@@ -36,8 +34,6 @@
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.1
 LOG_TAIL = 2000
-LOWEST_PORT = 12_000
-FIRST_EPHEMERAL_PORT = 32_768
 ITEMS_OPTION = "--items="
 TOKEN = "bench-operator-token"
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
@@ -466,20 +462,3 @@
     if not process.pipes[1].readline().startswith(b"ready"):
         tail = process.log.read_text()[-LOG_TAIL:]
         raise RuntimeError(f"{process.name} did not start: {tail}")
-
-
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free now.
-
-    They lie below the range that connections take their own ports from,
-    so that only another listener can take one before it is used.
-    """
-    ports: list[int] = []
-    with contextlib.ExitStack() as stack:
-        while len(ports) < count:
-            port = random.randrange(LOWEST_PORT, FIRST_EPHEMERAL_PORT)
-            with contextlib.suppress(OSError):
-                listener = socket.create_server((LOOPBACK, port))
-                stack.enter_context(listener)
-                ports.append(port)
-    return ports
--- a/bench/keyed.py
+++ b/bench/keyed.py
@@ -25,9 +25,9 @@
 
 from bench.daemons import DOMAINS
 from bench.daemons import Daemons
-from bench.state_group import find_free_ports
 from bench.state_group import print_result
 from bench.state_group import silence_logs
+from standins.ports import find_free_ports
 from standins.service import expected_answer
 
 START_LIMIT_S = 60
--- a/bench/state_group.py
+++ b/bench/state_group.py
@@ -8,7 +8,6 @@
 import os
 from pathlib import Path
 import signal
-import socket
 import subprocess
 import sys
 
@@ -30,6 +29,7 @@
 from dotterelbridge.peers.settings import PeersSettings
 from dotterelbridge.peers.websocket_network import create_peer_network
 from dotterelbridge.sheet.settings import SheetSettings
+from standins.ports import find_free_ports
 
 SECRET = b"bench"
 INSPECT_TIMEOUT = timedelta(seconds=2)
@@ -143,18 +143,6 @@
         )
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Ask the system for free ports."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
-
-
 def silence_logs() -> None:
     """Write errors only, so that results stand alone."""
     structlog.configure(
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -8,7 +8,6 @@
 import json
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -18,6 +17,7 @@
 
 from dotterelbridge.cli.environment import Environment
 from dotterelbridge.cli.program import main as run_tool
+from standins.ports import find_free_ports
 
 START_TIMEOUT_S = 30
 CALL_TIMEOUT_S = 30
@@ -229,17 +229,6 @@
     print(f"  {answer.status_code}  {'  '.join(values)}")
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports of the loopback address that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for held in sockets:
-        held.bind(("127.0.0.1", 0))
-    ports = [held.getsockname()[1] for held in sockets]
-    for held in sockets:
-        held.close()
-    return ports
-
-
 def wait_for(condition, description: str) -> None:
     """Poll until the condition holds; give up after START_TIMEOUT_S."""
     end = time.monotonic() + START_TIMEOUT_S
--- a/tests/peers_support.py
+++ b/tests/peers_support.py
@@ -1,8 +1,6 @@
 """What the tests of the links share."""
 
 from collections.abc import Callable
-import contextlib
-import socket
 
 import anyio
 
@@ -16,6 +14,7 @@
 from dotterelbridge.peers.messages import register_message
 from dotterelbridge.peers.settings import PeersSettings
 from dotterelbridge.peers.websocket_network import create_peer_network
+from standins.ports import find_free_ports
 
 SECRET = b"shared secret of the tests"
 PATIENCE_S = 20
@@ -37,16 +36,6 @@
     number: int = 0
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    with contextlib.ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.create_server(("127.0.0.1", 0)))
-            for _ in range(count)
-        ]
-        return [item.getsockname()[1] for item in sockets]
-
-
 def create_vms(count: int) -> list[VmInfo]:
     """Return VMs v0, v1, ... of one failure domain on loopback."""
     return [
--- a/tests/test_bench_forwarder.py
+++ b/tests/test_bench_forwarder.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from bench.deployment import find_free_ports
 from bench.forwarder import LOOPBACK
 from bench.forwarder import Forwarder
 from bench.forwarder import Link
+from standins.ports import find_free_ports
 
 CUT = [{"cut": ["a", "b"]}, {"cut": ["b", "a"]}]
 HEAL = [{"heal": ["a", "b"]}, {"heal": ["b", "a"]}]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -19,11 +19,11 @@
 from dotterelbridge.peers.errors import RequestNotSent
 from dotterelbridge.peers.frames import FrameKind
 from dotterelbridge.peers.link import compute_backoff
+from standins.ports import find_free_ports
 from tests.peers_support import FAST
 from tests.peers_support import Echo
 from tests.peers_support import create_network
 from tests.peers_support import create_vms
-from tests.peers_support import find_free_ports
 from tests.peers_support import wait_until
 
 pytestmark = pytest.mark.anyio
