Show in the demonstration where each request went

Cause: 'make run' printed answers, but not which target ran them. Change: it prints the runs that each target counts: the resent booking shows as one run. Conclusion: the whole path can be seen from one command.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -22,6 +22,13 @@
 START_TIMEOUT_S = 30
 CALL_TIMEOUT_S = 30
 
+TARGET_PORTS = {
+    "engine1": "quote-engine-1",
+    "engine2": "quote-engine-2",
+    "service": "booking-1",
+}
+"""Targets by the name of their port."""
+
 SHEET = """\
 kind,business,name,version,base,memory_mb,priority,deadline_ms,min_copies,\
 callers_at,idempotent
@@ -197,6 +204,14 @@
         print_head(answer)
         print(answer.text)
 
+    def show_runs(self) -> None:
+        """Print what each target says that it ran."""
+        print("\nwhere the requests went, as the targets tell it:")
+        for name in TARGET_PORTS:
+            url = f"http://127.0.0.1:{self.ports[name]}/standin/truth"
+            runs = httpx.get(url, timeout=CALL_TIMEOUT_S).json()["runs"]
+            print(f"  {TARGET_PORTS[name]}: {sum(runs.values())} run(s)")
+
     def stop(self) -> None:
         """End all processes, the daemon first."""
         for process in reversed(self._processes):
@@ -245,6 +260,7 @@
     demo.send_chat()
     demo.send_booking("k-1")
     demo.send_booking("k-1")
+    demo.show_runs()
     demo.run_tool("status")
     demo.run_tool("targets")
     demo.run_tool("models")
