Create both refusals of an unclaimed call in one place

Change: one function creates them; status, kinds, texts and headers stay. Conclusion: no change of behaviour.

--- a/dotterelbridge/serving/keyed.py
+++ b/dotterelbridge/serving/keyed.py
@@ -81,28 +81,16 @@
                 keyed.business, keyed.key, keyed.digest, attempt
             )
         except NotCommitted as error:
-            raise ClaimRefused(
-                Failure(
-                    status=503,
-                    kind="claim_unavailable",
-                    message=str(error),
-                    remedy="send it again with the same key",
-                    run=RunStatus.NO,
-                    retry_after=_RETRY,
-                )
+            raise _create_unclaimed(
+                "claim_unavailable", error, "send it again with the same key"
             ) from error
         except CommitUnknown as error:
             # The claim service frees the key by itself; a refusal that
             # waited for it would come late.
-            raise ClaimRefused(
-                Failure(
-                    status=503,
-                    kind="claim_unknown",
-                    message=str(error),
-                    remedy="send it again with the same key; it was not run",
-                    run=RunStatus.NO,
-                    retry_after=_RETRY,
-                )
+            raise _create_unclaimed(
+                "claim_unknown",
+                error,
+                "send it again with the same key; it was not run",
             ) from error
 
     async def _run_claimed(
@@ -152,6 +140,22 @@
             _log_failure(attempt, error)
 
 
+def _create_unclaimed(
+    kind: str, error: DotterelbridgeError, remedy: str
+) -> ClaimRefused:
+    """Return the refusal of a call that has no claim and did not run."""
+    return ClaimRefused(
+        Failure(
+            status=503,
+            kind=kind,
+            message=str(error),
+            remedy=remedy,
+            run=RunStatus.NO,
+            retry_after=_RETRY,
+        )
+    )
+
+
 def _log_failure(attempt: AttemptId, error: DotterelbridgeError) -> None:
     events.log(
         _log,
