--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -110,6 +110,9 @@
         """Return the number of requests in flight."""
         return {"requests": self._app.in_flight}
 
+    def reload(self) -> None:
+        """Do nothing: the settings of this daemon hold until it ends."""
+
     def write_dump(self) -> str | None:
         """Write the state to the dump file; return its path."""
         path = self._settings.daemon.dump_file
--- a/dotterelbridge/clock.py
+++ b/dotterelbridge/clock.py
@@ -32,7 +32,9 @@
     """The clock of the operating system."""
 
     def monotonic(self) -> float:
-        return time.monotonic()
+        # Unlike CLOCK_MONOTONIC this counts the time that the machine was
+        # suspended, so that a lease ends while its holder sleeps.
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def now(self) -> datetime:
         return datetime.now(UTC)
--- a/dotterelbridge/events.py
+++ b/dotterelbridge/events.py
@@ -55,6 +55,18 @@
         "A further signal arrived; the daemon still waits for the work "
         "that it names.",
     )
+    SETTINGS_RELOADED = (
+        1008,
+        logging.INFO,
+        "SIGHUP arrived; what may change while the daemon runs was read "
+        "again.",
+    )
+    RELOAD_FAILED = (
+        1009,
+        logging.ERROR,
+        "The settings could not be read again; the old ones stay in force. "
+        "Correct the file and send SIGHUP once more.",
+    )
     STATE_DUMPED = (
         1005,
         logging.INFO,
--- /dev/null
+++ b/dotterelbridge/fleet/feed.py
@@ -0,0 +1,244 @@
+"""Spreads the fleet's state and the routes from VM to VM.
+
+Each VM polls one source, and a source answers when it has news. The VM
+that gives orders feeds the other control VMs, and each of these the
+entry VMs of its failure domain, so that one copy crosses each link
+between failure domains.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from datetime import timedelta
+import random as random_module
+
+import anyio
+import structlog
+
+from dotterelbridge import events
+from dotterelbridge.clock import Clock
+from dotterelbridge.errors import PeerError
+from dotterelbridge.fleet.board import FleetBoard
+from dotterelbridge.fleet.events import FleetEvent
+from dotterelbridge.fleet.messages import FleetNews
+from dotterelbridge.fleet.messages import FleetPoll
+from dotterelbridge.fleet.settings import FleetSettings
+from dotterelbridge.ids import VmId
+from dotterelbridge.peers.network import PeerNetwork
+from dotterelbridge.routes.force import RoutesInForce
+from dotterelbridge.sheet.feed import Contact
+
+_log = structlog.get_logger(__name__)
+
+
+class FleetFeed:
+    """Answers polls of other VMs."""
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        board: FleetBoard,
+        routes: RoutesInForce,
+        settings: FleetSettings,
+        clock: Clock,
+        detached_ms: Callable[[], int],
+        list_roster: Callable[[], tuple[VmId, ...]],
+    ) -> None:
+        self._board = board
+        self._routes = routes
+        self._settings = settings
+        self._clock = clock
+        self._detached_ms = detached_ms
+        self._list_roster = list_roster
+        self._followers: dict[VmId, tuple[float, int]] = {}
+        self._changed = anyio.Event()
+        self.deployment_entry_vms = 0
+        """Entry VMs of the deployment, as the own source counts them."""
+        board.subscribe(self._wake)
+        routes.subscribe(self._wake)
+        network.handle(FleetPoll, self._answer)
+
+    def count_entry_vms(self) -> int:
+        """Return the entry VMs that follow by way of this VM."""
+        oldest = self._clock.monotonic() - self._settings.follower_kept_s
+        for vm, (polled_at, _) in list(self._followers.items()):
+            if polled_at < oldest:
+                del self._followers[vm]
+        return sum(count for _, count in self._followers.values())
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def _answer(self, sender: VmId, poll: FleetPoll) -> FleetNews:
+        self._followers[sender] = (self._clock.monotonic(), poll.entry_vms)
+        hold_s = min(poll.hold_ms, self._settings.poll_hold_ms) / 1000
+        with anyio.move_on_after(hold_s):
+            while not self._has_news(poll):
+                await self._changed.wait()
+        return self._create_news(poll)
+
+    def _has_news(self, poll: FleetPoll) -> bool:
+        return (
+            poll.epoch != self._board.epoch
+            or poll.revision != self._board.revision
+            or poll.routes_version < self._routes.version
+            or poll.roster != self._list_roster()
+        )
+
+    def _create_news(self, poll: FleetPoll) -> FleetNews:
+        is_whole, changed, removed = self._board.list_changes(
+            poll.epoch, poll.revision
+        )
+        newer = self._routes.version > poll.routes_version
+        roster = self._list_roster()
+        return FleetNews(
+            epoch=self._board.epoch,
+            revision=self._board.revision,
+            is_whole=is_whole,
+            changed=tuple(changed),
+            removed=tuple(removed),
+            expected=self._board.list_expected(),
+            routes=self._routes.packed if newer else None,
+            roster=None if roster == poll.roster else roster,
+            detached_ms=self._detached_ms(),
+            entry_vms=max(self.deployment_entry_vms, self.count_entry_vms()),
+        )
+
+
+class FleetFollower:
+    """Keeps this VM's board and routes up to date from a source."""
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        board: FleetBoard,
+        routes: RoutesInForce,
+        settings: FleetSettings,
+        clock: Clock,
+        random: random_module.Random,
+        list_sources: Callable[[], Sequence[VmId]],
+        count_entry_vms: Callable[[], int],
+    ) -> None:
+        self.entry_vms = 0
+        """Entry VMs of the deployment, as the source counts them."""
+        self.roster: tuple[VmId, ...] = ()
+        """The control VMs, the preferred ones not first."""
+        self.source: VmId | None = None
+        self.contact = Contact(clock)
+        self._network = network
+        self._board = board
+        self._routes = routes
+        self._settings = settings
+        self._clock = clock
+        self._random = random
+        self._list_sources = list_sources
+        self._count_entry_vms = count_entry_vms
+        self._epoch = ""
+        self._revision = 0
+        self._started_at = clock.monotonic()
+        self._tried: set[VmId] = set()
+        self._since = clock.monotonic()
+        """When the present source was chosen."""
+        self._on_roster: list[Callable[[], None]] = []
+
+    def subscribe_roster(self, callback: Callable[[], None]) -> None:
+        """Call back when the control VMs changed."""
+        self._on_roster.append(callback)
+
+    async def run(self) -> None:
+        """Poll one source after another until cancelled."""
+        while True:
+            source = self._choose_source()
+            if source is None or not await self._poll(source):
+                share = 0.5 + self._random.random()
+                pause = timedelta(milliseconds=self._settings.retry_ms)
+                await self._clock.sleep(pause * share)
+
+    def _choose_source(self) -> VmId | None:
+        """Return the best source that was not found wanting just now."""
+        sources = list(self._list_sources())
+        if not sources:
+            return None
+        age_ms = (self._clock.monotonic() - self._since) * 1000
+        if self.source != sources[0] and age_ms > self._settings.return_ms:
+            self._tried.clear()
+            self.source = None
+        if self.source in sources and self.source not in self._tried:
+            return self.source
+        reachable = [s for s in sources if self._network.connected(s)]
+        fresh = [s for s in reachable if s not in self._tried]
+        if not fresh:
+            # Every one was tried; the first again, in order.
+            self._tried.clear()
+            fresh = reachable
+        if not fresh:
+            return None
+        if fresh[0] != self.source:
+            events.log(
+                _log,
+                FleetEvent.SOURCE_CHANGED,
+                source=fresh[0],
+                before=self.source,
+                detached_ms=self.contact.detached_ms(),
+            )
+        self.source = fresh[0]
+        self._since = self._clock.monotonic()
+        return self.source
+
+    async def _poll(self, source: VmId) -> bool:
+        """Take one answer; False where another source should be asked."""
+        poll = FleetPoll(
+            epoch=self._epoch,
+            revision=self._revision,
+            routes_version=self._routes.version,
+            roster=self.roster,
+            hold_ms=self._settings.poll_hold_ms,
+            entry_vms=self._count_entry_vms(),
+        )
+        patience = timedelta(
+            milliseconds=self._settings.poll_hold_ms
+            + self._settings.poll_grace_ms
+        )
+        try:
+            news = await self._network.request(source, poll, patience)
+        except PeerError as error:
+            events.log(
+                _log,
+                FleetEvent.SOURCE_LOST,
+                source=source,
+                error=str(error),
+            )
+            self._tried.add(source)
+            return False
+        if not isinstance(news, FleetNews):
+            self._tried.add(source)
+            return False
+        self._take(news)
+        if news.detached_ms > self._settings.detached_limit_ms:
+            self._tried.add(source)
+            return len(self._list_sources()) > 1
+        self._tried.discard(source)
+        return True
+
+    def _take(self, news: FleetNews) -> None:
+        self._epoch = news.epoch
+        self._revision = news.revision
+        self.entry_vms = news.entry_vms
+        self._board.apply(news)
+        is_attached = news.detached_ms <= self._settings.detached_limit_ms
+        if news.routes is not None and (is_attached or self._is_settled()):
+            self._routes.adopt(news.routes)
+        if news.roster is not None:
+            self.roster = news.roster
+            for callback in self._on_roster:
+                callback()
+        self.contact.confirm(news.detached_ms)
+
+    def _is_settled(self) -> bool:
+        """Whether a detached source's routes are better than none.
+
+        A VM that has just started waits for a source that is certainly
+        up to date, so that it does not begin with older routes.
+        """
+        age_ms = (self._clock.monotonic() - self._started_at) * 1000
+        return age_ms > self._settings.settle_ms
--- /dev/null
+++ b/dotterelbridge/fleet/ordering.py
@@ -0,0 +1,468 @@
+"""Gives orders to the engines while this VM leads the replicated log.
+
+One VM at a time gives orders: the leader of the log, once it has claimed
+so on the log and once the holder before it certainly gives none. Every
+order names the number of orders that the engine accepted before, so that
+a copy which an engine carries out late finds another number and fails.
+"""
+
+from collections import deque
+from datetime import timedelta
+
+import anyio
+import msgspec
+import structlog
+
+from dotterelbridge import events
+from dotterelbridge.clock import Clock
+from dotterelbridge.errors import CommitUnknown
+from dotterelbridge.errors import NotCommitted
+from dotterelbridge.fleet.account import EngineAccount
+from dotterelbridge.fleet.board import FleetBoard
+from dotterelbridge.fleet.demand import DemandBoard
+from dotterelbridge.fleet.engine import EngineControl
+from dotterelbridge.fleet.engine import Order
+from dotterelbridge.fleet.engine import OrderKind
+from dotterelbridge.fleet.engine import Verdict
+from dotterelbridge.fleet.errors import EngineUnanswered
+from dotterelbridge.fleet.events import FleetEvent
+from dotterelbridge.fleet.holder import MACHINE_NAME
+from dotterelbridge.fleet.holder import decode_previous
+from dotterelbridge.fleet.holder import encode_claim
+from dotterelbridge.fleet.policy import FleetPolicy
+from dotterelbridge.fleet.policy import Step
+from dotterelbridge.fleet.policy import estimate_load_s
+from dotterelbridge.fleet.records import ItemKey
+from dotterelbridge.fleet.records import TargetPhase
+from dotterelbridge.fleet.settings import FleetSettings
+from dotterelbridge.ids import TargetId
+from dotterelbridge.ids import Term
+from dotterelbridge.ids import VmId
+from dotterelbridge.replication.recovering import RecoveringLog
+from dotterelbridge.routes.force import RoutesInForce
+from dotterelbridge.routes.model import EngineInfo
+
+_log = structlog.get_logger(__name__)
+
+_TICK = timedelta(milliseconds=100)
+_CLAIM_TIMEOUT = timedelta(seconds=1)
+_LOOK_AGAIN = timedelta(milliseconds=50)
+"""Pause before an engine that is busy is asked again."""
+_MOVE_LIMIT_S = 20.0
+"""Time after which a move that makes no way is given up: three times the
+longest load, with two late answers."""
+
+
+class Ordering:
+    """The orders of one VM, and what it knows of the engines for them."""
+
+    def __init__(
+        self,
+        own: VmId,
+        log: RecoveringLog,
+        board: FleetBoard,
+        routes: RoutesInForce,
+        demand: DemandBoard,
+        control: EngineControl,
+        settings: FleetSettings,
+        clock: Clock,
+    ) -> None:
+        self._own = own
+        self._log = log
+        self._board = board
+        self._routes = routes
+        self._demand = demand
+        self._control = control
+        self._settings = settings
+        self._clock = clock
+        self._accounts: dict[TargetId, EngineAccount] = {}
+        self._term: Term | None = None
+        """The term in which this VM may give orders."""
+        self._waited_for: Term | None = None
+        self._store_starts: deque[float] = deque()
+        self._wake = anyio.Event()
+        self._expected: dict[ItemKey, float] = {}
+        self._reporting: set[TargetId] = set()
+
+    @property
+    def may_order(self) -> bool:
+        """Whether this VM is the one that gives orders, at this moment."""
+        return (
+            self._term is not None
+            and self._log.leads()
+            and self._log.term == self._term
+        )
+
+    def wake(self) -> None:
+        """Plan at once: something changed."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Give orders whenever this VM leads, until cancelled."""
+        while True:
+            if not self._log.leads():
+                await self._clock.sleep(_LOOK_AGAIN)
+                continue
+            term = self._log.term
+            if await self._take_office(term):
+                await self._serve_term(term)
+
+    async def _take_office(self, term: Term) -> bool:
+        """Claim on the log, and wait out the holder before."""
+        try:
+            result = await self._log.propose(
+                MACHINE_NAME, encode_claim(self._own, term), _CLAIM_TIMEOUT
+            )
+        except (NotCommitted, CommitUnknown):
+            await self._clock.sleep(_LOOK_AGAIN)
+            return False
+        previous = decode_previous(result)
+        has_waited = previous == self._own and self._waited_for is not None
+        if previous is not None and not has_waited:
+            self._waited_for = None
+            wait = timedelta(milliseconds=self._settings.holder_wait_ms)
+            events.log(
+                _log,
+                FleetEvent.ORDERING_WAITS,
+                term=term,
+                holder_before=previous,
+                wait_ms=self._settings.holder_wait_ms,
+            )
+            await self._clock.sleep(wait)
+        if not self._log.leads() or self._log.term != term:
+            return False
+        self._waited_for = term
+        self._term = term
+        events.log(_log, FleetEvent.ORDERING_STARTED, term=term)
+        return True
+
+    async def _serve_term(self, term: Term) -> None:
+        self._accounts = {}
+        try:
+            async with anyio.create_task_group() as group:
+                while self.may_order:
+                    self._match_accounts()
+                    self._start_reports(group)
+                    self._plan(group)
+                    self._publish()
+                    with anyio.move_on_after(_TICK.total_seconds()):
+                        await self._wake.wait()
+                    self._wake = anyio.Event()
+                group.cancel_scope.cancel()
+        finally:
+            self._term = None
+            self._reporting.clear()
+            events.log(_log, FleetEvent.ORDERING_ENDED, term=term)
+
+    # Accounts and reports.
+
+    def _match_accounts(self) -> None:
+        """Keep one account for each life of each engine."""
+        for name, account in list(self._accounts.items()):
+            target = self._board.targets.get(name)
+            if target is None or target.born != account.target.born:
+                del self._accounts[name]
+        for name, target in self._board.targets.items():
+            service = self._routes.find_service(target.service)
+            if service is None or service.engine is None:
+                continue
+            account = self._accounts.get(name)
+            if account is None:
+                account = EngineAccount(target, service.engine)
+                self._accounts[name] = account
+            account.target = target
+            account.engine = service.engine
+
+    def _start_reports(self, group) -> None:
+        now = self._clock.monotonic()
+        interval_s = self._settings.report_interval_ms / 1000
+        for name, account in self._accounts.items():
+            due = now - account.reported_at >= interval_s
+            if due and name not in self._reporting:
+                self._reporting.add(name)
+                group.start_soon(self._fetch_report, account)
+
+    async def _fetch_report(self, account: EngineAccount) -> None:
+        name = account.target.target
+        timeout = timedelta(milliseconds=self._settings.report_timeout_ms)
+        try:
+            report = await self._control.fetch_report(account.target, timeout)
+        except EngineUnanswered as error:
+            account.reported_at = self._clock.monotonic()
+            events.log(
+                _log,
+                FleetEvent.REPORT_FAILED,
+                target=name,
+                error=str(error),
+            )
+            return
+        finally:
+            self._reporting.discard(name)
+        if report.born is not None and report.born != account.target.born:
+            return
+        account.take_report(report, self._clock.monotonic())
+        target = msgspec.structs.replace(
+            account.target, held=account.list_served(), load=report.load
+        )
+        if report.is_leaving:
+            target = msgspec.structs.replace(target, phase=TargetPhase.LEAVING)
+        account.target = target
+        self._board.update([target])
+        self.wake()
+
+    # Plans.
+
+    def _plan(self, group) -> None:
+        now = self._clock.monotonic()
+        demand = self._demand.read()
+        for service in self._routes.services():
+            if service.engine is None:
+                continue
+            accounts = [
+                account
+                for account in self._accounts.values()
+                if account.target.service == service.name
+            ]
+            policy = FleetPolicy(
+                service.name,
+                service.engine,
+                accounts,
+                demand,
+                self._count_store_loads(service.engine, now),
+                now,
+            )
+            for step in policy.plan().steps:
+                self._start_step(group, step, now)
+
+    def _count_store_loads(self, engine: EngineInfo, now: float) -> int:
+        """Return how many loads from the weight store may start now."""
+        window_s = self._settings.store_burst_s
+        while self._store_starts and self._store_starts[0] < now - window_s:
+            self._store_starts.popleft()
+        in_window = int(engine.loads_per_s * window_s)
+        running = sum(a.loading_from_store for a in self._accounts.values())
+        return min(
+            in_window - len(self._store_starts),
+            self._settings.store_at_once - running,
+        )
+
+    def _start_step(self, group, step: Step, now: float) -> None:
+        account = self._accounts[step.target]
+        if step.from_store:
+            self._store_starts.append(now)
+            account.loading_from_store = True
+        model = account.engine.find_model(step.item.model)
+        if step.item.adapter:
+            load_s = self._settings.adapter_load_ms / 1000
+        else:
+            load_s = estimate_load_s(account, model)
+        self._expected[step.item] = now + load_s
+        if step.evicted is not None and not step.evicted.adapter:
+            account.start_dropping(step.evicted.model)
+            self._show(account)
+        group.start_soon(self._move, account, step, load_s)
+
+    async def _move(
+        self, account: EngineAccount, step: Step, load_s: float
+    ) -> None:
+        """Bring one item to an engine."""
+        with anyio.move_on_after(_MOVE_LIMIT_S):
+            try:
+                if step.evicted is not None:
+                    if not await self._evict(account, step.evicted):
+                        return
+                await self._load(account, step.item, load_s)
+            finally:
+                self._end_move(account, step)
+
+    def _end_move(self, account: EngineAccount, step: Step) -> None:
+        self._expected.pop(step.item, None)
+        if step.item.adapter:
+            account.moving_adapters.discard(
+                (step.item.model, step.item.adapter)
+            )
+        else:
+            account.moving_model = None
+            account.loading_from_store = False
+        if step.evicted is not None:
+            account.dropping.discard(step.evicted.model)
+        self._show(account)
+        self.wake()
+
+    async def _evict(self, account: EngineAccount, item: ItemKey) -> bool:
+        if not item.adapter:
+            notice = timedelta(milliseconds=self._settings.drop_notice_ms)
+            await self._clock.sleep(notice)
+        done = await self._order(account, OrderKind.UNLOAD, item)
+        self._show(account)
+        return done
+
+    async def _load(
+        self, account: EngineAccount, item: ItemKey, load_s: float
+    ) -> None:
+        await self._order(account, OrderKind.LOAD, item, load_s)
+        self._show(account)
+
+    def _show(self, account: EngineAccount) -> None:
+        """Let the entry VMs know what the engine serves now."""
+        account.target = msgspec.structs.replace(
+            account.target, held=account.list_served()
+        )
+        if account.target.target in self._board.targets:
+            self._board.update([account.target])
+
+    def _publish(self) -> None:
+        self._board.update(expected=dict(self._expected))
+
+    # Orders.
+
+    async def _order(
+        self,
+        account: EngineAccount,
+        kind: OrderKind,
+        item: ItemKey,
+        load_s: float = 0.0,
+    ) -> bool:
+        """Have an order carried out; False where it was refused."""
+        while self.may_order and self._is_current(account):
+            async with account.sending:
+                if kind is OrderKind.LOAD and not account.fits(
+                    item.model, item.adapter
+                ):
+                    return False
+                verdict = await self._send_until_answered(
+                    account, kind, item, load_s
+                )
+            if verdict is Verdict.HOLDS:
+                return True
+            if verdict is Verdict.ACCEPTED:
+                if item.adapter:
+                    return await self._finish_adapter(account, kind, item)
+                return await self._finish_model(account)
+            if verdict is not Verdict.BUSY:
+                return False
+            await self._refresh(account)
+        return False
+
+    async def _send_until_answered(
+        self,
+        account: EngineAccount,
+        kind: OrderKind,
+        item: ItemKey,
+        load_s: float,
+    ) -> Verdict | None:
+        """Send an order, again after each silence; return the answer."""
+        order = Order(
+            kind=kind,
+            model=item.model,
+            adapter=item.adapter,
+            expected_orders=account.orders_accepted,
+        )
+        account.open_order(order, self._clock.monotonic())
+        timeout = timedelta(milliseconds=self._settings.order_timeout_ms)
+        verdict = None
+        try:
+            while (
+                verdict is None
+                and self.may_order
+                and self._is_current(account)
+            ):
+                verdict = await self._send_once(account, order, timeout)
+        finally:
+            self._settle(account, verdict, load_s)
+        return verdict
+
+    async def _send_once(
+        self, account: EngineAccount, order: Order, timeout: timedelta
+    ) -> Verdict | None:
+        details = {
+            "target": account.target.target,
+            "kind": order.kind.value,
+            "model": order.model,
+            "adapter": order.adapter,
+            "expected_orders": order.expected_orders,
+        }
+        events.log(
+            _log,
+            FleetEvent.ORDER_SENT,
+            term=self._term,
+            used_mb=account.used_mb,
+            report_age_s=round(
+                self._clock.monotonic() - account.reported_at, 3
+            ),
+            **details,
+        )
+        try:
+            verdict = await self._control.send_order(
+                account.target, order, self._own, self._term, timeout
+            )
+        except EngineUnanswered as error:
+            events.log(
+                _log, FleetEvent.ORDER_OVERDUE, error=str(error), **details
+            )
+            await self._clock.sleep(_LOOK_AGAIN)
+            return None
+        events.log(
+            _log, FleetEvent.ORDER_ANSWERED, verdict=verdict.value, **details
+        )
+        return verdict
+
+    def _settle(
+        self, account: EngineAccount, verdict: Verdict | None, load_s: float
+    ) -> None:
+        now = self._clock.monotonic()
+        if verdict is Verdict.ACCEPTED:
+            account.settle_accepted(now + load_s, now)
+        elif verdict is Verdict.HOLDS:
+            account.settle_held(now)
+        elif verdict is None:
+            account.settle_unanswered()
+        else:
+            account.settle_refused()
+
+    async def _finish_adapter(
+        self, account: EngineAccount, kind: OrderKind, item: ItemKey
+    ) -> bool:
+        if kind is OrderKind.LOAD:
+            wait = timedelta(milliseconds=self._settings.adapter_load_ms)
+            await self._clock.sleep(wait)
+            account.finish_adapter(item.model, item.adapter)
+        return True
+
+    async def _finish_model(self, account: EngineAccount) -> bool:
+        """Wait until the order for a model is carried out."""
+        opened = account.loading
+        wait_s = max(0.0, opened.ready_at - self._clock.monotonic())
+        await self._clock.sleep(timedelta(seconds=wait_s))
+        while self._is_current(account):
+            asked_at = self._clock.monotonic()
+            await self._refresh(account)
+            if account.shows_done(opened, asked_at):
+                account.finish_model(self._clock.monotonic())
+                return True
+        return False
+
+    def _is_current(self, account: EngineAccount) -> bool:
+        return self._accounts.get(account.target.target) is account
+
+    async def _refresh(self, account: EngineAccount) -> None:
+        """Read a report now, or a little later where one is under way."""
+        await self._clock.sleep(_LOOK_AGAIN)
+        name = account.target.target
+        if name not in self._reporting:
+            self._reporting.add(name)
+            await self._fetch_report(account)
+
+
+def create_ordering(
+    own: VmId,
+    log: RecoveringLog,
+    board: FleetBoard,
+    routes: RoutesInForce,
+    demand: DemandBoard,
+    control: EngineControl,
+    settings: FleetSettings,
+    clock: Clock,
+) -> Ordering:
+    """Return the part that gives orders on a control VM."""
+    return Ordering(own, log, board, routes, demand, control, settings, clock)
--- /dev/null
+++ b/dotterelbridge/fleet/policy.py
@@ -0,0 +1,317 @@
+"""Decides which models and adapters the engines should hold.
+
+Works on one service at a time, from what its engines hold, what callers
+want, and how fast the weight store allows loads. At most one step for an
+engine is returned; the next round goes on from what has changed.
+"""
+
+from collections.abc import Iterator
+import math
+
+import msgspec
+
+from dotterelbridge.fleet.account import EngineAccount
+from dotterelbridge.fleet.demand import Demand
+from dotterelbridge.fleet.records import ItemKey
+from dotterelbridge.ids import ItemName
+from dotterelbridge.ids import TargetId
+from dotterelbridge.routes.model import EngineInfo
+from dotterelbridge.routes.model import ModelInfo
+
+HOT_ARRIVALS_PER_S = 1.0
+"""Arrivals from which a model gets a second copy, so that the loss of one
+engine leaves it served: a load from the store takes several seconds."""
+COPY_FILL = 0.6
+"""Share of an engine's slots that one copy is planned to take; the rest
+carries bursts until another copy is loaded."""
+HOLD_S = 1.5
+"""Time that a request is planned to take a slot."""
+IDLE_S = 4.0
+"""Time without a request after which a model's last copy may give way."""
+IDLE_ADAPTER_S = 0.3
+"""The same for an adapter, whose load takes some ms."""
+
+
+class Step(msgspec.Struct, frozen=True, kw_only=True):
+    """One item to bring to an engine, perhaps in the place of another."""
+
+    target: TargetId
+    item: ItemKey
+    evicted: ItemKey | None = None
+    """What is unloaded first, to make room."""
+    reason: str
+    from_store: bool = False
+    """Whether the load takes part of the weight store's rate."""
+
+
+class _Want(msgspec.Struct, frozen=True):
+    """A model that should have one more copy."""
+
+    urgency: int
+    """0 while requests wait for it and nothing holds it."""
+    weight: float
+    model: ModelInfo
+    reason: str
+
+
+class ServicePlan(msgspec.Struct):
+    """The steps to take now, and what no engine has room for."""
+
+    steps: list[Step] = []
+    blocked: list[ItemKey] = []
+
+
+class FleetPolicy:
+    """Plans for one service."""
+
+    def __init__(
+        self,
+        service: ItemName,
+        engine: EngineInfo,
+        accounts: list[EngineAccount],
+        demand: dict[ItemKey, Demand],
+        store_loads: int,
+        now: float,
+    ) -> None:
+        self._service = service
+        self._engine = engine
+        self._accounts = [a for a in accounts if a.target.takes_new_work]
+        self._demand = demand
+        self._store_loads = store_loads
+        self._now = now
+        self._plan = ServicePlan()
+        self._has_demand = any(key.service == service for key in demand)
+
+    def plan(self) -> ServicePlan:
+        """Return the steps to take now."""
+        for want in sorted(
+            self._list_wants(), key=lambda w: (w.urgency, -w.weight)
+        ):
+            self._serve_model(want)
+        for key, demand in sorted(
+            self._demand.items(), key=lambda entry: -entry[1].waiting
+        ):
+            if key.service == self._service and key.adapter:
+                self._serve_adapter(key, demand)
+        return self._plan
+
+    # Models.
+
+    def _list_wants(self) -> Iterator[_Want]:
+        for model in self._engine.models:
+            demand = self._demand_of(model.name)
+            copies = self._count_copies(model.name)
+            wanted = self._find_wanted(model.name, copies)
+            if not copies and demand.waiting:
+                yield _Want(0, demand.waiting, model, "requests wait")
+            elif not copies and demand.arrivals_per_s > 0.05:
+                yield _Want(1, demand.arrivals_per_s, model, "wanted lately")
+            elif copies < wanted:
+                lack = wanted - copies
+                yield _Want(2, lack, model, f"{copies} of {wanted} copies")
+            elif not copies:
+                yield _Want(3, 0.0, model, "held nowhere")
+
+    def _demand_of(self, model: str) -> Demand:
+        """Return the demand for a model and all of its adapters."""
+        total = Demand()
+        for key, demand in self._demand.items():
+            if key.service != self._service or key.model != model:
+                continue
+            total.running += demand.running
+            total.waiting += demand.waiting
+            total.arrivals_per_s += demand.arrivals_per_s
+            total.wanted_at = max(total.wanted_at, demand.wanted_at)
+        return total
+
+    def _count_copies(self, model: str) -> int:
+        """Return the copies that serve or will serve soon."""
+        return sum(
+            account.serves(model) or account.moving_model == model
+            for account in self._accounts
+        )
+
+    def _find_wanted(self, model: str, copies: int) -> int:
+        """Return how many copies the demand for a model calls for."""
+        if not self._has_demand:
+            # Before the first request, what stands on many engines is
+            # what its owners take for busy.
+            return min(copies, 2)
+        demand = self._demand_of(model)
+        load = max(demand.in_hand, demand.arrivals_per_s * HOLD_S)
+        wanted = math.ceil(load / (self._engine.slots * COPY_FILL))
+        if demand.arrivals_per_s >= HOT_ARRIVALS_PER_S:
+            wanted = max(wanted, 2)
+        return min(wanted, len(self._accounts))
+
+    def _serve_model(self, want: _Want) -> None:
+        choices = [
+            (self._rate_place(account, want), account.target.target, account)
+            for account in self._accounts
+            if account.takes_model_moves
+            and want.model.name not in account.models
+        ]
+        choices = [choice for choice in choices if choice[0] is not None]
+        if not choices:
+            if want.urgency == 0:
+                self._plan.blocked.append(
+                    ItemKey(self._service, want.model.name)
+                )
+            return
+        _, _, account = min(choices)
+        self._place_model(account, want)
+
+    def _rate_place(
+        self, account: EngineAccount, want: _Want
+    ) -> tuple[float, float] | None:
+        """Return how bad a place is; None where the model can't go."""
+        model = want.model
+        if not self._is_cheap(account, model) and self._store_loads <= 0:
+            return None
+        loss = 0.0
+        if not account.has_room(model.name):
+            victim = self._find_victim(account, want)
+            if victim is None:
+                return None
+            loss = self._rate_loss(victim)
+        return (loss, estimate_load_s(account, model))
+
+    def _place_model(self, account: EngineAccount, want: _Want) -> None:
+        account.moving_model = want.model.name
+        model = want.model
+        evicted = None
+        if not account.has_room(model.name):
+            victim = self._find_victim(account, want)
+            evicted = ItemKey(self._service, victim)
+        from_store = not self._is_cheap(account, model)
+        self._store_loads -= from_store
+        self._plan.steps.append(
+            Step(
+                target=account.target.target,
+                item=ItemKey(self._service, model.name),
+                evicted=evicted,
+                reason=want.reason,
+                from_store=from_store,
+            )
+        )
+
+    def _is_cheap(self, account: EngineAccount, model: ModelInfo) -> bool:
+        """Whether a load needs nothing from the weight store."""
+        return model.name in account.in_memory or model.name in account.on_disk
+
+    def _find_victim(self, account: EngineAccount, want: _Want) -> str | None:
+        """Return the model whose loss costs least, if that is allowed."""
+        allowed = [
+            model
+            for model in account.models
+            if account.has_room(want.model.name, without=model)
+            and self._may_drop(model, want)
+        ]
+        return min(allowed, key=self._rate_loss, default=None)
+
+    def _may_drop(self, model: str, want: _Want) -> bool:
+        copies = self._count_copies(model)
+        wanted = self._find_wanted(model, copies)
+        if copies > max(1, wanted):
+            return True
+        demand = self._demand_of(model)
+        if want.urgency > 1:
+            return False
+        if copies > 1:
+            # The second copy is for safety; being served at all goes first.
+            return demand.in_hand < self._engine.slots * COPY_FILL
+        return not demand.in_hand and self._now - demand.wanted_at > IDLE_S
+
+    def _rate_loss(self, model: str) -> float:
+        """Return how much it costs to drop one copy of a model."""
+        copies = self._count_copies(model)
+        demand = self._demand_of(model)
+        idle_s = min(self._now - demand.wanted_at, 1000.0)
+        weight = demand.in_hand + demand.arrivals_per_s + 1 / (1 + idle_s)
+        if copies > max(1, self._find_wanted(model, copies)):
+            return weight / 1000
+        return weight / max(copies, 1)
+
+    # Adapters.
+
+    def _serve_adapter(self, key: ItemKey, demand: Demand) -> None:
+        if not demand.waiting or self._is_coming(key):
+            return
+        holders = [a for a in self._accounts if a.serves(key.model)]
+        if any(a.serves(key.model, key.adapter) for a in holders):
+            return
+        choices = [a for a in holders if a.takes_adapter_moves]
+        if not choices:
+            return
+        free = [a for a in choices if a.has_adapter_room(key.model)]
+        if free:
+            account = min(free, key=_rate_adapter_place)
+            self._add_adapter_step(account, key, None)
+            return
+        victim = self._find_idle_adapter(choices)
+        if victim is None:
+            self._plan.blocked.append(key)
+            return
+        account, evicted = victim
+        self._add_adapter_step(account, key, evicted)
+
+    def _is_coming(self, key: ItemKey) -> bool:
+        place = (key.model, key.adapter)
+        return any(place in a.moving_adapters for a in self._accounts)
+
+    def _find_idle_adapter(
+        self, choices: list[EngineAccount]
+    ) -> tuple[EngineAccount, ItemKey] | None:
+        """Return the adapter that was idle longest, to make room."""
+        candidates = [
+            (self._idle_s(key), key, account)
+            for account in choices
+            if not account.moving_adapters
+            for key in self._list_adapters(account)
+            if not self._in_hand(key)
+        ]
+        candidates = [c for c in candidates if c[0] > IDLE_ADAPTER_S]
+        if not candidates:
+            return None
+        _, key, account = max(candidates, key=lambda c: c[:2])
+        return account, key
+
+    def _list_adapters(self, account: EngineAccount) -> Iterator[ItemKey]:
+        for model, adapters in account.ready.items():
+            for adapter in adapters:
+                yield ItemKey(self._service, model, adapter)
+
+    def _idle_s(self, key: ItemKey) -> float:
+        demand = self._demand.get(key)
+        return self._now - (demand.wanted_at if demand else -math.inf)
+
+    def _in_hand(self, key: ItemKey) -> int:
+        demand = self._demand.get(key)
+        return demand.in_hand if demand else 0
+
+    def _add_adapter_step(
+        self, account: EngineAccount, key: ItemKey, evicted: ItemKey | None
+    ) -> None:
+        account.moving_adapters.add((key.model, key.adapter))
+        self._plan.steps.append(
+            Step(
+                target=account.target.target,
+                item=key,
+                evicted=evicted,
+                reason="requests wait",
+            )
+        )
+
+
+def _rate_adapter_place(account: EngineAccount) -> tuple[int, int]:
+    load = account.target.load
+    return (account.adapter_count, load.running + load.waiting)
+
+
+def estimate_load_s(account: EngineAccount, model: ModelInfo) -> float:
+    """Return how long a load of a model takes at an engine."""
+    if model.name in account.in_memory:
+        return model.memory_load_s
+    if model.name in account.on_disk:
+        return model.disk_load_s
+    return model.store_load_s
--- /dev/null
+++ b/dotterelbridge/fleet/settings.py
@@ -0,0 +1,58 @@
+"""Settings of the fleet's parts."""
+
+from typing import Annotated
+
+from msgspec import Meta
+
+from dotterelbridge.settings_schema import Section
+
+_Milliseconds = Annotated[int, Meta(ge=1, le=600_000)]
+_Count = Annotated[int, Meta(ge=1)]
+
+
+class FleetSettings(Section, frozen=True, kw_only=True):
+    """Section ``[fleet]``."""
+
+    poll_hold_ms: _Milliseconds = 500
+    """Longest time that a source waits for news before it answers."""
+    poll_grace_ms: _Milliseconds = 500
+    """Time beyond it after which a source is given up: two crossings of
+    the slowest link and a lost packet sent again."""
+    return_ms: _Milliseconds = 5000
+    """Time after which a VM that left its nearest source tries it anew."""
+    retry_ms: _Milliseconds = 50
+    """Pause before another source is asked."""
+    detached_limit_ms: _Milliseconds = 1500
+    """Age of a source's own knowledge from which another is preferred;
+    well within the time in which routes must be in force."""
+    settle_ms: _Milliseconds = 2500
+    """Time after the start for which only a source that is up to date
+    counts."""
+    follower_kept_s: Annotated[float, Meta(gt=0)] = 5.0
+    """Time without a poll after which a follower counts no more."""
+    list_interval_ms: _Milliseconds = 300
+    """Time between two reads of the platform's list."""
+    list_timeout_ms: _Milliseconds = 1000
+    absent_reads: _Count = 2
+    """Whole reads in a row without a target after which it is gone."""
+    report_interval_ms: _Milliseconds = 500
+    """Time between two reports of one engine."""
+    report_timeout_ms: _Milliseconds = 500
+    demand_interval_ms: _Milliseconds = 500
+    """Time between two demand reports of an entry VM."""
+    demand_urgent_ms: _Milliseconds = 20
+    """The same while requests wait for an item that nothing holds."""
+    holder_wait_ms: _Milliseconds = 3400
+    """Time after which a former holder certainly gives no orders: the
+    platform's lease time and its slack after a thaw."""
+    order_timeout_ms: _Milliseconds = 400
+    """Time without an answer after which an order is sent again."""
+    adapter_load_ms: _Milliseconds = 25
+    """Time from an accepted order until an adapter is expected ready."""
+    drop_notice_ms: _Milliseconds = 100
+    """Time between taking a model out of use and its unload, in which
+    the entry VMs hear of it: two crossings of the slowest link."""
+    store_at_once: _Count = 4
+    """Loads from the weight store at a time."""
+    store_burst_s: Annotated[float, Meta(gt=0)] = 5.0
+    """Window over which loads from the weight store are counted."""
--- /dev/null
+++ b/dotterelbridge/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serves requests by route, at targets that the platform lists."""
--- /dev/null
+++ b/dotterelbridge/gateway/app.py
@@ -0,0 +1,451 @@
+"""The callers' door of the gateway, as an ASGI application."""
+
+from collections.abc import Callable
+from datetime import timedelta
+import random
+from typing import Any
+import zlib
+
+import anyio
+import structlog
+
+from dotterelbridge import events
+from dotterelbridge.clock import Clock
+from dotterelbridge.dump import Dumpable
+from dotterelbridge.errors import RequestRefused
+from dotterelbridge.errors import TargetConnectFailed
+from dotterelbridge.errors import TargetError
+from dotterelbridge.fleet.records import ItemKey
+from dotterelbridge.gateway.attempts import Attempts
+from dotterelbridge.gateway.attempts import TargetFailed
+from dotterelbridge.gateway.call import GatewayCall
+from dotterelbridge.gateway.errors import NoPlace
+from dotterelbridge.gateway.errors import NotRun
+from dotterelbridge.gateway.events import GatewayEvent
+from dotterelbridge.gateway.headers import HeaderNames
+from dotterelbridge.gateway.request import GatewayRequest
+from dotterelbridge.gateway.request import read_gateway_request
+from dotterelbridge.gateway.router import GatewayRouter
+from dotterelbridge.gateway.settings import GatewaySettings
+from dotterelbridge.ids import RunStatus
+from dotterelbridge.routes.force import RoutesInForce
+from dotterelbridge.routes.model import Repeatability
+from dotterelbridge.routes.model import Route
+from dotterelbridge.routes.model import Service
+from dotterelbridge.serving.answer import SINK_EXTENSION
+from dotterelbridge.serving.answer import AnswerSink
+from dotterelbridge.serving.errors import AnswerIncomplete
+from dotterelbridge.serving.errors import CallerGone
+from dotterelbridge.serving.errors import Failure
+from dotterelbridge.serving.errors import RequestMalformed
+from dotterelbridge.serving.errors import RequestTooLarge
+from dotterelbridge.serving.events import ServingEvent
+from dotterelbridge.serving.hang_up import run_until_hang_up
+from dotterelbridge.serving.settings import ServingSettings
+
+_log = structlog.get_logger(__name__)
+
+_BYTES_PER_KB = 1024
+_MS = 1000
+_RETRY_SOON = timedelta(milliseconds=500)
+
+
+class GatewayApp(Dumpable):
+    """Takes callers' requests; knows how many are in flight."""
+
+    def __init__(
+        self,
+        routes: RoutesInForce,
+        router: GatewayRouter,
+        names: HeaderNames,
+        settings: GatewaySettings,
+        serving: ServingSettings,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._routes = routes
+        self._router = router
+        self._names = names
+        self._settings = settings
+        self._serving = serving
+        self._clock = clock
+        self._random = rng
+        self._requests = 0
+        self._draining = False
+        self._conditions: list[Callable[[], bool]] = []
+        self._all_answered = anyio.Event()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have no whole answer yet."""
+        return self._requests
+
+    def require(self, condition: Callable[[], bool]) -> None:
+        """Keep readiness false while the condition does not hold."""
+        self._conditions.append(condition)
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send new connections here."""
+        return not self._draining and all(met() for met in self._conditions)
+
+    def start_draining(self) -> None:
+        """Turn readiness false."""
+        if self._draining:
+            return
+        self._draining = True
+        events.log(_log, ServingEvent.DRAIN_STARTED, in_flight=self._requests)
+
+    async def wait_until_answered(self) -> None:
+        """Return once no request is in flight."""
+        while self._requests:
+            self._all_answered = anyio.Event()
+            await self._all_answered.wait()
+
+    def dump(self) -> dict[str, Any]:
+        return {
+            "draining": self._draining,
+            "in_flight": self._requests,
+            "routes_version": self._routes.version,
+        }
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] != "http":
+            return
+        self._requests += 1
+        try:
+            await self._serve(scope, receive)
+        finally:
+            self._requests -= 1
+            if not self._requests:
+                self._all_answered.set()
+
+    async def _serve(self, scope, receive) -> None:
+        sink = scope["extensions"][SINK_EXTENSION]
+        started_at = self._clock.monotonic()
+        try:
+            request = await read_gateway_request(
+                scope,
+                receive,
+                self._names,
+                self._serving.body_limit_kb * _BYTES_PER_KB,
+                timedelta(seconds=self._serving.body_timeout_s),
+            )
+        except CallerGone:
+            return
+        except RequestRefused as error:
+            await self._send_failure(sink, "", _describe_refusal(error))
+            return
+        if self._routes.routes is None:
+            await self._refuse(sink, request, _NO_ROUTES)
+            return
+        route = self._routes.find_route(request.host, request.path)
+        if route is None:
+            await self._refuse(sink, request, _NO_ROUTE)
+            return
+        call = self._create_call(request, route, started_at)
+        self._router.start_call(call)
+        await self._answer(call, receive, sink)
+
+    def _create_call(
+        self, request: GatewayRequest, route: Route, started_at: float
+    ) -> GatewayCall:
+        limit_ms = route.time_limit_ms
+        if request.deadline_ms is not None:
+            limit_ms = min(limit_ms, request.deadline_ms)
+        service = self._choose_service(request, route)
+        item = None
+        if service.engine is not None and request.model:
+            item = ItemKey(service.name, request.model, request.adapter)
+        return GatewayCall(
+            request=request,
+            route=route,
+            service=service,
+            item=item,
+            started_at=started_at,
+            ends_at=started_at + limit_ms / _MS,
+        )
+
+    def _choose_service(
+        self, request: GatewayRequest, route: Route
+    ) -> Service:
+        """Return the service by the route's weights, the same each time."""
+        total = sum(share.weight for share in route.shares)
+        position = zlib.crc32(request.request.encode()) % total
+        for share in route.shares:
+            if position < share.weight:
+                break
+            position -= share.weight
+        return self._routes.find_service(share.service)
+
+    async def _answer(
+        self, call: GatewayCall, receive, sink: AnswerSink
+    ) -> None:
+        attempts = Attempts(
+            call,
+            sink,
+            self._router,
+            self._names,
+            self._settings,
+            self._clock,
+            self._random,
+        )
+        try:
+            await self._run(call, attempts, receive)
+        except AnswerIncomplete:
+            raise
+        except NoPlace as error:
+            await self._settle_no_place(call, attempts, error)
+        except TargetFailed as error:
+            await attempts.send_whole(error.status, error.headers, error.body)
+            self._log_answer(call, attempts)
+        except TargetError as error:
+            await self._settle_failure(call, attempts, error)
+        except TimeoutError:
+            await self._settle_timeout(call, attempts)
+        else:
+            if attempts.is_finished:
+                self._log_answer(call, attempts)
+            else:
+                self._log(GatewayEvent.CALLER_GONE, call, attempts)
+
+    async def _run(
+        self, call: GatewayCall, attempts: Attempts, receive
+    ) -> None:
+        """Run the attempts within the time that the request has."""
+        grace_s = self._settings.answer_grace_ms / _MS
+        left_s = call.left_s(self._clock.monotonic()) + grace_s
+
+        async def run() -> None:
+            with anyio.fail_after(max(0.0, left_s)):
+                await attempts.run()
+
+        if call.route.repeatability is Repeatability.UNSAFE:
+            await run()
+        else:
+            await run_until_hang_up(receive, run)
+
+    # Ends without a target's answer.
+
+    async def _settle_no_place(
+        self, call: GatewayCall, attempts: Attempts, error: NoPlace
+    ) -> None:
+        if call.is_delivering:
+            self._cut(call, attempts, error.problem)
+        if call.ran_at:
+            await self._send_unknown(call, attempts, error.problem)
+            return
+        await self._send_refusal(
+            call, attempts, error.problem, error.retry_after
+        )
+
+    async def _settle_failure(
+        self, call: GatewayCall, attempts: Attempts, error: TargetError
+    ) -> None:
+        if call.is_delivering:
+            self._cut(call, attempts, error.problem)
+        not_run = isinstance(error, (NotRun, TargetConnectFailed))
+        if not_run and not call.ran_at:
+            await self._send_refusal(
+                call, attempts, error.problem, _RETRY_SOON
+            )
+            return
+        await self._send_unknown(call, attempts, error.problem)
+
+    async def _settle_timeout(
+        self, call: GatewayCall, attempts: Attempts
+    ) -> None:
+        problem = "the time that the request had is over"
+        if call.is_delivering:
+            self._cut(call, attempts, problem)
+        if not call.ran_at:
+            await self._send_refusal(call, attempts, problem, _RETRY_SOON)
+            return
+        await self._send_unknown(call, attempts, problem, status=504)
+
+    def _cut(
+        self, call: GatewayCall, attempts: Attempts, problem: str
+    ) -> None:
+        """Close the caller's connection without the stream's end."""
+        self._log(GatewayEvent.REQUEST_CUT, call, attempts, problem=problem)
+        raise AnswerIncomplete(problem, "send the request again")
+
+    async def _send_refusal(
+        self,
+        call: GatewayCall,
+        attempts: Attempts,
+        problem: str,
+        retry_after: timedelta,
+    ) -> None:
+        failure = Failure(
+            status=503,
+            kind="not_run",
+            message=problem,
+            remedy="send it again after the time in Retry-After",
+            run=RunStatus.NO,
+            retry_after=retry_after,
+        )
+        self._log(
+            GatewayEvent.REQUEST_REFUSED,
+            call,
+            attempts,
+            problem=problem,
+            retry_after_s=retry_after.total_seconds(),
+        )
+        await self._send(attempts, failure)
+
+    async def _send_unknown(
+        self,
+        call: GatewayCall,
+        attempts: Attempts,
+        problem: str,
+        status: int = 502,
+    ) -> None:
+        failure = Failure(
+            status=status,
+            kind="target_broke",
+            message=problem,
+            remedy="send it again only if running it twice does no harm",
+            run=RunStatus.UNKNOWN,
+        )
+        self._log(
+            GatewayEvent.REQUEST_UNKNOWN,
+            call,
+            attempts,
+            problem=problem,
+            status=status,
+        )
+        await self._send(attempts, failure)
+
+    async def _refuse(
+        self, sink: AnswerSink, request: GatewayRequest, failure: Failure
+    ) -> None:
+        events.log(
+            _log,
+            GatewayEvent.REQUEST_REFUSED,
+            request=request.request,
+            problem=failure.message,
+            host=request.host,
+            path=request.path,
+            routes_version=self._routes.version,
+        )
+        await self._send_failure(sink, request.request, failure)
+
+    async def _send(self, attempts: Attempts, failure: Failure) -> None:
+        request = attempts.call.request.request
+        headers = self._list_failure_headers(request, failure)
+        await attempts.send_whole(
+            failure.status, headers, failure.encode_body()
+        )
+
+    async def _send_failure(
+        self, sink: AnswerSink, request: str, failure: Failure
+    ) -> None:
+        body = failure.encode_body()
+        headers = self._list_failure_headers(request, failure)
+        headers.append((b"content-length", b"%d" % len(body)))
+        sink.write(
+            {
+                "type": "http.response.start",
+                "status": failure.status,
+                "headers": headers,
+            }
+        )
+        sink.write(
+            {"type": "http.response.body", "body": body, "more_body": False}
+        )
+        await sink.wait_writable()
+
+    def _list_failure_headers(
+        self, request: str, failure: Failure
+    ) -> list[tuple[bytes, bytes]]:
+        headers = [(b"content-type", b"application/json")]
+        if request:
+            headers.append((self._names.request_id, request.encode()))
+        if failure.retry_after is not None:
+            seconds = failure.retry_after.total_seconds()
+            headers.append((b"retry-after", b"%.2f" % seconds))
+        return headers
+
+    # Logs.
+
+    def _log_answer(self, call: GatewayCall, attempts: Attempts) -> None:
+        self._log(
+            GatewayEvent.REQUEST_ANSWERED,
+            call,
+            attempts,
+            status=attempts.status,
+        )
+
+    def _log(
+        self,
+        event: GatewayEvent,
+        call: GatewayCall,
+        attempts: Attempts,
+        **details: object,
+    ) -> None:
+        now = self._clock.monotonic()
+        first_ms = None
+        if attempts.first_at is not None:
+            first_ms = round((attempts.first_at - call.started_at) * _MS)
+        events.log(
+            _log,
+            event,
+            request=call.request.request,
+            route=call.route.name,
+            service=call.service.name,
+            model=call.request.model,
+            adapter=call.request.adapter,
+            target=attempts.place.target.target if attempts.place else None,
+            attempts=call.attempts,
+            ran_at=sorted(call.ran_at),
+            first_ms=first_ms,
+            total_ms=round((now - call.started_at) * _MS),
+            **details,
+        )
+
+
+_NO_ROUTES = Failure(
+    status=503,
+    kind="not_run",
+    message="this VM knows no routes yet",
+    remedy="send it again after the time in Retry-After",
+    run=RunStatus.NO,
+    retry_after=_RETRY_SOON,
+)
+_NO_ROUTE = Failure(
+    status=404,
+    kind="no_route",
+    message="no route begins this host and path",
+    remedy="check the address",
+    run=RunStatus.NO,
+)
+
+
+def _describe_refusal(error: RequestRefused) -> Failure:
+    status, kind = 400, "malformed"
+    if isinstance(error, RequestTooLarge):
+        status, kind = 413, "too_large"
+    elif isinstance(error, RequestMalformed):
+        status, kind = 400, "malformed"
+    return Failure(
+        status=status,
+        kind=kind,
+        message=error.problem,
+        remedy=error.remedy,
+        run=RunStatus.NO,
+    )
+
+
+def create_gateway_app(
+    routes: RoutesInForce,
+    router: GatewayRouter,
+    names: HeaderNames,
+    settings: GatewaySettings,
+    serving: ServingSettings,
+    clock: Clock,
+    rng: random.Random,
+) -> GatewayApp:
+    """Return the callers' application."""
+    return GatewayApp(routes, router, names, settings, serving, clock, rng)
--- /dev/null
+++ b/dotterelbridge/gateway/request.py
@@ -0,0 +1,121 @@
+"""A caller's request, read and checked."""
+
+from datetime import timedelta
+
+import anyio
+import msgspec
+
+from dotterelbridge.gateway.headers import HeaderNames
+from dotterelbridge.ids import RequestId
+from dotterelbridge.serving.errors import RequestMalformed
+from dotterelbridge.serving.request import read_body
+
+_NUMBER_DIGITS = 12
+"""Longest number that is taken from a header."""
+
+
+class PromptPart(msgspec.Struct, frozen=True):
+    """Part of a prompt that requests may share."""
+
+    part: str
+    tokens: int
+
+
+class GatewayRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A whole request."""
+
+    request: RequestId
+    method: str
+    target: str
+    """Path and query as they came."""
+    path: str
+    host: str
+    headers: list[tuple[bytes, bytes]]
+    """Those that are passed on."""
+    body: bytes
+    deadline_ms: int | None
+    model: str = ""
+    adapter: str = ""
+    tokens_in: int = 0
+    tokens_out: int = 0
+    prompt_parts: tuple[PromptPart, ...] = ()
+    last_event_id: bytes | None = None
+
+
+async def read_gateway_request(
+    scope, receive, names: HeaderNames, body_limit: int, timeout: timedelta
+) -> GatewayRequest:
+    """Read a request.
+
+    :param body_limit: bytes.
+    :raises RequestRefused: it is malformed or too large.
+    :raises CallerGone: the caller hung up.
+    """
+    try:
+        with anyio.fail_after(timeout.total_seconds()):
+            body = await read_body(receive, body_limit)
+    except TimeoutError:
+        raise RequestMalformed(
+            "the body did not arrive in time",
+            "send it faster, or in several requests",
+        ) from None
+    return create_gateway_request(scope, names, body)
+
+
+def create_gateway_request(
+    scope, names: HeaderNames, body: bytes
+) -> GatewayRequest:
+    """Return the request of an ASGI scope."""
+    headers = scope["headers"]
+    values = dict(headers)
+    path = scope["raw_path"].decode("latin-1")
+    query = scope["query_string"].decode("latin-1")
+    model, _, adapter = _read_text(values, names.model).partition("/")
+    tokens_in, tokens_out = _read_tokens(_read_text(values, names.tokens))
+    dropped = names.dropped | _list_connection_options(values)
+    return GatewayRequest(
+        request=RequestId(_read_text(values, names.request_id)),
+        method=scope["method"],
+        target=f"{path}?{query}" if query else path,
+        path=path,
+        host=_read_text(values, b"host"),
+        headers=[(n, v) for n, v in headers if n not in dropped],
+        body=body,
+        deadline_ms=_read_number(_read_text(values, names.deadline_ms)),
+        model=model,
+        adapter=adapter,
+        tokens_in=tokens_in,
+        tokens_out=tokens_out,
+        prompt_parts=_read_parts(_read_text(values, names.prompt_parts)),
+        last_event_id=values.get(names.last_event_id),
+    )
+
+
+def _list_connection_options(values: dict[bytes, bytes]) -> set[bytes]:
+    options = values.get(b"connection", b"").split(b",")
+    return {option.strip().lower() for option in options}
+
+
+def _read_text(values: dict[bytes, bytes], name: bytes) -> str:
+    return values.get(name, b"").decode("latin-1").strip()
+
+
+def _read_number(text: str) -> int | None:
+    """Return a whole number, or None for anything else."""
+    whole = text.partition(".")[0]
+    if not whole.isdecimal() or len(whole) > _NUMBER_DIGITS:
+        return None
+    return int(whole)
+
+
+def _read_tokens(text: str) -> tuple[int, int]:
+    tokens_in, _, tokens_out = text.partition(",")
+    return _read_number(tokens_in) or 0, _read_number(tokens_out.strip()) or 0
+
+
+def _read_parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in text.split(",") if text else ():
+        part, _, tokens = entry.strip().partition(":")
+        parts.append(PromptPart(part, _read_number(tokens) or 0))
+    return tuple(parts)
--- /dev/null
+++ b/dotterelbridge/gateway/settings.py
@@ -0,0 +1,47 @@
+"""Settings of the gateway."""
+
+from typing import Annotated
+
+from msgspec import Meta
+
+from dotterelbridge.settings_schema import Section
+
+_Milliseconds = Annotated[int, Meta(ge=1, le=600_000)]
+_Count = Annotated[int, Meta(ge=1)]
+_Percent = Annotated[int, Meta(ge=1, le=1000)]
+
+
+class GatewaySettings(Section, frozen=True, kw_only=True):
+    """Section ``[gateway]``."""
+
+    retry_percent: _Percent = 20
+    """Further arrivals at a service's targets, in percent of its requests;
+    together with retry_extra the platform's bound."""
+    retry_extra: _Count = 56
+    retry_window_s: _Count = 10
+    retry_use_percent: Annotated[int, Meta(ge=1, le=100)] = 80
+    """Part of the bound that is used: the VMs' windows and counts of each
+    other are not exactly alike."""
+    spill_percent: _Percent = 80
+    """Load of the targets nearby, in percent of their slots, from which
+    requests go to another region: its bytes are paid for."""
+    overfill_requests: Annotated[int, Meta(ge=0)] = 6
+    """Requests beyond its slots that are sent to an engine, which queues
+    them: reports are late, and a free slot is worth more than a short
+    wait."""
+    absent_grace_ms: _Milliseconds = 1500
+    """Time that a request waits to hear when an absent item will be
+    loaded: four crossings of the slowest link and a lost message."""
+    wait_percent: Annotated[int, Meta(ge=1, le=100)] = 40
+    """Part of its time that a request waits for a place at a target."""
+    lacking_ms: _Milliseconds = 150
+    """Time for which a target gets no requests for an item that it has
+    just said it lacks; the way of its next report."""
+    ejection_failures: _Count = 3
+    """Failures in a row after which a target gets no requests."""
+    ejection_ms: _Milliseconds = 1000
+    ejection_limit_ms: _Milliseconds = 8000
+    answer_grace_ms: _Milliseconds = 150
+    """Time beyond a request's own for the target's last word on it."""
+    silent_answer_ms: _Milliseconds = 1500
+    """Silence after which a repeatable call is given up at a target."""
--- /dev/null
+++ b/dotterelbridge/gateway/target.py
@@ -0,0 +1,148 @@
+"""One target as the gateway of one VM sees it."""
+
+import random
+
+from dotterelbridge import invariants
+from dotterelbridge.clock import Clock
+from dotterelbridge.fleet.records import FleetTarget
+from dotterelbridge.fleet.records import ItemKey
+from dotterelbridge.gateway.call import GatewayCall
+from dotterelbridge.gateway.settings import GatewaySettings
+from dotterelbridge.ids import Business
+from dotterelbridge.ids import Region
+from dotterelbridge.membership.view import TargetInfo
+from dotterelbridge.membership.view import TargetKind
+from dotterelbridge.routing.ejection import Ejection
+from dotterelbridge.routing.ejection import EjectionState
+from dotterelbridge.targets.client import TargetClient
+from dotterelbridge.targets.client import create_target_client
+from dotterelbridge.targets.settings import TargetsSettings
+
+
+class GatewayTarget:
+    """Aggregate: no new work goes to a target that is leaving."""
+
+    def __init__(
+        self,
+        target: FleetTarget,
+        client: TargetClient,
+        distance: int,
+        settings: GatewaySettings,
+        rng: random.Random,
+    ) -> None:
+        self.target = target
+        self.client = client
+        self.distance = distance
+        """0 in the own failure domain, 1 in the own region, 2 beyond."""
+        self.in_flight = 0
+        self.is_leaving = False
+        """Whether it said so itself, before the platform's list does."""
+        self.ejection = Ejection(
+            settings.ejection_failures,
+            settings.ejection_ms / 1000,
+            settings.ejection_limit_ms / 1000,
+            rng,
+        )
+        self._settings = settings
+        self._lacking: dict[ItemKey, float] = {}
+        self._reported = 0
+        self._in_flight_then = 0
+
+    def update(self, target: FleetTarget) -> None:
+        """Take a newer view of the same life."""
+        if target.load is not self.target.load:
+            self._reported = target.load.running + target.load.waiting
+            self._in_flight_then = self.in_flight
+        self.target = target
+
+    @property
+    def takes_new_work(self) -> bool:
+        """Whether requests may be sent here."""
+        return self.target.takes_new_work and not self.is_leaving
+
+    @property
+    def is_ejected(self) -> bool:
+        """Whether failures keep requests away while others have room."""
+        return self.ejection.state is not EjectionState.IN
+
+    def estimate_load(self) -> int:
+        """Return how many requests the target has, from all VMs.
+
+        The last report, and what this VM has sent and got back since.
+        """
+        since = self.in_flight - self._in_flight_then
+        return max(self.in_flight, self._reported + since)
+
+    def has_room(self) -> bool:
+        """Whether one more request would soon be worked on."""
+        limit = self.target.slots + self._settings.overfill_requests
+        return self.estimate_load() < limit
+
+    def lacks(self, item: ItemKey | None, now: float) -> bool:
+        """Whether the target does not hold an item, or just said so."""
+        if item is None:
+            return False
+        if not self.target.holds(item.model, item.adapter):
+            return True
+        until = self._lacking.get(item)
+        if until is None:
+            return False
+        if now >= until:
+            del self._lacking[item]
+            return False
+        return True
+
+    def note_lacking(self, item: ItemKey, now: float) -> None:
+        """Take the target's word that it does not hold an item."""
+        self._lacking[item] = now + self._settings.lacking_ms / 1000
+
+    def take(self, call: GatewayCall) -> "Place":
+        """Occupy a place for one attempt."""
+        invariants.check(
+            self.target.takes_new_work and not self.is_leaving,
+            "leaving_target_gets_no_work",
+            target=self.target.target,
+        )
+        self.in_flight += 1
+        return Place(self, call)
+
+
+class Place:
+    """The place of one attempt at a target."""
+
+    def __init__(self, holder: GatewayTarget, call: GatewayCall) -> None:
+        self.holder = holder
+        self.call = call
+
+    @property
+    def target(self) -> FleetTarget:
+        """The target as it is known now."""
+        return self.holder.target
+
+    @property
+    def client(self) -> TargetClient:
+        """Connections to the target."""
+        return self.holder.client
+
+
+def create_gateway_target(
+    target: FleetTarget,
+    distance: int,
+    settings: GatewaySettings,
+    targets_settings: TargetsSettings,
+    clock: Clock,
+    rng: random.Random,
+) -> GatewayTarget:
+    """Return the gateway's view of a target, with a client of its own."""
+    info = TargetInfo(
+        target=target.target,
+        kind=TargetKind.SERVICE,
+        business=Business(""),
+        failure_domain=target.failure_domain,
+        region=Region(""),
+        host=target.host,
+        port=target.port,
+        service=target.service,
+    )
+    client = create_target_client(info, targets_settings, clock)
+    return GatewayTarget(target, client, distance, settings, rng)
--- a/dotterelbridge/lifecycle.py
+++ b/dotterelbridge/lifecycle.py
@@ -25,6 +25,9 @@
     def describe_open_work(self) -> dict[str, int]:
         """Return what is still in flight, by kind."""
 
+    def reload(self) -> None:
+        """Take changed settings without ending any work."""
+
     def write_dump(self) -> str | None:
         """Write the state to the dump file; return its path."""
 
@@ -51,13 +54,20 @@
 
 async def _handle_signals(assembly: Drainable) -> None:
     """Return when the daemon was asked to stop and has drained."""
-    watched = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+    watched = (
+        signal.SIGTERM,
+        signal.SIGINT,
+        signal.SIGUSR1,
+        signal.SIGHUP,
+    )
     async with anyio.create_task_group() as draining:
         with anyio.open_signal_receiver(*watched) as signals:
             stopping = False
             async for number in signals:
                 if number == signal.SIGUSR1:
                     _write_dump(assembly)
+                elif number == signal.SIGHUP:
+                    _reload(assembly)
                 elif stopping:
                     open_work = assembly.describe_open_work()
                     events.log(_log, CoreEvent.SHUTDOWN_WAITING, **open_work)
@@ -74,6 +84,15 @@
     scope.cancel()
 
 
+def _reload(assembly: Drainable) -> None:
+    try:
+        assembly.reload()
+    except DotterelbridgeError as error:
+        events.log(_log, CoreEvent.RELOAD_FAILED, error=str(error))
+        return
+    events.log(_log, CoreEvent.SETTINGS_RELOADED)
+
+
 def _write_dump(assembly: Drainable) -> None:
     try:
         path = assembly.write_dump()
--- /dev/null
+++ b/dotterelbridge/nodes/daemon.py
@@ -0,0 +1,44 @@
+"""Runs a node until it is stopped."""
+
+from collections.abc import Callable
+
+import anyio
+
+from dotterelbridge import metrics
+from dotterelbridge.cli.environment import Environment
+from dotterelbridge.cli.exit_status import ExitStatus
+from dotterelbridge.clock import Clock
+from dotterelbridge.errors import DotterelbridgeError
+from dotterelbridge.lifecycle import Drainable
+from dotterelbridge.lifecycle import run_until_drained
+from dotterelbridge.logs import configure_logs
+from dotterelbridge.nodes.settings import NodeSettings
+from dotterelbridge.nodes.settings import load_node_settings
+
+PROGRAM = "dotterelbridged"
+
+NodeFactory = Callable[[NodeSettings, str, Clock], Drainable]
+
+
+def run_node(
+    path: str, create_node: NodeFactory, env: Environment
+) -> ExitStatus:
+    """Run the node that a settings file describes.
+
+    :param create_node: takes the settings, their path and the clock.
+    """
+    try:
+        settings = load_node_settings(path)
+        configure_logs(
+            settings.logs.level.value, settings.logs.format.value, env.stdout
+        )
+        metrics.start(settings.metrics.otlp_endpoint)
+        node = create_node(settings, path, env.time)
+        anyio.run(run_until_drained, node)
+    except DotterelbridgeError as error:
+        env.print_error(PROGRAM, str(error))
+        return ExitStatus.ERROR
+    except OSError as error:
+        env.print_error(PROGRAM, f"{error}; check addresses and files")
+        return ExitStatus.ERROR
+    return ExitStatus.OK
--- a/dotterelbridge/peers/handshake.py
+++ b/dotterelbridge/peers/handshake.py
@@ -14,6 +14,8 @@
 import cbor2
 import msgspec
 
+from dotterelbridge.ids import FailureDomain
+from dotterelbridge.ids import Region
 from dotterelbridge.ids import VmId
 from dotterelbridge.peers.errors import AuthenticationFailed
 from dotterelbridge.peers.errors import ProtocolViolation
@@ -33,6 +35,8 @@
     wanted: VmId
     """The VM that the dialling end means to reach."""
     challenge: bytes
+    failure_domain: FailureDomain = FailureDomain("")
+    region: Region = Region("")
 
 
 class ServerProof(msgspec.Struct, frozen=True, array_like=True):
@@ -42,6 +46,8 @@
     incarnation: str
     challenge: bytes
     proof: bytes
+    failure_domain: FailureDomain = FailureDomain("")
+    region: Region = Region("")
 
 
 class ClientProof(msgspec.Struct, frozen=True, array_like=True):
@@ -61,6 +67,8 @@
 
     vm: VmId
     incarnation: str
+    failure_domain: FailureDomain = FailureDomain("")
+    region: Region = Region("")
 
 
 def create_incarnation() -> str:
@@ -82,6 +90,8 @@
         incarnation=own.incarnation,
         wanted=wanted,
         challenge=secrets.token_bytes(CHALLENGE_BYTES),
+        failure_domain=own.failure_domain,
+        region=own.region,
     )
     await _send(connection, hello)
     answer = await _receive(connection, ServerProof)
@@ -94,16 +104,23 @@
     proof = _prove(secret, _CLIENT, hello, answer)
     await _send(connection, ClientProof(proof=proof))
     await _receive(connection, Welcome)
-    return Identity(vm=answer.vm, incarnation=answer.incarnation)
+    return Identity(
+        vm=answer.vm,
+        incarnation=answer.incarnation,
+        failure_domain=answer.failure_domain,
+        region=answer.region,
+    )
 
 
 async def accept_handshake(
-    connection, own: Identity, known: set[VmId], secret: bytes
+    connection, own: Identity, known: set[VmId] | None, secret: bytes
 ) -> Identity:
     """Authenticate as the accepting end.
 
+    :param known: the VMs that may connect; None for all that know the
+        secret, where VMs find each other by seeds.
     :raises AuthenticationFailed: the other end lacks the secret, is not
-        in the settings, or means to reach another VM.
+        among the known VMs, or means to reach another VM.
     """
     hello = await _receive(connection, Hello)
     if hello.version != PROTOCOL_VERSION:
@@ -116,19 +133,27 @@
         incarnation=own.incarnation,
         challenge=secrets.token_bytes(CHALLENGE_BYTES),
         proof=b"",
+        failure_domain=own.failure_domain,
+        region=own.region,
     )
     proof = _prove(secret, _SERVER, hello, answer)
     answer = msgspec.structs.replace(answer, proof=proof)
     await _send(connection, answer)
     client = await _receive(connection, ClientProof)
     _check_proof(client.proof, _prove(secret, _CLIENT, hello, answer))
-    if hello.vm not in known or hello.wanted != own.vm:
+    is_known = known is None or hello.vm in known
+    if not is_known or hello.wanted != own.vm:
         raise AuthenticationFailed(
             f"VM {hello.vm!r} dialled {hello.wanted!r}; this is {own.vm!r}",
             "list the same VMs and addresses in all settings",
         )
     await _send(connection, Welcome(vm=own.vm))
-    return Identity(vm=hello.vm, incarnation=hello.incarnation)
+    return Identity(
+        vm=hello.vm,
+        incarnation=hello.incarnation,
+        failure_domain=hello.failure_domain,
+        region=hello.region,
+    )
 
 
 def _prove(
@@ -142,9 +167,13 @@
             hello.incarnation,
             hello.wanted,
             hello.challenge,
+            hello.failure_domain,
+            hello.region,
             answer.vm,
             answer.incarnation,
             answer.challenge,
+            answer.failure_domain,
+            answer.region,
         ]
     )
     return hmac.new(secret, transcript, hashlib.sha256).digest()
--- a/dotterelbridge/peers/websocket_network.py
+++ b/dotterelbridge/peers/websocket_network.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Sequence
 from datetime import timedelta
 import random as random_module
@@ -22,6 +23,7 @@
 from dotterelbridge.clock import Clock
 from dotterelbridge.dump import Dumpable
 from dotterelbridge.errors import PeerError
+from dotterelbridge.ids import Business
 from dotterelbridge.ids import VmId
 from dotterelbridge.membership.view import VmInfo
 from dotterelbridge.peers import frames
@@ -58,8 +60,12 @@
         secret: bytes,
         dial: Collection[VmId],
         random: random_module.Random,
+        accept_unknown: bool = False,
     ) -> None:
         self._settings = settings
+        self._accept_unknown = accept_unknown
+        self._dialling: dict[VmId, anyio.CancelScope] = {}
+        self._dial_changed = anyio.Event()
         self._own = own
         self._vms = {info.vm: info for info in vms if info.vm != own.vm}
         self._clock = clock
@@ -67,7 +73,10 @@
         self._dial = sorted(set(dial) & set(self._vms))
         self._random = random
         self._identity = Identity(
-            vm=own.vm, incarnation=handshake.create_incarnation()
+            vm=own.vm,
+            incarnation=handshake.create_incarnation(),
+            failure_domain=own.failure_domain,
+            region=own.region,
         )
         self._handlers: dict[type[Message], Handler] = {}
         self._links: dict[VmId, list[Link]] = {}
@@ -83,9 +92,33 @@
     def peers(self) -> list[VmId]:
         return sorted(self._vms)
 
+    def dial(self, peers: Iterable[VmInfo]) -> None:
+        """Keep links to these peers, and give up dialling any other.
+
+        Links that a peer dialled stay. Used where VMs find each other by
+        seeds, so that the set of peers changes.
+        """
+        wanted = {info.vm: info for info in peers if info.vm != self._own.vm}
+        for info in wanted.values():
+            self._introduce(info)
+        if sorted(wanted) == self._dial:
+            return
+        self._dial = sorted(wanted)
+        self._dial_changed.set()
+
+    def _introduce(self, info: VmInfo) -> None:
+        self._vms[info.vm] = info
+        if info.vm not in self._traffic:
+            self._traffic[info.vm] = Traffic(self._own, info)
+
     def connected(self, peer: VmId) -> bool:
         return bool(self._links.get(peer))
 
+    def locate(self, peer: VmId) -> Identity | None:
+        """Return what a linked peer said of itself; None without a link."""
+        link = self._find_link(peer)
+        return None if link is None else link.identity
+
     def handle(self, message_type: type[Message], handler: Handler) -> None:
         self._handlers[message_type] = handler
 
@@ -119,9 +152,7 @@
         self.listening.set()
         try:
             async with anyio.create_task_group() as group:
-                for peer in self._dial:
-                    group.start_soon(self._keep_link, peer)
-                await anyio.sleep_forever()
+                await self._keep_links(group)
         finally:
             self._close_all()
             server.close()
@@ -160,7 +191,23 @@
         links = self._links.get(peer)
         return links[-1] if links else None
 
-    async def _keep_link(self, peer: VmId) -> None:
+    async def _keep_links(self, group) -> None:
+        """Run one task for each peer that is to be dialled."""
+        while True:
+            self._dial_changed = anyio.Event()
+            for peer in set(self._dialling) - set(self._dial):
+                self._dialling.pop(peer).cancel()
+            for peer in self._dial:
+                if peer not in self._dialling:
+                    scope = self._dialling[peer] = anyio.CancelScope()
+                    group.start_soon(self._keep_link, peer, scope)
+            await self._dial_changed.wait()
+
+    async def _keep_link(self, peer: VmId, scope: anyio.CancelScope) -> None:
+        with scope:
+            await self._dial_again_and_again(peer)
+
+    async def _dial_again_and_again(self, peer: VmId) -> None:
         failures = 0
         while True:
             if self.connected(peer):
@@ -216,7 +263,10 @@
         try:
             with anyio.fail_after(limit_s):
                 identity = await handshake.accept_handshake(
-                    connection, self._identity, set(self._vms), self._secret
+                    connection,
+                    self._identity,
+                    None if self._accept_unknown else set(self._vms),
+                    self._secret,
                 )
         except PeerError as error:
             self._log_refusal(str(address), error)
@@ -226,6 +276,8 @@
             self._log_refusal(str(address), error)
             connection.transport.abort()
             return
+        if identity.vm not in self._vms:
+            self._introduce(_describe_stranger(identity, address))
         await self._carry(self._create_link(connection, identity, identity.vm))
 
     def _create_link(
@@ -306,6 +358,18 @@
         )
 
 
+def _describe_stranger(identity: Identity, address) -> VmInfo:
+    """Return what a VM that found this one by seeds said of itself."""
+    return VmInfo(
+        vm=identity.vm,
+        business=Business(""),
+        failure_domain=identity.failure_domain,
+        region=identity.region,
+        host=address[0],
+        port=0,
+    )
+
+
 def choose_peers_to_dial(
     own: VmInfo, vms: Sequence[VmInfo], voters: Collection[VmId]
 ) -> set[VmId]:
@@ -341,6 +405,7 @@
     secret: bytes,
     dial: Collection[VmId] | None = None,
     random: random_module.Random | None = None,
+    accept_unknown: bool = False,
 ) -> WebsocketNetwork:
     """Return the links of a VM.
 
@@ -348,6 +413,8 @@
         refused with a PeerError.
     :param dial: the peers that this VM connects to by itself; without it
         those of its own failure domain.
+    :param accept_unknown: whether VMs that are not listed may connect,
+        if they know the secret.
     """
     if not secret:
         raise PeerError(
@@ -364,4 +431,5 @@
         secret,
         dial,
         random or random_module.Random(),
+        accept_unknown,
     )
--- a/dotterelbridge/replication/client.py
+++ b/dotterelbridge/replication/client.py
@@ -84,5 +84,5 @@
     log_name: str = "main",
 ) -> LogClient:
     """Return the log of a VM without storage."""
-    forwarder = Forwarder(log_name, network, clock, voters, random)
+    forwarder = Forwarder(log_name, network, clock, lambda: voters, random)
     return LogClient(settings, clock, forwarder)
--- a/dotterelbridge/replication/context.py
+++ b/dotterelbridge/replication/context.py
@@ -1,5 +1,7 @@
 """What the parts of one member share."""
 
+from collections.abc import Callable
+from collections.abc import Sequence
 from datetime import timedelta
 import random as random_module
 
@@ -26,6 +28,9 @@
     disk: Disk
     machines: MachineHost
     initial_voters: tuple[VmId, ...]
+    """The VMs that form the group when all are empty."""
+    list_contacts: Callable[[], Sequence[VmId]]
+    """Returns the VMs that may know the group."""
 
     @property
     def heartbeat(self) -> timedelta:
--- a/dotterelbridge/replication/events.py
+++ b/dotterelbridge/replication/events.py
@@ -30,6 +30,18 @@
         "Durable storage failed; this VM acknowledges nothing more. Free "
         "space or replace the disk, then restart the daemon.",
     )
+    STORAGE_REOPENED = (
+        3012,
+        logging.INFO,
+        "The storage takes writes again; this VM takes part in the group "
+        "as after a restart.",
+    )
+    REOPEN_FAILED = (
+        3013,
+        logging.WARNING,
+        "The failed storage could not be opened again; it is tried once a "
+        "second. Free space or replace the disk.",
+    )
     TAIL_CUT = (
         3011,
         logging.WARNING,
--- a/dotterelbridge/replication/factory.py
+++ b/dotterelbridge/replication/factory.py
@@ -1,5 +1,6 @@
 """Creates the replicated log that fits a VM."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import random as random_module
 
@@ -22,6 +23,7 @@
     voters: Sequence[VmId],
     random: random_module.Random,
     log_name: str = "main",
+    list_seeds: Callable[[], Sequence[VmId]] | None = None,
 ) -> LogMember | LogClient:
     """Return the replicated log on this VM.
 
@@ -32,6 +34,8 @@
     :param voters: the VMs that form the group when all are empty; later
         the log itself says who votes.
     :param log_name: tells the logs of one VM apart; the same on all VMs.
+    :param list_seeds: returns VMs that may know the group, where they
+        are found by seeds; by default the voters.
     :raises StorageError: the stored state is damaged; the message names
         the file, the offset and the remedy.
     """
@@ -40,5 +44,12 @@
             settings, network, clock, voters, random, log_name
         )
     return create_log_member(
-        settings, network, storage, clock, voters, random, log_name
+        settings,
+        network,
+        storage,
+        clock,
+        voters,
+        random,
+        log_name,
+        list_seeds,
     )
--- a/dotterelbridge/replication/forwarding.py
+++ b/dotterelbridge/replication/forwarding.py
@@ -1,8 +1,8 @@
 """Commands and reads that must reach the leader, wherever it is."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 from datetime import timedelta
-import itertools
 import random as random_module
 
 from dotterelbridge.clock import Clock
@@ -56,7 +56,7 @@
         log_name: str,
         network: PeerNetwork,
         clock: Clock,
-        voters: Sequence[VmId],
+        list_contacts: Callable[[], Sequence[VmId]],
         random: random_module.Random,
     ) -> None:
         self.leader: VmId | None = None
@@ -65,8 +65,8 @@
         self._network = network
         self._clock = clock
         self._random = random
-        others = [vm for vm in voters if vm != network.own_id]
-        self._rotation = itertools.cycle(others) if others else None
+        self._list_contacts = list_contacts
+        self._asked = 0
 
     def learn_leader(self, vm: VmId | None) -> None:
         """Note whom another VM called leader; None when it knows none."""
@@ -78,10 +78,20 @@
         A command goes only to a VM that is called leader, so that it is
         certainly not in the log while there is none.
         """
-        if self.leader is None and self._rotation:
-            await self._ask_for_leader(next(self._rotation), deadline)
+        if self.leader is None:
+            contact = self._next_contact()
+            if contact is not None:
+                await self._ask_for_leader(contact, deadline)
         return self.leader
 
+    def _next_contact(self) -> VmId | None:
+        own = self._network.own_id
+        others = [vm for vm in self._list_contacts() if vm != own]
+        if not others:
+            return None
+        self._asked += 1
+        return others[self._asked % len(others)]
+
     async def propose_once(
         self, machine: str, command: bytes, deadline: Deadline
     ) -> bytes | None:
--- a/dotterelbridge/replication/joining.py
+++ b/dotterelbridge/replication/joining.py
@@ -94,7 +94,11 @@
         if found is None:
             return True
         patience = self._context.election_timeout * _FORGOTTEN_AFTER
-        return not found.voter and not self._state.heard_within(patience)
+        if self._state.heard_within(patience) or self._state.leads:
+            return False
+        # A voter may have been replaced while it was cut off; the group
+        # tells nobody that it has removed.
+        return not found.voter or self._context.settings.losses_tolerated > 0
 
     def _belongs_to_group(self) -> bool:
         return bool(self._state.configuration.group_id)
@@ -111,8 +115,9 @@
 
     async def _try_once(self, timeout: timedelta) -> None:
         replies = await self._ask_voters(timeout)
-        member_of_group = [r for r in replies.values() if r.group_id]
-        if member_of_group:
+        own = self._state.configuration.group_id
+        groups = {r.group_id for r in replies.values() if r.group_id}
+        if own in groups or (groups and not own):
             await self._ask_to_join(replies, timeout)
         elif self._may_form_group(replies) and not self._belongs_to_group():
             await self._form_group(replies)
@@ -132,7 +137,7 @@
                 replies[vm] = reply
 
         async with anyio.create_task_group() as group:
-            for vm in self._context.initial_voters:
+            for vm in self._context.list_contacts():
                 if vm != self._state.vm:
                     group.start_soon(ask, vm)
         return replies
@@ -161,7 +166,7 @@
         voters = self._context.initial_voters
         others = set(voters) - {self._state.vm}
         return self._state.vm == min(voters, default=None) and (
-            others == set(replies)
+            others <= set(replies)
         )
 
     async def _form_group(self, replies: dict[VmId, StatusReply]) -> None:
--- a/dotterelbridge/replication/leadership.py
+++ b/dotterelbridge/replication/leadership.py
@@ -574,8 +574,39 @@
         ):
             if self.has_caught_up(learner.member):
                 return configuration.with_voter(learner.member)
+        if self._context.settings.losses_tolerated:
+            return self._find_growth(configuration)
         return None
 
+    def _find_growth(
+        self, configuration: Configuration
+    ) -> Configuration | None:
+        """Return the step towards the wanted number of live voters.
+
+        A silent voter goes only after a learner has taken its vote, so
+        that a VM which restarts alone keeps its place.
+        """
+        wanted = 2 * self._context.settings.losses_tolerated + 1
+        voters = configuration.voters()
+        silent = [m for m in voters if self._is_silent(m)]
+        if len(voters) > wanted and silent:
+            return configuration.without(silent[0].member)
+        if len(voters) >= wanted + bool(silent):
+            return None
+        for member in configuration.members:
+            if not member.voter and self.has_caught_up(member.member):
+                return configuration.with_voter(member.member)
+        return None
+
+    def _is_silent(self, member: Member) -> bool:
+        if member.member == self._state.member:
+            return False
+        progress = self._progress.get(member.member)
+        acked_at = progress.acked_at if progress else _NEVER
+        heard_at = max(acked_at, self._began_at)
+        limit_s = self._context.settings.silent_voter_ms / 1000
+        return self._context.clock.monotonic() - heard_at > limit_s
+
     def has_caught_up(self, member_id: MemberId) -> bool:
         """Return whether a member holds all that is committed."""
         return self.find_match(member_id) >= self._state.commit_index
--- a/dotterelbridge/replication/member.py
+++ b/dotterelbridge/replication/member.py
@@ -1,5 +1,6 @@
 """The replicated log on one VM: a member's parts, wired together."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 from datetime import timedelta
 import random as random_module
@@ -14,6 +15,7 @@
 from dotterelbridge.errors import StorageError
 from dotterelbridge.ids import LogIndex
 from dotterelbridge.ids import MemberId
+from dotterelbridge.ids import Term
 from dotterelbridge.ids import VmId
 from dotterelbridge.peers.network import PeerNetwork
 from dotterelbridge.replication.answers import AnswerCache
@@ -101,6 +103,20 @@
     def leader(self) -> VmId | None:
         return self._state.leader_vm
 
+    @property
+    def term(self) -> Term:
+        """The term that this VM knows of."""
+        return self._state.term
+
+    def silence_s(self) -> float:
+        """Return seconds since this VM knew that it follows the group.
+
+        Zero on a leader with a valid lease.
+        """
+        if self.leads():
+            return 0.0
+        return self._context.clock.monotonic() - self._state.heard_at
+
     async def run(self) -> None:
         """Take part in the group until cancelled."""
         self._register_handlers()
@@ -278,9 +294,13 @@
 
     async def _watch_failure(self) -> None:
         """Give proposers their answer as soon as the storage fails."""
+        await self.wait_failed()
+        self._machines.fail_waiters("this VM's storage failed")
+
+    async def wait_failed(self) -> None:
+        """Return once the storage failed; this life takes no more part."""
         while self._state.role is not Role.FAILED:
             await self._state.role_changed.wait()
-        self._machines.fail_waiters("this VM's storage failed")
 
     # Proposals and reads
 
@@ -461,16 +481,28 @@
     voters: Sequence[VmId],
     random: random_module.Random,
     log_name: str = "main",
+    list_seeds: Callable[[], Sequence[VmId]] | None = None,
 ) -> LogMember:
     """Return a member with the state that its storage holds.
 
     Blocks while the storage is read.
 
+    :param voters: the VMs that form the group when all are empty; none
+        on a VM that may only join.
+    :param list_seeds: returns VMs that may know the group; by default
+        the voters.
+
     :raises StorageError: the stored state is damaged.
     """
     stored = storage.open()
     state = MemberState(network.own_id, stored, clock)
     disk = Disk(storage, state, stored.snapshot)
+
+    def list_contacts() -> list[VmId]:
+        members = [member.vm for member in state.configuration.members]
+        seeds = voters if list_seeds is None else list_seeds()
+        return list(dict.fromkeys([*members, *seeds]))
+
     context = Context(
         log_name=log_name,
         settings=settings,
@@ -481,6 +513,7 @@
         disk=disk,
         machines=MachineHost(settings, state, disk),
         initial_voters=tuple(voters),
+        list_contacts=list_contacts,
     )
-    forwarder = Forwarder(log_name, network, clock, voters, random)
+    forwarder = Forwarder(log_name, network, clock, list_contacts, random)
     return LogMember(context, forwarder)
--- /dev/null
+++ b/dotterelbridge/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes: which service takes a request, and under which limits."""
--- /dev/null
+++ b/dotterelbridge/routes/door.py
@@ -0,0 +1,96 @@
+"""The operators' door for routes, as an ASGI application."""
+
+from datetime import timedelta
+
+import msgspec
+
+from dotterelbridge.errors import RequestRefused
+from dotterelbridge.ids import RunStatus
+from dotterelbridge.routes.errors import RoutesInvalid
+from dotterelbridge.routes.errors import RoutesUnknown
+from dotterelbridge.routes.submission import RoutesSubmitter
+from dotterelbridge.serving.answer import SINK_EXTENSION
+from dotterelbridge.serving.answer import AnswerSink
+from dotterelbridge.serving.errors import CallerGone
+from dotterelbridge.serving.errors import Failure
+from dotterelbridge.serving.request import read_body
+
+NATIVE_PATH = "/routes"
+_TIMEOUT = timedelta(milliseconds=900)
+"""Operators ask another VM after a second without an answer."""
+_JSON = (b"content-type", b"application/json")
+
+
+class RoutesDoor:
+    """PUT submits a document, GET reads the newest one."""
+
+    def __init__(
+        self,
+        submitter: RoutesSubmitter,
+        path: str = NATIVE_PATH,
+        document_limit: int = 16 * 1024 * 1024,
+    ) -> None:
+        self._submitter = submitter
+        self._path = path
+        self._document_limit = document_limit
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one ASGI scope."""
+        sink = scope["extensions"][SINK_EXTENSION]
+        if scope["path"] != self._path:
+            await _fail(sink, 404, "no such path", f"use {self._path}")
+        elif scope["method"] == "PUT":
+            await self._submit(receive, sink)
+        elif scope["method"] == "GET":
+            await self._read(sink)
+        else:
+            await _fail(sink, 405, "unknown method", "use PUT or GET")
+
+    async def _submit(self, receive, sink: AnswerSink) -> None:
+        try:
+            document = await read_body(receive, self._document_limit)
+            held = await self._submitter.submit(document, _TIMEOUT)
+        except CallerGone:
+            return
+        except (RoutesInvalid, RequestRefused) as error:
+            await _fail(sink, 400, error.problem, error.remedy)
+        except RoutesUnknown as error:
+            await _fail(sink, 503, error.problem, error.remedy)
+        else:
+            body = msgspec.json.encode({"version": held})
+            await _send(sink, 200, body)
+
+    async def _read(self, sink: AnswerSink) -> None:
+        try:
+            packed = await self._submitter.read(_TIMEOUT)
+        except RoutesUnknown as error:
+            await _fail(sink, 503, error.problem, error.remedy)
+            return
+        await _send(sink, 200, packed.unpack())
+
+
+async def _fail(
+    sink: AnswerSink, status: int, problem: str, remedy: str
+) -> None:
+    failure = Failure(
+        status=status,
+        kind="routes",
+        message=problem,
+        remedy=remedy,
+        run=RunStatus.NO,
+    )
+    await _send(sink, status, failure.encode_body())
+
+
+async def _send(sink: AnswerSink, status: int, body: bytes) -> None:
+    sink.write(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [_JSON, (b"content-length", b"%d" % len(body))],
+        }
+    )
+    sink.write(
+        {"type": "http.response.body", "body": body, "more_body": False}
+    )
+    await sink.wait_writable()
--- a/dotterelbridge/serving/callers.py
+++ b/dotterelbridge/serving/callers.py
@@ -41,6 +41,7 @@
 from dotterelbridge.serving.errors import RequestMalformed
 from dotterelbridge.serving.errors import RequestTooLarge
 from dotterelbridge.serving.events import ServingEvent
+from dotterelbridge.serving.hang_up import run_until_hang_up
 from dotterelbridge.serving.keyed import ClaimRefused
 from dotterelbridge.serving.keyed import KeyedCall
 from dotterelbridge.serving.keyed import KeyedRunner
@@ -345,7 +346,7 @@
         self._calls[call] = self._clock.monotonic()
         try:
             if call.idempotent:
-                await _run_until_hang_up(receive, run)
+                await run_until_hang_up(receive, run)
             else:
                 await run()
         except ClaimRefused as error:
@@ -432,29 +433,6 @@
     return max(_KEPT_LIMIT_MIN, timedelta(seconds=left_s))
 
 
-async def _run_until_hang_up(receive, run) -> None:
-    """Run, or cancel the run once the caller's connection is gone."""
-    failure: list[Exception] = []
-    async with anyio.create_task_group() as group:
-        group.start_soon(_watch_hang_up, receive, group.cancel_scope)
-        try:
-            await run()
-        except Exception as error:
-            # Kept out of the group, which would wrap it.
-            failure.append(error)
-        group.cancel_scope.cancel()
-    if failure:
-        raise failure[0]
-
-
-async def _watch_hang_up(receive, scope: anyio.CancelScope) -> None:
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            scope.cancel()
-            return
-
-
 async def _serve_lifespan(receive, send) -> None:
     while True:
         message = await receive()
--- a/dotterelbridge/serving/listener.py
+++ b/dotterelbridge/serving/listener.py
@@ -27,7 +27,7 @@
         self._settings = settings
         self._clock = clock
         self._server = HttpServer(app, settings, clock)
-        self._socket = _create_socket(settings)
+        self._socket = create_listening_socket(settings)
 
     @property
     def port(self) -> int:
@@ -62,7 +62,8 @@
         events.log(_log, ServingEvent.DRAIN_FINISHED)
 
 
-def _create_socket(settings: ServingSettings) -> socket.socket:
+def create_listening_socket(settings: ServingSettings) -> socket.socket:
+    """Return a socket that listens at the settings' address."""
     family = socket.AF_INET6 if ":" in settings.host else socket.AF_INET
     listening = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/dotterelbridge/serving/request.py
+++ b/dotterelbridge/serving/request.py
@@ -98,7 +98,7 @@
     )
     try:
         with anyio.fail_after(timeout.total_seconds()):
-            request.body = await _read_body(receive, body_limit)
+            request.body = await read_body(receive, body_limit)
     except TimeoutError:
         raise RequestMalformed(
             "the body did not arrive in time",
@@ -129,7 +129,13 @@
     )
 
 
-async def _read_body(receive, limit: int) -> bytes:
+async def read_body(receive, limit: int) -> bytes:
+    """Return a whole body.
+
+    :param limit: bytes.
+    :raises RequestTooLarge: it is longer.
+    :raises CallerGone: the caller hung up.
+    """
     chunks = []
     size = 0
     while True:
--- a/dotterelbridge/settings.py
+++ b/dotterelbridge/settings.py
@@ -248,8 +248,10 @@
 
     :raises SettingsError: it cannot be read or has faults.
     """
-    parser = _parse_file(path)
-    sections, named, faults = _read_sections(parser)
+    parser = parse_file(path)
+    sections, named, faults = read_sections(
+        parser, SECTION_TYPES, NAMED_SECTION_TYPES
+    )
     if not faults:
         settings = Settings(sections, named)
         faults = list(_check_whole(settings, named))
@@ -278,7 +280,8 @@
     return content
 
 
-def _parse_file(path: str) -> configparser.ConfigParser:
+def parse_file(path: str) -> configparser.ConfigParser:
+    """Return the sections of an INI file; SettingsError without them."""
     parser = configparser.ConfigParser(interpolation=None)
     try:
         with open(path, encoding="utf-8") as file:
@@ -296,30 +299,43 @@
     return parser
 
 
-def _read_sections(parser: configparser.ConfigParser):
+def read_sections(
+    parser: configparser.ConfigParser,
+    section_types: dict[str, type[Section]],
+    named_types: dict[str, type[Section]],
+):
+    """Return the sections, the named sections, and all faults."""
     sections = {}
-    named = {kind: {} for kind in NAMED_SECTION_TYPES}
+    named = {kind: {} for kind in named_types}
     faults = []
-    for name, section_type in SECTION_TYPES.items():
+    for name, section_type in section_types.items():
         sections[name], found = read_section(parser, name, section_type)
         faults.extend(found)
     for full_name in parser.sections():
-        if full_name in SECTION_TYPES:
+        if full_name in section_types:
             continue
         kind, _, name = full_name.partition(":")
-        if kind not in NAMED_SECTION_TYPES or not name:
-            faults.append(_describe_unknown_section(full_name))
+        if kind not in named_types or not name:
+            faults.append(
+                _describe_unknown_section(
+                    full_name, section_types, named_types
+                )
+            )
             continue
         named[kind][name], found = read_section(
-            parser, full_name, NAMED_SECTION_TYPES[kind]
+            parser, full_name, named_types[kind]
         )
         faults.extend(found)
     return sections, named, faults
 
 
-def _describe_unknown_section(name: str) -> Fault:
-    allowed = [f"[{known}]" for known in SECTION_TYPES]
-    allowed += [f"[{kind}:NAME]" for kind in NAMED_SECTION_TYPES]
+def _describe_unknown_section(
+    name: str,
+    section_types: dict[str, type[Section]],
+    named_types: dict[str, type[Section]],
+) -> Fault:
+    allowed = [f"[{known}]" for known in section_types]
+    allowed += [f"[{kind}:NAME]" for kind in named_types]
     return Fault(
         section=name,
         option="",
--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -38,6 +38,8 @@
     path: str
     headers: list[tuple[bytes, bytes]] = []
     """Without those that frame the message, which the client writes."""
+    host: bytes | None = None
+    """Value of the Host header; by default the target's address."""
     body: bytes = b""
     fresh_connection: bool = False
     """Whether to open a connection: a kept one may just be closing, which
@@ -101,6 +103,7 @@
         self._idle: list[TargetConnection] = []
         self._busy: set[TargetConnection] = set()
         self._host = f"{info.host}:{info.port}".encode()
+        self._request_id_header = settings.request_id_header.encode()
         self._closed = False
 
     @contextlib.asynccontextmanager
@@ -152,17 +155,25 @@
         for connection in list(self._busy):
             if connection.is_silent(silence_s):
                 connection.fail_silent()
-        oldest = self._clock.monotonic() - self._settings.idle_limit_ms / 1000
         kept = []
         for connection in self._idle:
             if connection.closed:
                 continue
-            if connection.last_byte_at < oldest:
+            if self._is_too_old(connection):
                 connection.abort()
                 continue
             kept.append(connection)
         self._idle = kept
 
+    def _is_too_old(self, connection: TargetConnection) -> bool:
+        """Whether the target may be closing an unused connection."""
+        limit_s = self._settings.idle_limit_ms / 1000
+        if connection.idle_limit_s is not None:
+            margin_s = self._settings.keep_alive_margin_ms / 1000
+            limit_s = min(limit_s, connection.idle_limit_s - margin_s)
+        idle_s = self._clock.monotonic() - connection.last_byte_at
+        return idle_s > limit_s
+
     async def probe(self, timeout: timedelta) -> bool:
         """Return whether the target accepts a new connection."""
         try:
@@ -185,13 +196,12 @@
         return {"busy": len(self._busy), "idle": len(self._idle)}
 
     async def _take_connection(self, fresh: bool) -> TargetConnection:
-        oldest = self._clock.monotonic() - self._settings.idle_limit_ms / 1000
         while self._idle and not fresh:
             connection = self._idle.pop()
             if connection.closed:
                 self._log_if_unsolicited(connection)
                 continue
-            if connection.last_byte_at >= oldest:
+            if not self._is_too_old(connection):
                 return connection
             connection.abort()
         if len(self._busy) >= self._settings.connections_limit:
@@ -237,6 +247,8 @@
             self._clock,
             self._settings.head_limit_kb * _BYTES_PER_KB,
             self._settings.buffer_limit_kb * _BYTES_PER_KB,
+            self._request_id_header,
+            self._settings.skip_foreign_answers,
         )
 
     def _put_back(self, connection: TargetConnection) -> None:
@@ -278,8 +290,8 @@
     def _write_head(self, request: ExchangeRequest) -> bytes:
         lines = [
             f"{request.method} {request.path} HTTP/1.1".encode(),
-            b"host: " + self._host,
-            b"x-request-id: " + request.attempt.encode(),
+            b"host: " + (request.host or self._host),
+            self._request_id_header + b": " + request.attempt.encode(),
         ]
         lines += [name + b": " + value for name, value in request.headers]
         if request.body or request.method not in ("GET", "HEAD"):
--- a/dotterelbridge/targets/connection.py
+++ b/dotterelbridge/targets/connection.py
@@ -26,8 +26,18 @@
     """Parses answers and holds at most a bounded part of a body."""
 
     def __init__(
-        self, clock: Clock, head_limit: int, buffer_limit: int
+        self,
+        clock: Clock,
+        head_limit: int,
+        buffer_limit: int,
+        request_id_header: bytes = REQUEST_ID_HEADER,
+        skips_foreign: bool = False,
     ) -> None:
+        self._request_id_header = request_id_header
+        self._skips_foreign = skips_foreign
+        self._skipping = False
+        self.idle_limit_s: float | None = None
+        """Time that the target said it keeps the connection unused."""
         self._clock = clock
         self._head_limit = head_limit
         self._buffer_limit = buffer_limit
@@ -73,6 +83,8 @@
             and self._keep_alive
             and not self._ends_with_connection
             and not self._bodiless
+            # A target may answer before it has read a long body.
+            and not self._transport.get_write_buffer_size()
         )
 
     def start(self, head: bytes, body: bytes, attempt: str, method: str):
@@ -86,6 +98,7 @@
         self._bodiless = method == "HEAD"
         self._ends_with_connection = False
         self._keep_alive = False
+        self._skipping = False
         self.status = 0
         self.headers = []
         self.headers_done = False
@@ -265,7 +278,13 @@
         if size > self._head_limit:
             self._fail_head()
             return
-        self._check_echo()
+        if not self._has_echo():
+            if not self._skips_foreign:
+                self._fail_crossed()
+            else:
+                self._skipping = True
+                return
+        self._note_keep_alive()
         names = {name for name, _ in self.headers}
         framed = b"content-length" in names or b"transfer-encoding" in names
         self._ends_with_connection = (
@@ -279,10 +298,18 @@
         if self.complete:
             self.unsolicited = True
             return
+        if self._skipping:
+            return
         self._chunks.append(body)
         self._buffered += len(body)
 
     def on_message_complete(self) -> None:
+        if self._skipping:
+            self._skipping = False
+            self.headers = []
+            # What comes next may be out of step as well.
+            self.unsolicited = True
+            return
         if self.headers_done and not self.complete:
             # Read here: afterwards the parser has forgotten the message.
             self._keep_alive = self._parser.should_keep_alive()
@@ -297,16 +324,31 @@
             )
         )
 
-    def _check_echo(self) -> None:
+    def _has_echo(self) -> bool:
+        """Whether no id came, or that of the request."""
         for name, value in self.headers:
-            if name == REQUEST_ID_HEADER and value != self._attempt:
-                self._fail(
-                    CrossedAnswer(
-                        "the answer carries another request's id",
-                        "report the target to its owner",
-                    )
-                )
-                return
+            if name == self._request_id_header and value != self._attempt:
+                return False
+        return True
+
+    def _fail_crossed(self) -> None:
+        self._fail(
+            CrossedAnswer(
+                "the answer carries another request's id",
+                "report the target to its owner",
+            )
+        )
+
+    def _note_keep_alive(self) -> None:
+        """Take the idle time from the Keep-Alive header, if it has one."""
+        self.idle_limit_s = None
+        for name, value in self.headers:
+            if name != b"keep-alive":
+                continue
+            for option in value.split(b","):
+                key, _, number = option.strip().partition(b"=")
+                if key.lower() == b"timeout" and number.isdigit():
+                    self.idle_limit_s = float(number)
 
     def _fail(self, error: TargetError) -> None:
         if self._error is None:
--- a/dotterelbridge/targets/settings.py
+++ b/dotterelbridge/targets/settings.py
@@ -23,6 +23,14 @@
     """Open connections to one target."""
     idle_connections_limit: _Positive = 32
     """Unused connections kept to one target."""
+    request_id_header: str = "x-request-id"
+    """Header that carries an attempt's id and comes back in its answer."""
+    skip_foreign_answers: bool = False
+    """Whether an answer with another id is passed over, as the late second
+    one of an earlier exchange; otherwise it ends the exchange."""
+    keep_alive_margin_ms: _Positive = 500
+    """Time before the end that a target states for an unused connection
+    from which it is not used again: a request must not cross the close."""
     head_limit_kb: _Positive = 64
     """Size of an answer's status line and headers."""
     buffer_limit_kb: _Positive = 128
