Keep count of an engine's orders through unloads of adapters

Cause: an engine answers 200 to the unload of an unused adapter and counts it; one in use is answered 202 and counted when it is carried out. The count ran away from the engine's, and orders were refused for seconds. Change: count the 200, take the count of a report that is new enough even when it is lower, send nothing while an order for a model runs, fill free adapter places before they are asked for.

--- a/dotterelbridge/fleet/account.py
+++ b/dotterelbridge/fleet/account.py
@@ -59,6 +59,8 @@
         """The order for a model that is being carried out."""
         self.orders_accepted: int | None = None
         """None until a report was read."""
+        self._counted_at = -math.inf
+        """When an order was counted last; older reports don't show it."""
         self.in_memory: frozenset[str] = frozenset()
         self.on_disk: frozenset[str] = frozenset()
         self.reported_at = float("-inf")
@@ -89,6 +91,8 @@
         """Whether an adapter may be moved in or out now."""
         return (
             self.is_known
+            # An engine refuses orders while it carries one out for a model.
+            and self.loading is None
             and len(self.moving_adapters) < ADAPTERS_IN_TRANSIT
             and self.target.takes_new_work
         )
@@ -178,7 +182,7 @@
         """Note that the open order was accepted."""
         opened = self.open
         self.open = None
-        self.orders_accepted += 1
+        self._count_order(now)
         opened.accepted_at = now
         opened.ready_at = ready_at
         self._changed_at[opened.order.model, opened.order.adapter] = now
@@ -187,10 +191,22 @@
         elif opened.order.kind is OrderKind.UNLOAD:
             self._drop_adapter(opened.order)
 
+    def _count_order(self, now: float) -> None:
+        self.orders_accepted += 1
+        self._counted_at = now
+
     def settle_held(self, now: float) -> None:
-        """Note that the open order holds already."""
+        """Note that the open order holds already.
+
+        An unused adapter is dropped at once, which the engine answers so
+        and counts as an order.
+        """
         order = self.open.order
         self.open = None
+        if order.kind is OrderKind.UNLOAD and order.adapter in (
+            self.models.get(order.model, ()) if order.adapter else ()
+        ):
+            self._count_order(now)
         self._changed_at[order.model, order.adapter] = now
         self._carry_out(order)
 
@@ -267,9 +283,14 @@
         self.reported_at = now
         self.in_memory = report.in_memory
         self.on_disk = report.on_disk
-        self.orders_accepted = max(
-            self.orders_accepted or 0, report.orders_accepted
-        )
+        if shown_at > self._counted_at:
+            # An order that waits for an item's last request is accepted,
+            # and counted only when it is carried out.
+            self.orders_accepted = report.orders_accepted
+        else:
+            self.orders_accepted = max(
+                self.orders_accepted, report.orders_accepted
+            )
         ready = {held.model: set(held.adapters) for held in report.held}
         self._versions = {held.model: held.version for held in report.held}
         self._shown_models = set(ready)
--- a/dotterelbridge/fleet/ordering.py
+++ b/dotterelbridge/fleet/ordering.py
@@ -325,6 +325,12 @@
     ) -> bool:
         """Have an order carried out; False where it was refused."""
         while self.may_order and self._is_current(account):
+            if item.adapter and not account.serves(item.model):
+                return False
+            if item.adapter and account.loading is not None:
+                # Engines take no orders while one for a model is under way.
+                await self._clock.sleep(_LOOK_AGAIN)
+                continue
             async with account.sending:
                 if kind is OrderKind.LOAD and not account.fits(
                     item.model, item.adapter
--- a/dotterelbridge/fleet/policy.py
+++ b/dotterelbridge/fleet/policy.py
@@ -26,7 +26,7 @@
 carries bursts until another copy is loaded."""
 HOLD_S = 1.5
 """Time that a request is planned to take a slot."""
-IDLE_S = 4.0
+IDLE_S = 1.0
 """Time without a request after which a model's last copy may give way."""
 IDLE_ADAPTER_S = 0.3
 """The same for an adapter, whose load takes some ms."""
@@ -93,6 +93,9 @@
         ):
             if key.service == self._service and key.adapter:
                 self._serve_adapter(key, demand)
+        if not any(account.moving_model for account in self._accounts):
+            for account in self._accounts:
+                self._fill_adapter_places(account)
         return self._plan
 
     # Models.
@@ -174,7 +177,21 @@
             if victim is None:
                 return None
             loss = self._rate_loss(victim)
-        return (loss, estimate_load_s(account, model))
+        load_s = estimate_load_s(account, model)
+        return (loss + load_s * self._rate_adapter_use(account), load_s)
+
+    def _rate_adapter_use(self, account: EngineAccount) -> float:
+        """Return arrivals a second that may need an adapter loaded here.
+
+        While an engine loads a model it loads no adapters.
+        """
+        return sum(
+            demand.arrivals_per_s / max(1, self._count_copies(key.model))
+            for key, demand in self._demand.items()
+            if key.service == self._service
+            and key.adapter
+            and account.serves(key.model)
+        )
 
     def _place_model(self, account: EngineAccount, want: _Want) -> None:
         account.moving_model = want.model.name
@@ -246,14 +263,40 @@
         free = [a for a in choices if a.has_adapter_room(key.model)]
         if free:
             account = min(free, key=_rate_adapter_place)
-            self._add_adapter_step(account, key, None)
+            self._add_adapter_step(account, key, None, "requests wait")
             return
         victim = self._find_idle_adapter(choices)
         if victim is None:
             self._plan.blocked.append(key)
             return
         account, evicted = victim
-        self._add_adapter_step(account, key, evicted)
+        self._add_adapter_step(account, key, evicted, "requests wait")
+
+    def _fill_adapter_places(self, account: EngineAccount) -> None:
+        """Bring one adapter that is held nowhere to a free place.
+
+        Before it is asked for, a load costs an order and nobody's time.
+        """
+        if account.moving_adapters or not account.takes_adapter_moves:
+            return
+        names = [
+            name
+            for name in account.ready
+            if account.serves(name) and account.has_adapter_room(name)
+        ]
+        for name in sorted(names, key=self._rate_for_adapters, reverse=True):
+            model = self._engine.find_model(name)
+            for number in range(1, model.adapters + 1):
+                key = ItemKey(self._service, name, f"a{number}")
+                held = any(a.serves(name, key.adapter) for a in self._accounts)
+                if not held and not self._is_coming(key):
+                    self._add_adapter_step(account, key, None, "place free")
+                    return
+
+    def _rate_for_adapters(self, name: str) -> tuple[float, int]:
+        """Return how likely a model's adapters are to be asked for."""
+        arrivals = self._demand_of(name).arrivals_per_s
+        return (arrivals, self._count_copies(name))
 
     def _is_coming(self, key: ItemKey) -> bool:
         place = (key.model, key.adapter)
@@ -290,7 +333,11 @@
         return demand.in_hand if demand else 0
 
     def _add_adapter_step(
-        self, account: EngineAccount, key: ItemKey, evicted: ItemKey | None
+        self,
+        account: EngineAccount,
+        key: ItemKey,
+        evicted: ItemKey | None,
+        reason: str,
     ) -> None:
         account.moving_adapters.add((key.model, key.adapter))
         self._plan.steps.append(
@@ -298,7 +345,7 @@
                 target=account.target.target,
                 item=key,
                 evicted=evicted,
-                reason="requests wait",
+                reason=reason,
             )
         )
 
