Place models by share of demand, with hysteresis and by disk

Cause: busy models stood on one engine each, whose streams paused; copies were dropped as soon as a share wavered; cold models were fetched from the store though another engine had them on disk. Change: copies by load above the fair share, kept below a lower bound; copies found at the start stay until shares are known; a place is rated by load time, what it blocks, how busy it is; MOVE_PLANNED tells the reason. Conclusion: absent models that nobody asks for are still swapped in.

--- a/dotterelbridge/fleet/account.py
+++ b/dotterelbridge/fleet/account.py
@@ -50,6 +50,8 @@
         """The model that is being brought in, its order sent or not."""
         self.moving_adapters: set[tuple[str, str]] = set()
         """The same for adapters."""
+        self.evicting: set[tuple[str, str]] = set()
+        """Adapters that make room for these."""
         self.loading_from_store = False
         self.sending = anyio.Lock()
         """Held while an order waits for its answer."""
@@ -59,6 +61,8 @@
         """The order for a model that is being carried out."""
         self.orders_accepted: int | None = None
         """None until a report was read."""
+        self.is_reported_busy = False
+        """Whether the newest report shows an order for a model under way."""
         self._counted_at = -math.inf
         """When an order was counted last; older reports don't show it."""
         self.in_memory: frozenset[str] = frozenset()
@@ -82,10 +86,20 @@
         """Whether a model may be moved in or out now."""
         return (
             self.is_known
+            and not self.has_foreign_load
             and self.moving_model is None
             and self.target.takes_new_work
         )
 
+    @property
+    def has_foreign_load(self) -> bool:
+        """Whether a load that this VM did not order may be under way.
+
+        A report names no model before it is there, so that what such a
+        load will take is not known until a report shows the engine idle.
+        """
+        return self.is_reported_busy and self.loading is None
+
     @property
     def takes_adapter_moves(self) -> bool:
         """Whether an adapter may be moved in or out now."""
@@ -93,6 +107,7 @@
             self.is_known
             # An engine refuses orders while it carries one out for a model.
             and self.loading is None
+            and not self.is_reported_busy
             and len(self.moving_adapters) < ADAPTERS_IN_TRANSIT
             and self.target.takes_new_work
         )
@@ -125,13 +140,13 @@
         wanted = self.used_mb - freed + info.memory_mb
         return wanted <= self.engine.memory_mb
 
-    def has_adapter_room(self, model: str, freed: int = 0) -> bool:
-        """Whether one more adapter of a model fits."""
+    def has_adapter_room(self, model: str, planned: int = 0) -> bool:
+        """Whether one more adapter of a model fits beside planned ones."""
         info = self.engine.find_model(model)
         if info is None or model not in self.models:
             return False
         return (
-            self.adapter_count - freed < self.engine.adapter_places
+            self.adapter_count + planned < self.engine.adapter_places
             and self.used_mb + info.adapter_mb <= self.engine.memory_mb
         )
 
@@ -281,6 +296,7 @@
         """
         shown_at = now - REPORT_LAG_S
         self.reported_at = now
+        self.is_reported_busy = report.is_busy
         self.in_memory = report.in_memory
         self.on_disk = report.on_disk
         if shown_at > self._counted_at:
--- a/dotterelbridge/fleet/board.py
+++ b/dotterelbridge/fleet/board.py
@@ -171,4 +171,5 @@
             born=target.born,
             service=target.service,
             address=f"{target.host}:{target.port}",
+            held=[held.model for held in target.held],
         )
--- a/dotterelbridge/fleet/demand.py
+++ b/dotterelbridge/fleet/demand.py
@@ -9,14 +9,20 @@
 from dotterelbridge.fleet.messages import DemandReport
 from dotterelbridge.fleet.messages import ItemDemand
 from dotterelbridge.fleet.records import ItemKey
+from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import VmId
 
 _REPORT_KEPT_S = 2.0
 """Age from which an entry VM's report counts no more: it sends one at
 least each half second."""
-_HALF_LIFE_S = 2.0
-"""Half-life of the smoothed work: shifts of demand take some seconds."""
+_RISE_HALF_LIFE_S = 1.0
+_FALL_HALF_LIFE_S = 6.0
+"""Half-lives of two averages, of which the higher counts: a rise is seen
+within a second, and a lull does not take copies away."""
+_SETTLED_S = 5.0
+"""Time from a service's first request until its shares are known."""
 _FORGOTTEN_S = 120.0
+_NOTHING_PER_S = 1e-3
 
 
 class Demand(msgspec.Struct):
@@ -46,21 +52,22 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._reports: dict[VmId, _Report] = {}
-        self._rates: dict[ItemKey, float] = {}
-        self._decayed_at = clock.monotonic()
+        self._rates = [
+            _Average(_RISE_HALF_LIFE_S, clock),
+            _Average(_FALL_HALF_LIFE_S, clock),
+        ]
+        self._first_at: dict[ItemName, float] = {}
         self._wanted_at: dict[ItemKey, float] = {}
 
     def take(self, report: DemandReport) -> bool:
         """Take a report; return whether requests wait for an item."""
         now = self._clock.monotonic()
-        self._decay(now)
-        gain = math.log(2) / _HALF_LIFE_S
         for demand in report.items:
+            self._first_at.setdefault(demand.item.service, now)
             if demand.arrivals or demand.waiting:
                 self._wanted_at[demand.item] = now
-            if demand.arrivals:
-                rate = self._rates.get(demand.item, 0.0)
-                self._rates[demand.item] = rate + demand.arrivals * gain
+            for average in self._rates:
+                average.add(demand.item, demand.arrivals)
         self._reports[report.entry_vm] = _Report(
             taken_at=now, items={d.item: d for d in report.items}
         )
@@ -69,14 +76,16 @@
     def read(self) -> dict[ItemKey, Demand]:
         """Return the demand for every item that was asked for lately."""
         now = self._clock.monotonic()
-        self._decay(now)
+        rates = [average.read() for average in self._rates]
         found: dict[ItemKey, Demand] = defaultdict(Demand)
         for item, wanted_at in list(self._wanted_at.items()):
             if now - wanted_at > _FORGOTTEN_S:
                 del self._wanted_at[item]
                 continue
             found[item].wanted_at = wanted_at
-            found[item].arrivals_per_s = self._rates.get(item, 0.0)
+            found[item].arrivals_per_s = max(
+                rate.get(item, 0.0) for rate in rates
+            )
         for vm, report in list(self._reports.items()):
             if now - report.taken_at > _REPORT_KEPT_S:
                 del self._reports[vm]
@@ -86,11 +95,40 @@
                 found[item].waiting += demand.waiting
         return dict(found)
 
-    def _decay(self, now: float) -> None:
-        factor = 0.5 ** ((now - self._decayed_at) / _HALF_LIFE_S)
+    def is_settled(self, service: ItemName) -> bool:
+        """Whether requests came for long enough to know the shares."""
+        first_at = self._first_at.get(service)
+        if first_at is None:
+            return False
+        return self._clock.monotonic() - first_at > _SETTLED_S
+
+
+class _Average:
+    """Exponentially weighted arrivals a second, by item."""
+
+    def __init__(self, half_life_s: float, clock: Clock) -> None:
+        self._half_life_s = half_life_s
+        self._gain = math.log(2) / half_life_s
+        self._clock = clock
+        self._decayed_at = clock.monotonic()
+        self._rates: dict[ItemKey, float] = {}
+
+    def add(self, item: ItemKey, arrivals: int) -> None:
+        if arrivals:
+            self._decay()
+            rate = self._rates.get(item, 0.0)
+            self._rates[item] = rate + arrivals * self._gain
+
+    def read(self) -> dict[ItemKey, float]:
+        self._decay()
+        return self._rates
+
+    def _decay(self) -> None:
+        now = self._clock.monotonic()
+        factor = 0.5 ** ((now - self._decayed_at) / self._half_life_s)
         self._decayed_at = now
         self._rates = {
             item: rate * factor
             for item, rate in self._rates.items()
-            if rate * factor > 1e-3
+            if rate * factor > _NOTHING_PER_S
         }
--- a/dotterelbridge/fleet/events.py
+++ b/dotterelbridge/fleet/events.py
@@ -71,6 +71,17 @@
         logging.WARNING,
         "An engine's report could not be read.",
     )
+    MOVE_PLANNED = (
+        5536,
+        logging.INFO,
+        "An item is to be brought to an engine; the line tells why, what "
+        "makes room for it, and how long it is expected to take.",
+    )
+    ENGINE_KNOWN = (
+        5535,
+        logging.INFO,
+        "The first report of an engine was read; orders may be sent to it.",
+    )
     ITEM_ABSENT = (
         5534,
         logging.WARNING,
--- a/dotterelbridge/fleet/ordering.py
+++ b/dotterelbridge/fleet/ordering.py
@@ -200,6 +200,17 @@
             self._reporting.discard(name)
         if report.born is not None and report.born != account.target.born:
             return
+        if not account.is_known:
+            events.log(
+                _log,
+                FleetEvent.ENGINE_KNOWN,
+                target=name,
+                held=[held.model for held in report.held],
+                in_memory=sorted(report.in_memory),
+                on_disk=sorted(report.on_disk),
+                orders=report.orders_accepted,
+                is_busy=report.is_busy,
+            )
         account.take_report(report, self._clock.monotonic())
         target = msgspec.structs.replace(
             account.target, held=account.list_served(), load=report.load
@@ -229,6 +240,7 @@
                 accounts,
                 demand,
                 self._count_store_loads(service.engine, now),
+                self._demand.is_settled(service.name),
                 now,
             )
             for step in policy.plan().steps:
@@ -257,11 +269,26 @@
         else:
             load_s = estimate_load_s(account, model)
         self._expected[step.item] = now + load_s
+        self._log_step(step, load_s)
         if step.evicted is not None and not step.evicted.adapter:
             account.start_dropping(step.evicted.model)
             self._show(account)
         group.start_soon(self._move, account, step, load_s)
 
+    def _log_step(self, step: Step, load_s: float) -> None:
+        evicted = step.evicted
+        events.log(
+            _log,
+            FleetEvent.MOVE_PLANNED,
+            target=step.target,
+            model=step.item.model,
+            adapter=step.item.adapter,
+            evicted_model=evicted.model if evicted else None,
+            evicted_adapter=evicted.adapter if evicted else None,
+            reason=step.reason,
+            load_s=load_s,
+        )
+
     async def _move(
         self, account: EngineAccount, step: Step, load_s: float
     ) -> None:
@@ -285,7 +312,12 @@
             account.moving_model = None
             account.loading_from_store = False
         if step.evicted is not None:
-            account.dropping.discard(step.evicted.model)
+            if step.evicted.adapter:
+                account.evicting.discard(
+                    (step.evicted.model, step.evicted.adapter)
+                )
+            else:
+                account.dropping.discard(step.evicted.model)
         self._show(account)
         self.wake()
 
@@ -327,6 +359,9 @@
         while self.may_order and self._is_current(account):
             if item.adapter and not account.serves(item.model):
                 return False
+            if account.has_foreign_load:
+                await self._refresh(account)
+                continue
             if item.adapter and account.loading is not None:
                 # Engines take no orders while one for a model is under way.
                 await self._clock.sleep(_LOOK_AGAIN)
--- a/dotterelbridge/fleet/policy.py
+++ b/dotterelbridge/fleet/policy.py
@@ -19,13 +19,24 @@
 from dotterelbridge.routes.model import ModelInfo
 
 HOT_ARRIVALS_PER_S = 1.0
-"""Arrivals from which a model gets a second copy, so that the loss of one
-engine leaves it served: a load from the store takes several seconds."""
-COPY_FILL = 0.6
-"""Share of an engine's slots that one copy is planned to take; the rest
-carries bursts until another copy is loaded."""
-HOLD_S = 1.5
-"""Time that a request is planned to take a slot."""
+"""Arrivals from which the work of a model is spread over engines."""
+COPY_LOAD_MOST = 1.3
+"""Work of one copy from which a further copy is loaded, in shares of what
+an engine gets when all get the same."""
+COPY_LOAD_LEAST = 0.7
+"""The same below which a copy may give way."""
+START_COPIES = 3
+"""Copies found at the start that stay until the demand is known."""
+_BUSY_COST = 4.0
+"""Cost of a place at an engine with all slots taken, in requests."""
+_LOAD_COST = 1.0
+"""Cost of each second that a load takes: who waits for it is late."""
+_MOVE_LEFT_S = 1.5
+"""Time that a move which is under way is taken to last on: half of one
+from the disk, with its unload."""
+_BLOCKED_SHARE = 0.05
+"""Part of the requests with an adapter whose adapter is not there yet."""
+_LONG_IDLE_S = 1000.0
 IDLE_S = 1.0
 """Time without a request after which a model's last copy may give way."""
 IDLE_ADAPTER_S = 0.3
@@ -44,11 +55,17 @@
     """Whether the load takes part of the weight store's rate."""
 
 
+_WAITED_FOR = 0
+_TOO_FEW = 1
+_WANTED_LATELY = 2
+_HELD_NOWHERE = 3
+
+
 class _Want(msgspec.Struct, frozen=True):
     """A model that should have one more copy."""
 
     urgency: int
-    """0 while requests wait for it and nothing holds it."""
+    """One of the constants above; the lowest goes first."""
     weight: float
     model: ModelInfo
     reason: str
@@ -71,6 +88,7 @@
         accounts: list[EngineAccount],
         demand: dict[ItemKey, Demand],
         store_loads: int,
+        is_settled: bool,
         now: float,
     ) -> None:
         self._service = service
@@ -80,7 +98,12 @@
         self._store_loads = store_loads
         self._now = now
         self._plan = ServicePlan()
-        self._has_demand = any(key.service == service for key in demand)
+        self._arrivals_per_s = sum(
+            entry.arrivals_per_s
+            for key, entry in demand.items()
+            if key.service == service
+        )
+        self._is_settled = is_settled
 
     def plan(self) -> ServicePlan:
         """Return the steps to take now."""
@@ -106,14 +129,22 @@
             copies = self._count_copies(model.name)
             wanted = self._find_wanted(model.name, copies)
             if not copies and demand.waiting:
-                yield _Want(0, demand.waiting, model, "requests wait")
-            elif not copies and demand.arrivals_per_s > 0.05:
-                yield _Want(1, demand.arrivals_per_s, model, "wanted lately")
+                yield _Want(
+                    _WAITED_FOR, demand.waiting, model, "requests wait"
+                )
             elif copies < wanted:
-                lack = wanted - copies
-                yield _Want(2, lack, model, f"{copies} of {wanted} copies")
+                lack = demand.arrivals_per_s / max(1, copies)
+                reason = f"{copies} of {wanted} copies"
+                yield _Want(_TOO_FEW, lack, model, reason)
+            elif not copies and demand.arrivals_per_s > 0.05:
+                yield _Want(
+                    _WANTED_LATELY,
+                    demand.arrivals_per_s,
+                    model,
+                    "wanted lately",
+                )
             elif not copies:
-                yield _Want(3, 0.0, model, "held nowhere")
+                yield _Want(_HELD_NOWHERE, 0.0, model, "held nowhere")
 
     def _demand_of(self, model: str) -> Demand:
         """Return the demand for a model and all of its adapters."""
@@ -136,39 +167,62 @@
 
     def _find_wanted(self, model: str, copies: int) -> int:
         """Return how many copies the demand for a model calls for."""
-        if not self._has_demand:
-            # Before the first request, what stands on many engines is
-            # what its owners take for busy.
-            return min(copies, 2)
+        return self._scale_copies(model, copies, COPY_LOAD_MOST)
+
+    def _find_kept(self, model: str, copies: int) -> int:
+        """Return how many copies are kept: more than would be added.
+
+        A move costs seconds; a share that wavers must not cause two.
+        """
+        return self._scale_copies(model, copies, COPY_LOAD_LEAST)
+
+    def _scale_copies(self, model: str, copies: int, load: float) -> int:
+        """Return the copies of which each has the given load.
+
+        :param load: in shares of what an engine gets when all get the
+            same.
+        """
+        count = 1
         demand = self._demand_of(model)
-        load = max(demand.in_hand, demand.arrivals_per_s * HOLD_S)
-        wanted = math.ceil(load / (self._engine.slots * COPY_FILL))
         if demand.arrivals_per_s >= HOT_ARRIVALS_PER_S:
-            wanted = max(wanted, 2)
-        return min(wanted, len(self._accounts))
+            # Prompts that are read hold up the other streams of an
+            # engine, long before its slots are taken: spread the work.
+            share = demand.arrivals_per_s / self._arrivals_per_s
+            count = math.ceil(share * len(self._accounts) / load)
+            if self._engine.find_model(model).adapters:
+                # While one engine loads a model, it loads no adapters.
+                count = max(count, 2)
+        if not self._is_settled:
+            # What stands on many engines at the start is what its owners
+            # take for busy.
+            count = max(count, min(copies, START_COPIES))
+        return min(count, len(self._accounts))
 
     def _serve_model(self, want: _Want) -> None:
-        choices = [
-            (self._rate_place(account, want), account.target.target, account)
-            for account in self._accounts
-            if account.takes_model_moves
-            and want.model.name not in account.models
-        ]
-        choices = [choice for choice in choices if choice[0] is not None]
+        choices = []
+        for account in self._accounts:
+            rating = self._rate_place(account, want)
+            if rating is not None:
+                choices.append((rating, account.target.target, account))
         if not choices:
-            if want.urgency == 0:
+            if want.urgency == _WAITED_FOR:
                 self._plan.blocked.append(
                     ItemKey(self._service, want.model.name)
                 )
             return
         _, _, account = min(choices)
-        self._place_model(account, want)
+        if account.takes_model_moves:
+            self._place_model(account, want)
+        # Otherwise the best place is busy for a moment, and worth waiting
+        # for: it has the model on its disk.
 
     def _rate_place(
         self, account: EngineAccount, want: _Want
     ) -> tuple[float, float] | None:
         """Return how bad a place is; None where the model can't go."""
         model = want.model
+        if not account.is_known or model.name in account.models:
+            return None
         if not self._is_cheap(account, model) and self._store_loads <= 0:
             return None
         loss = 0.0
@@ -178,7 +232,13 @@
                 return None
             loss = self._rate_loss(victim)
         load_s = estimate_load_s(account, model)
-        return (loss + load_s * self._rate_adapter_use(account), load_s)
+        reported = account.target.load
+        busy = (reported.running + reported.waiting) / self._engine.slots
+        blocked = load_s * self._rate_adapter_use(account) * _BLOCKED_SHARE
+        if not account.takes_model_moves:
+            load_s += _MOVE_LEFT_S
+        cost = loss + load_s * _LOAD_COST + blocked + busy * _BUSY_COST
+        return (cost, load_s)
 
     def _rate_adapter_use(self, account: EngineAccount) -> float:
         """Return arrivals a second that may need an adapter loaded here.
@@ -200,6 +260,8 @@
         if not account.has_room(model.name):
             victim = self._find_victim(account, want)
             evicted = ItemKey(self._service, victim)
+            # At once, so that the next want does not count on this copy.
+            account.start_dropping(victim)
         from_store = not self._is_cheap(account, model)
         self._store_loads -= from_store
         self._plan.steps.append(
@@ -227,27 +289,30 @@
         return min(allowed, key=self._rate_loss, default=None)
 
     def _may_drop(self, model: str, want: _Want) -> bool:
+        """Whether a copy may give way to another model.
+
+        A surplus copy always may. The only copy of a model that nobody
+        uses may give way to one that requests wait for, and to a further
+        copy of a busy one: what is held nowhere loads in seconds, and a
+        single copy of a busy model slows every stream.
+        """
         copies = self._count_copies(model)
-        wanted = self._find_wanted(model, copies)
-        if copies > max(1, wanted):
-            return True
         demand = self._demand_of(model)
-        if want.urgency > 1:
+        if copies > max(1, self._find_kept(model, copies)):
+            return True
+        if want.urgency not in (_WAITED_FOR, _TOO_FEW) or copies > 1:
+            return False
+        if demand.arrivals_per_s >= HOT_ARRIVALS_PER_S:
             return False
-        if copies > 1:
-            # The second copy is for safety; being served at all goes first.
-            return demand.in_hand < self._engine.slots * COPY_FILL
         return not demand.in_hand and self._now - demand.wanted_at > IDLE_S
 
     def _rate_loss(self, model: str) -> float:
         """Return how much it costs to drop one copy of a model."""
         copies = self._count_copies(model)
         demand = self._demand_of(model)
-        idle_s = min(self._now - demand.wanted_at, 1000.0)
-        weight = demand.in_hand + demand.arrivals_per_s + 1 / (1 + idle_s)
-        if copies > max(1, self._find_wanted(model, copies)):
-            return weight / 1000
-        return weight / max(copies, 1)
+        idle_s = min(self._now - demand.wanted_at, _LONG_IDLE_S)
+        soon = 1 / (1 + idle_s)
+        return (demand.in_hand + demand.arrivals_per_s + soon) / max(copies, 1)
 
     # Adapters.
 
@@ -260,7 +325,7 @@
         choices = [a for a in holders if a.takes_adapter_moves]
         if not choices:
             return
-        free = [a for a in choices if a.has_adapter_room(key.model)]
+        free = [a for a in choices if self._has_adapter_room(a, key.model)]
         if free:
             account = min(free, key=_rate_adapter_place)
             self._add_adapter_step(account, key, None, "requests wait")
@@ -282,7 +347,7 @@
         names = [
             name
             for name in account.ready
-            if account.serves(name) and account.has_adapter_room(name)
+            if account.serves(name) and self._has_adapter_room(account, name)
         ]
         for name in sorted(names, key=self._rate_for_adapters, reverse=True):
             model = self._engine.find_model(name)
@@ -302,6 +367,11 @@
         place = (key.model, key.adapter)
         return any(place in a.moving_adapters for a in self._accounts)
 
+    def _has_adapter_room(self, account: EngineAccount, model: str) -> bool:
+        """Whether a place is free that no other adapter is to take."""
+        planned = len(account.moving_adapters) - len(account.evicting)
+        return account.has_adapter_room(model, planned=max(0, planned))
+
     def _find_idle_adapter(
         self, choices: list[EngineAccount]
     ) -> tuple[EngineAccount, ItemKey] | None:
@@ -309,9 +379,9 @@
         candidates = [
             (self._idle_s(key), key, account)
             for account in choices
-            if not account.moving_adapters
             for key in self._list_adapters(account)
             if not self._in_hand(key)
+            and (key.model, key.adapter) not in account.evicting
         ]
         candidates = [c for c in candidates if c[0] > IDLE_ADAPTER_S]
         if not candidates:
@@ -340,6 +410,8 @@
         reason: str,
     ) -> None:
         account.moving_adapters.add((key.model, key.adapter))
+        if evicted is not None:
+            account.evicting.add((evicted.model, evicted.adapter))
         self._plan.steps.append(
             Step(
                 target=account.target.target,
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -39,10 +39,11 @@
 """Time beyond a load for the news of it and for a first event."""
 _FAR = 1000.0
 """Cost of a place that is used only when there is no other."""
-_REGION_COST = 0.4
+_REGION_COST = 0.06
 """Cost of another region, in shares of an engine's slots: the bytes of a
-stream that crosses cost some hundredths of its worth."""
-_DOMAIN_COST = 0.05
+stream that crosses cost some hundredths of its worth, a pause in a stream
+at a busy engine two thirds of it."""
+_DOMAIN_COST = 0.01
 _LACKING_LOAD_S = 1.0
 
 
