Evict only for what waits or is busy, and not in the first second

Cause: absent models that nobody asked for evicted others without end, and in the first half second busy models were taken for idle ones.

--- a/dotterelbridge/fleet/demand.py
+++ b/dotterelbridge/fleet/demand.py
@@ -19,8 +19,6 @@
 _FALL_HALF_LIFE_S = 6.0
 """Half-lives of two averages, of which the higher counts: a rise is seen
 within a second, and a lull does not take copies away."""
-_SETTLED_S = 5.0
-"""Time from a service's first request until its shares are known."""
 _FORGOTTEN_S = 120.0
 _NOTHING_PER_S = 1e-3
 
@@ -95,12 +93,12 @@
                 found[item].waiting += demand.waiting
         return dict(found)
 
-    def is_settled(self, service: ItemName) -> bool:
-        """Whether requests came for long enough to know the shares."""
+    def asked_s(self, service: ItemName) -> float:
+        """Return the seconds since a service's first request, or 0."""
         first_at = self._first_at.get(service)
         if first_at is None:
-            return False
-        return self._clock.monotonic() - first_at > _SETTLED_S
+            return 0.0
+        return self._clock.monotonic() - first_at
 
 
 class _Average:
--- a/dotterelbridge/fleet/ordering.py
+++ b/dotterelbridge/fleet/ordering.py
@@ -240,7 +240,7 @@
                 accounts,
                 demand,
                 self._count_store_loads(service.engine, now),
-                self._demand.is_settled(service.name),
+                self._demand.asked_s(service.name),
                 now,
             )
             for step in policy.plan().steps:
--- a/dotterelbridge/fleet/policy.py
+++ b/dotterelbridge/fleet/policy.py
@@ -25,6 +25,12 @@
 an engine gets when all get the same."""
 COPY_LOAD_LEAST = 0.7
 """The same below which a copy may give way."""
+SETTLED_S = 3.0
+"""Time from a service's first request until the shares of its models are
+known."""
+EVICTION_DELAY_S = 1.0
+"""Time from the first request before which nothing is evicted: a busy
+model that is not asked for yet looks like an idle one."""
 START_COPIES = 3
 """Copies found at the start that stay until the demand is known."""
 _BUSY_COST = 4.0
@@ -88,7 +94,7 @@
         accounts: list[EngineAccount],
         demand: dict[ItemKey, Demand],
         store_loads: int,
-        is_settled: bool,
+        asked_s: float,
         now: float,
     ) -> None:
         self._service = service
@@ -103,7 +109,8 @@
             for key, entry in demand.items()
             if key.service == service
         )
-        self._is_settled = is_settled
+        self._asked_s = asked_s
+        self._is_settled = asked_s > SETTLED_S
 
     def plan(self) -> ServicePlan:
         """Return the steps to take now."""
@@ -132,7 +139,7 @@
                 yield _Want(
                     _WAITED_FOR, demand.waiting, model, "requests wait"
                 )
-            elif copies < wanted:
+            elif copies < wanted and wanted > 1 and self._is_settled:
                 lack = demand.arrivals_per_s / max(1, copies)
                 reason = f"{copies} of {wanted} copies"
                 yield _Want(_TOO_FEW, lack, model, reason)
@@ -291,16 +298,18 @@
     def _may_drop(self, model: str, want: _Want) -> bool:
         """Whether a copy may give way to another model.
 
-        A surplus copy always may. The only copy of a model that nobody
+        A surplus copy may. The only copy of a model that nobody
         uses may give way to one that requests wait for, and to a further
         copy of a busy one: what is held nowhere loads in seconds, and a
         single copy of a busy model slows every stream.
         """
+        if want.urgency > _TOO_FEW or self._asked_s < EVICTION_DELAY_S:
+            return False
         copies = self._count_copies(model)
         demand = self._demand_of(model)
         if copies > max(1, self._find_kept(model, copies)):
             return True
-        if want.urgency not in (_WAITED_FOR, _TOO_FEW) or copies > 1:
+        if copies > 1:
             return False
         if demand.arrivals_per_s >= HOT_ARRIVALS_PER_S:
             return False
