--- a/dotterelbridge/replication/leadership.py
+++ b/dotterelbridge/replication/leadership.py
@@ -569,14 +569,14 @@
         for member_id, progress in self._progress.items():
             if progress.is_gone and not configuration.is_voter(member_id):
                 return configuration.without(member_id)
-        for learner in configuration.list_candidate_voters(
-            self._context.initial_voters
-        ):
+        grows = self._context.settings.losses_tolerated > 0
+        # Where the group grows by itself, a VM that is named as a founder
+        # has no better claim than another; one that lost its disk has.
+        founders = () if grows else self._context.initial_voters
+        for learner in configuration.list_candidate_voters(founders):
             if self.has_caught_up(learner.member):
                 return configuration.with_voter(learner.member)
-        if self._context.settings.losses_tolerated:
-            return self._find_growth(configuration)
-        return None
+        return self._find_growth(configuration) if grows else None
 
     def _find_growth(
         self, configuration: Configuration
--- /dev/null
+++ b/tests/fleet/support.py
@@ -0,0 +1,58 @@
+"""What the tests of the fleet's parts share."""
+
+from dotterelbridge.fleet.account import EngineAccount
+from dotterelbridge.fleet.engine import EngineReport
+from dotterelbridge.fleet.records import FleetTarget
+from dotterelbridge.fleet.records import HeldModel
+from dotterelbridge.fleet.records import ItemKey
+from dotterelbridge.fleet.records import TargetLoad
+from dotterelbridge.fleet.records import TargetPhase
+from dotterelbridge.ids import FailureDomain
+from dotterelbridge.ids import TargetId
+from tests.routes.support import LLM
+from tests.routes.support import create_engine
+
+DOMAIN = FailureDomain("a")
+
+
+def create_target(name="e1", held=(), **fields) -> FleetTarget:
+    """Return a target; ``held`` names models or gives HeldModels."""
+    defaults = {
+        "target": TargetId(name),
+        "born": 1,
+        "service": LLM,
+        "host": "127.0.0.1",
+        "port": 1,
+        "failure_domain": DOMAIN,
+        "slots": 8,
+        "phase": TargetPhase.READY,
+        "held": tuple(HeldModel(m) if isinstance(m, str) else m for m in held),
+    }
+    return FleetTarget(**(defaults | fields))
+
+
+def create_report(held=(), orders=0, **fields) -> EngineReport:
+    defaults = {
+        "born": 1,
+        "held": tuple(HeldModel(m) if isinstance(m, str) else m for m in held),
+        "coming": (),
+        "is_busy": False,
+        "orders_accepted": orders,
+        "load": TargetLoad(),
+    }
+    return EngineReport(**(defaults | fields))
+
+
+def create_account(
+    name="e1", held=(), engine=None, now=0.0, **fields
+) -> EngineAccount:
+    """Return an account whose engine has reported what it holds."""
+    account = EngineAccount(
+        create_target(name, held), engine or create_engine()
+    )
+    account.take_report(create_report(held, **fields), now)
+    return account
+
+
+def key(model, adapter="") -> ItemKey:
+    return ItemKey(LLM, model, adapter)
--- /dev/null
+++ b/tests/fleet/test_feed.py
@@ -0,0 +1,164 @@
+"""The fleet's state and the routes reach every VM, by way of others."""
+
+from datetime import timedelta
+import random
+
+import anyio
+import msgspec
+
+from dotterelbridge.fleet.board import FleetBoard
+from dotterelbridge.fleet.feed import FleetFeed
+from dotterelbridge.fleet.feed import FleetFollower
+from dotterelbridge.fleet.settings import FleetSettings
+from dotterelbridge.routes.document import create_native_format
+from dotterelbridge.routes.document import pack_routes
+from dotterelbridge.routes.force import create_routes_in_force
+from standins.network import create_standin_network
+from standins.virtual_time import LoopClock
+from standins.virtual_time import run_in_virtual_time
+from tests.fleet.support import create_target
+from tests.routes.support import create_route_set
+
+SETTINGS = FleetSettings()
+PATIENCE_S = 10
+IN_FORCE_S = 2.5
+"""Time in which routes are to be in force everywhere."""
+
+
+class Source:
+    """A control VM, which may be cut off from the log."""
+
+    def __init__(self, world, vm) -> None:
+        clock = LoopClock()
+        self.board = FleetBoard(clock)
+        self.routes = create_routes_in_force(create_native_format())
+        self.detached_ms = 0
+        self.feed = FleetFeed(
+            world.network.join(vm),
+            self.board,
+            self.routes,
+            SETTINGS,
+            clock,
+            lambda: self.detached_ms,
+            lambda: world.roster,
+        )
+
+    def submit(self, version) -> None:
+        document = msgspec.json.encode(create_route_set(version))
+        self.routes.adopt(pack_routes(version, document))
+
+
+class World:
+    """Two control VMs and one entry VM that prefers the first."""
+
+    def __init__(self, tasks) -> None:
+        self.network = create_standin_network(["c1", "c2", "f1"])
+        self.roster = ("c1", "c2")
+        self.sources = {vm: Source(self, vm) for vm in ("c1", "c2")}
+        clock = LoopClock()
+        self.board = FleetBoard(clock)
+        self.routes = create_routes_in_force(create_native_format())
+        self.follower = FleetFollower(
+            self.network.join("f1"),
+            self.board,
+            self.routes,
+            SETTINGS,
+            clock,
+            random.Random(1),
+            lambda: ["c1", "c2"],
+            lambda: 1,
+        )
+        tasks.start_soon(self.follower.run)
+
+    async def wait(self, condition, limit_s=PATIENCE_S) -> None:
+        with anyio.fail_after(limit_s):
+            while not condition():
+                await anyio.sleep(0.01)
+
+
+def run(test) -> None:
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            world = World(tasks)
+            await test(world)
+            await world.network.close()
+            tasks.cancel_scope.cancel()
+            assert world.network.failures == []
+
+    run_in_virtual_time(main)
+
+
+def test_news_arrives_without_waiting_for_the_next_poll():
+    async def test(world):
+        world.sources["c1"].submit(1)
+        await world.wait(lambda: world.routes.version == 1)
+        world.sources["c1"].board.update([create_target("e1")])
+        await world.wait(lambda: "e1" in world.board.targets, 0.1)
+        world.sources["c1"].submit(2)
+        await world.wait(lambda: world.routes.version == 2, 0.1)
+        assert world.follower.roster == ("c1", "c2")
+        assert world.sources["c1"].feed.count_entry_vms() == 1
+
+    run(test)
+
+
+def test_a_source_that_is_cut_off_from_the_log_is_left():
+    async def test(world):
+        for source in world.sources.values():
+            source.submit(1)
+        await world.wait(lambda: world.routes.version == 1)
+        world.sources["c1"].detached_ms = 60_000
+        world.sources["c2"].submit(2)
+        await world.wait(lambda: world.routes.version == 2, IN_FORCE_S)
+
+    run(test)
+
+
+def test_a_source_that_falls_silent_is_left():
+    async def test(world):
+        for source in world.sources.values():
+            source.submit(1)
+        await world.wait(lambda: world.routes.version == 1)
+        world.network.cut("c1", "f1")
+        world.sources["c2"].submit(2)
+        await world.wait(lambda: world.routes.version == 2, IN_FORCE_S)
+
+    run(test)
+
+
+def test_a_vm_that_starts_takes_no_older_routes_from_a_detached_source():
+    async def test(world):
+        world.sources["c1"].detached_ms = 60_000
+        world.sources["c1"].submit(1)
+        world.sources["c2"].submit(2)
+        await world.wait(lambda: world.routes.routes is not None)
+        assert world.routes.version == 2
+
+    run(test)
+
+
+def test_a_domain_that_is_cut_off_serves_by_what_its_source_holds():
+    async def test(world):
+        world.network.isolate(["c1", "f1"])
+        world.network.heal()
+        world.network.leave("c2")
+        world.sources["c1"].detached_ms = 60_000
+        world.sources["c1"].submit(1)
+        await world.wait(lambda: world.routes.version == 1)
+        assert LoopClock().monotonic() >= (
+            timedelta(milliseconds=SETTINGS.settle_ms).total_seconds()
+        )
+
+    run(test)
+
+
+def test_the_nearest_source_is_taken_again_once_it_is_up_to_date():
+    async def test(world):
+        for source in world.sources.values():
+            source.submit(1)
+        world.sources["c1"].detached_ms = 60_000
+        await world.wait(lambda: world.follower.source == "c2")
+        world.sources["c1"].detached_ms = 0
+        await world.wait(lambda: world.follower.source == "c1", 20)
+
+    run(test)
--- /dev/null
+++ b/tests/fleet/test_policy.py
@@ -0,0 +1,213 @@
+"""Which models stand where, under the loads that the policy is for."""
+
+import msgspec
+
+from dotterelbridge.fleet.demand import Demand
+from dotterelbridge.fleet.policy import EVICTION_DELAY_S
+from dotterelbridge.fleet.policy import SETTLED_S
+from dotterelbridge.fleet.policy import FleetPolicy
+from dotterelbridge.fleet.records import HeldModel
+from dotterelbridge.fleet.records import TargetPhase
+from tests.fleet.support import create_account
+from tests.fleet.support import create_report
+from tests.fleet.support import key
+from tests.routes.support import LLM
+from tests.routes.support import create_engine
+
+NAMES = tuple(f"m{number}" for number in range(12))
+ENGINE = create_engine(NAMES)
+ROOMY = create_engine(NAMES, memory_mb=310)
+"""Has room for adapters beside three models."""
+NOW = 100.0
+
+
+def plan(accounts, demand, asked_s=SETTLED_S + 1, store_loads=9):
+    policy = FleetPolicy(
+        LLM,
+        accounts[0].engine,
+        accounts,
+        demand,
+        store_loads,
+        asked_s,
+        NOW,
+    )
+    return policy.plan()
+
+
+def list_models(steps):
+    """Return the moves of models as (target, model, evicted)."""
+    return [
+        (s.target, s.item.model, s.evicted.model if s.evicted else None)
+        for s in steps
+        if not s.item.adapter
+    ]
+
+
+def account(name, held, **fields):
+    return create_account(name, held, ENGINE, **fields)
+
+
+def busy(per_s, running=3):
+    return Demand(arrivals_per_s=per_s, running=running, wanted_at=NOW)
+
+
+def idle(seconds):
+    return Demand(wanted_at=NOW - seconds)
+
+
+def waiting(count=1):
+    return Demand(waiting=count, arrivals_per_s=0.2, wanted_at=NOW)
+
+
+def test_a_model_that_requests_wait_for_takes_the_longest_idle_place():
+    accounts = [account("e1", ["m0", "m1", "m2"])]
+    demand = {
+        key("m0"): busy(10),
+        key("m1"): idle(5),
+        key("m2"): idle(50),
+        key("m3"): waiting(),
+    }
+    assert list_models(plan(accounts, demand).steps) == [("e1", "m3", "m2")]
+
+
+def test_a_model_in_use_never_gives_way():
+    accounts = [account("e1", ["m0", "m1", "m2"])]
+    demand = {
+        key("m0"): busy(10),
+        key("m1"): busy(0.3, running=1),
+        key("m2"): idle(0.2),
+        key("m3"): waiting(),
+    }
+    result = plan(accounts, demand)
+    assert result.steps == []
+    assert result.blocked == [key("m3")]
+
+
+def test_two_wants_of_one_round_do_not_count_on_the_same_copy():
+    """Seen on quiet-1: three copies of the busiest went in one round."""
+    accounts = [
+        account("e1", ["m0", "m1", "m2"]),
+        account("e2", ["m0", "m3", "m4"]),
+    ]
+    demand = {key("m0"): busy(0.9, running=1)} | {
+        key(name): busy(0.5, running=1) for name in ("m1", "m2", "m3", "m4")
+    }
+    demand |= {key("m7"): waiting(), key("m8"): waiting()}
+    assert len(plan(accounts, demand).steps) == 1
+    assert [a.target.target for a in accounts if a.serves("m0")] in (
+        ["e1"],
+        ["e2"],
+    )
+
+
+def test_a_busy_model_is_spread_over_engines():
+    """Streams pause where one engine reads all prompts of a model."""
+    accounts = [
+        account("e1", ["m0", "m1", "m2"]),
+        account("e2", ["m3", "m4", "m5"]),
+        account("e3", ["m6", "m7", "m8"]),
+    ]
+    demand = {key("m0"): busy(30), key("m3"): busy(0.5)} | {
+        key(name): idle(30) for name in ("m4", "m5", "m6", "m7", "m8")
+    }
+    moves = list_models(plan(accounts, demand).steps)
+    assert {model for _, model, _ in moves} == {"m0"}
+    assert all(target != "e1" for target, _, _ in moves)
+
+
+def test_a_share_that_wavers_moves_nothing():
+    accounts = [
+        account("e1", ["m0", "m1", "m2"]),
+        account("e2", ["m0", "m3", "m4"]),
+    ]
+    others = {key(name): idle(20) for name in ("m1", "m2", "m3", "m4")}
+    for share in (8, 9, 10, 11, 12):
+        demand = {key("m0"): busy(share), key("m1"): busy(20 - share)}
+        steps = plan(accounts, others | demand).steps
+        assert "m0" not in [evicted for _, _, evicted in list_models(steps)]
+
+
+def test_nothing_is_evicted_before_busy_models_are_known():
+    """Seen on quiet-1: a busy model not asked for yet was dropped."""
+    accounts = [account("e1", ["m0", "m1", "m2"])]
+    demand = {key("m3"): waiting()}
+    early = EVICTION_DELAY_S / 2
+    assert plan(accounts, demand, asked_s=early).steps == []
+    late = EVICTION_DELAY_S * 2
+    assert len(plan(accounts, demand, asked_s=late).steps) == 1
+
+
+def test_a_model_that_nobody_asks_for_evicts_nothing():
+    accounts = [account("e1", ["m0", "m1", "m2"])]
+    demand = {key("m0"): busy(3), key("m1"): idle(50), key("m2"): idle(50)}
+    assert plan(accounts, demand).steps == []
+
+
+def test_a_model_goes_where_it_is_on_disk():
+    accounts = [
+        account("e1", ["m0", "m1", "m2"]),
+        account("e2", ["m3", "m4", "m5"], on_disk=frozenset(("m9",))),
+    ]
+    demand = {key(name): idle(30) for name in NAMES[:6]}
+    demand[key("m9")] = waiting()
+    moves = list_models(plan(accounts, demand).steps)
+    assert [(target, model) for target, model, _ in moves] == [("e2", "m9")]
+
+
+def test_the_rate_of_the_weight_store_is_kept():
+    accounts = [account("e1", []), account("e2", [])]
+    demand = {key(name): waiting() for name in NAMES[:4]}
+    assert len(plan(accounts, demand, store_loads=1).steps) == 1
+
+
+def test_a_load_from_disk_needs_nothing_of_the_store():
+    accounts = [account("e1", [], on_disk=frozenset(NAMES))]
+    steps = plan(accounts, {key("m0"): waiting()}, store_loads=0).steps
+    assert [step.from_store for step in steps] == [False]
+
+
+def test_an_adapter_takes_the_place_of_the_longest_idle_one():
+    held = [HeldModel("m0", 0, frozenset(("a1", "a2"))), "m1", "m2"]
+    accounts = [create_account("e1", held, ROOMY)]
+    demand = {
+        key("m0", "a1"): idle(3),
+        key("m0", "a2"): idle(9),
+        key("m0", "a3"): waiting(),
+    }
+    (step,) = plan(accounts, demand).steps
+    assert (step.item, step.evicted) == (key("m0", "a3"), key("m0", "a2"))
+
+
+def test_an_adapter_in_use_keeps_its_place():
+    held = [HeldModel("m0", 0, frozenset(("a1", "a2"))), "m1", "m2"]
+    accounts = [create_account("e1", held, ROOMY)]
+    demand = {
+        key("m0", "a1"): busy(1),
+        key("m0", "a2"): busy(1),
+        key("m0", "a3"): waiting(),
+    }
+    result = plan(accounts, demand)
+    assert result.steps == []
+    assert result.blocked == [key("m0", "a3")]
+
+
+def test_one_adapter_is_brought_to_one_engine():
+    accounts = [account("e1", ["m0"]), account("e2", ["m0"])]
+    demand = {key("m0", "a3"): waiting(5)}
+    steps = plan(accounts, demand).steps
+    assert [s.item for s in steps].count(key("m0", "a3")) == 1
+
+
+def test_free_places_take_adapters_before_they_are_asked_for():
+    accounts = [create_account("e1", ["m0", "m1", "m2"], ROOMY)]
+    steps = plan(accounts, {}, asked_s=0.0).steps
+    assert [step.item for step in steps] == [key("m0", "a1")]
+
+
+def test_an_engine_that_is_leaving_gets_no_orders():
+    leaving = account("e1", [])
+    leaving.take_report(create_report([]), 1.0)
+    leaving.target = msgspec.structs.replace(
+        leaving.target, phase=TargetPhase.LEAVING
+    )
+    assert plan([leaving], {key("m0"): waiting()}).steps == []
--- a/tests/replication_support.py
+++ b/tests/replication_support.py
@@ -162,6 +162,9 @@
             state["last_index"] == state["commit_index"]
         )
 
+    def prepare(self, vm, log) -> None:
+        """Add further machines to a member; for groups that have some."""
+
     def _run(self, vm, storage, clock) -> Node:
         self.kill(vm)
         log = create_replicated_log(
@@ -174,6 +177,7 @@
         )
         machine = HistoryMachine(self.committed)
         log.add_machine("history", machine)
+        self.prepare(vm, log)
         node = Node(log, machine, anyio.CancelScope())
         self.nodes[vm] = node
         self._tasks.start_soon(_run_node, node)
--- /dev/null
+++ b/tests/routes/test_submission.py
@@ -0,0 +1,99 @@
+"""Operators submit to any control VM; reads are certain or refused."""
+
+from datetime import timedelta
+
+import anyio
+import msgspec
+import pytest
+
+from dotterelbridge.replication.settings import ReplicationSettings
+from dotterelbridge.routes.document import create_native_format
+from dotterelbridge.routes.errors import RoutesInvalid
+from dotterelbridge.routes.errors import RoutesUnknown
+from dotterelbridge.routes.submission import create_routes_submitter
+from dotterelbridge.routes.table import MACHINE_NAME
+from dotterelbridge.routes.table import RouteTable
+from standins.virtual_time import run_in_virtual_time
+from tests.replication_support import Group
+from tests.routes.support import create_route_set
+
+TIMEOUT = timedelta(seconds=2)
+
+
+class RoutesGroup(Group):
+    """A group whose members hold the routes."""
+
+    def __init__(self, tasks, size, seed=0) -> None:
+        super().__init__(tasks, size, seed, ReplicationSettings())
+        self.submitters = {}
+
+    def prepare(self, vm, log) -> None:
+        table = RouteTable()
+        log.add_machine(MACHINE_NAME, table)
+        self.submitters[vm] = create_routes_submitter(
+            log, table, create_native_format()
+        )
+
+
+def run(test) -> None:
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            group = RoutesGroup(tasks, 3)
+            group.start_all()
+            await group.wait_leader()
+            await test(group)
+            await group.network.close()
+            tasks.cancel_scope.cancel()
+
+    run_in_virtual_time(main)
+
+
+def document(version, **fields) -> bytes:
+    return msgspec.json.encode(create_route_set(version, **fields))
+
+
+def test_a_version_is_read_back_at_every_vm():
+    async def test(group):
+        await group.submitters["v1"].submit(document(4), TIMEOUT)
+        for submitter in group.submitters.values():
+            packed = await submitter.read(TIMEOUT)
+            assert packed.unpack() == document(4)
+
+    run(test)
+
+
+def test_of_two_contents_under_one_version_the_first_stays():
+    async def test(group):
+        await group.submitters["v0"].submit(document(4), TIMEOUT)
+        rival = document(4, routes=[])
+        assert await group.submitters["v2"].submit(rival, TIMEOUT) == 4
+        packed = await group.submitters["v1"].read(TIMEOUT)
+        assert packed.unpack() == document(4)
+
+    run(test)
+
+
+def test_a_faulty_document_is_refused_and_not_in_force():
+    async def test(group):
+        await group.submitters["v0"].submit(document(4), TIMEOUT)
+        with pytest.raises(RoutesInvalid):
+            await group.submitters["v0"].submit(document(5)[:-9], TIMEOUT)
+        packed = await group.submitters["v0"].read(TIMEOUT)
+        assert packed.version == 4
+
+    run(test)
+
+
+def test_a_vm_without_a_majority_neither_accepts_nor_reads():
+    async def test(group):
+        await group.submitters["v0"].submit(document(4), TIMEOUT)
+        leader = group.find_leader()
+        group.network.isolate([leader])
+        # Its lease ends before the others elect another leader.
+        await anyio.sleep(2)
+        with pytest.raises(RoutesUnknown):
+            await group.submitters[leader].submit(document(5), TIMEOUT)
+        with pytest.raises(RoutesUnknown):
+            await group.submitters[leader].read(TIMEOUT)
+
+    run(test)
