Let a control VM that has just started take no target away

Change: a board says whether it has known all targets since its start, and what a whole view does not name may be named again.

--- a/dotterelbridge/fleet/account.py
+++ b/dotterelbridge/fleet/account.py
@@ -313,7 +313,7 @@
         present = {model: set(names) for model, names in ready.items()}
         for model, adapter in report.coming:
             present.setdefault(model, set()).add(adapter)
-        for model in set(self.models) | set(present):
+        for model in sorted(set(self.models) | set(present)):
             self._take_model(model, present, ready, shown_at)
 
     def _take_model(
--- a/dotterelbridge/fleet/board.py
+++ b/dotterelbridge/fleet/board.py
@@ -33,6 +33,8 @@
         self.targets: dict[TargetId, FleetTarget] = {}
         self.epoch = secrets.token_hex(4)
         self.revision = 0
+        self.is_primed = False
+        """Whether all targets were known since the start."""
         self._clock = clock
         self._expected: dict[ItemKey, float] = {}
         self._changed_at: dict[TargetId, int] = {}
@@ -71,16 +73,28 @@
         if self.revision != before:
             self._announce()
 
+    def prime(self) -> None:
+        """Note that all targets are known from now on."""
+        self.is_primed = True
+
     def replace(
         self, targets: Iterable[FleetTarget], expected: dict[ItemKey, float]
     ) -> None:
-        """Take a whole view; what it does not name is gone."""
+        """Take a whole view of another VM.
+
+        What it does not name is dropped, and taken again if it is named
+        later: the other VM may only not have seen it yet.
+        """
         named = {target.target: target for target in targets}
-        removed = [name for name in self.targets if name not in named]
-        self.update(named.values(), removed, expected)
+        for name in [name for name in self.targets if name not in named]:
+            self._drop(name)
+        self.update(named.values(), (), expected)
 
     def apply(self, news: FleetNews) -> None:
-        """Take the answer of a source."""
+        """Take the answer of a source that knows all targets."""
+        if not news.is_primed:
+            return
+        self.is_primed = True
         now = self._clock.monotonic()
         expected = {e.item: now + e.ready_in_ms / _MS for e in news.expected}
         if news.is_whole:
@@ -138,17 +152,23 @@
         self._removed_at.pop(target.target, None)
 
     def _remove(self, name: TargetId) -> None:
-        target = self.targets.pop(name, None)
+        target = self._drop(name)
         if target is None:
             return
-        self._log(FleetEvent.TARGET_GONE, target)
         now = self._clock.monotonic()
         self._gone[name, target.born] = now
         self._leaving.pop((name, target.born), None)
+        self._forget_old(now)
+
+    def _drop(self, name: TargetId) -> FleetTarget | None:
+        target = self.targets.pop(name, None)
+        if target is None:
+            return None
+        self._log(FleetEvent.TARGET_GONE, target)
         self._changed_at.pop(name)
         self.revision += 1
         self._removed_at[name] = self.revision
-        self._forget_old(now)
+        return target
 
     def _forget_old(self, now: float) -> None:
         oldest = now - _GONE_KEPT_S
--- a/dotterelbridge/fleet/feed.py
+++ b/dotterelbridge/fleet/feed.py
@@ -94,6 +94,7 @@
         return FleetNews(
             epoch=self._board.epoch,
             revision=self._board.revision,
+            is_primed=self._board.is_primed,
             is_whole=is_whole,
             changed=tuple(changed),
             removed=tuple(removed),
@@ -221,8 +222,9 @@
         return True
 
     def _take(self, news: FleetNews) -> None:
-        self._epoch = news.epoch
-        self._revision = news.revision
+        if news.is_primed:
+            self._epoch = news.epoch
+            self._revision = news.revision
         self.entry_vms = news.entry_vms
         self._board.apply(news)
         is_attached = news.detached_ms <= self._settings.detached_limit_ms
--- a/dotterelbridge/fleet/listing.py
+++ b/dotterelbridge/fleet/listing.py
@@ -94,6 +94,7 @@
         for name in gone:
             del self._absent[name]
         self._board.update([self._merge(e) for e in listed], gone)
+        self._board.prime()
 
     def _merge(self, entry: ListedTarget) -> FleetTarget:
         """Return the entry with what is known better than by the list.
--- a/dotterelbridge/fleet/messages.py
+++ b/dotterelbridge/fleet/messages.py
@@ -33,6 +33,8 @@
 
     epoch: str
     revision: int
+    is_primed: bool
+    """Whether the answering VM has known all targets since its start."""
     is_whole: bool
     """Whether targets that are not named are gone."""
     changed: tuple[FleetTarget, ...] = ()
--- a/dotterelbridge/fleet/ordering.py
+++ b/dotterelbridge/fleet/ordering.py
@@ -108,7 +108,12 @@
                 await self._serve_term(term)
 
     async def _take_office(self, term: Term) -> bool:
-        """Claim on the log, and wait out the holder before."""
+        """Claim on the log, and wait out the holder before.
+
+        Its lease was over when this VM was elected; from then on the time
+        counts in which it may have given its last order.
+        """
+        elected_at = self._clock.monotonic()
         try:
             result = await self._log.propose(
                 MACHINE_NAME, encode_claim(self._own, term), _CLAIM_TIMEOUT
@@ -120,7 +125,8 @@
         has_waited = previous == self._own and self._waited_for is not None
         if previous is not None and not has_waited:
             self._waited_for = None
-            wait = timedelta(milliseconds=self._settings.holder_wait_ms)
+            wait_s = self._settings.holder_wait_ms / 1000
+            wait_s -= self._clock.monotonic() - elected_at
             events.log(
                 _log,
                 FleetEvent.ORDERING_WAITS,
@@ -128,7 +134,7 @@
                 holder_before=previous,
                 wait_ms=self._settings.holder_wait_ms,
             )
-            await self._clock.sleep(wait)
+            await self._clock.sleep(timedelta(seconds=max(0.0, wait_s)))
         if not self._log.leads() or self._log.term != term:
             return False
         self._waited_for = term
@@ -295,9 +301,9 @@
         """Bring one item to an engine."""
         with anyio.move_on_after(_MOVE_LIMIT_S):
             try:
-                if step.evicted is not None:
-                    if not await self._evict(account, step.evicted):
-                        return
+                evicted = step.evicted
+                if evicted and not await self._evict(account, evicted):
+                    return
                 await self._load(account, step.item, load_s)
             finally:
                 self._end_move(account, step)
--- a/dotterelbridge/fleet/policy.py
+++ b/dotterelbridge/fleet/policy.py
@@ -25,7 +25,7 @@
 an engine gets when all get the same."""
 COPY_LOAD_LEAST = 0.7
 """The same below which a copy may give way."""
-SETTLED_S = 3.0
+SETTLED_S = 2.0
 """Time from a service's first request until the shares of its models are
 known."""
 EVICTION_DELAY_S = 1.0
--- a/dotterelbridge/fleet/settings.py
+++ b/dotterelbridge/fleet/settings.py
@@ -42,9 +42,10 @@
     """Time between two demand reports of an entry VM."""
     demand_urgent_ms: _Milliseconds = 20
     """The same while requests wait for an item that nothing holds."""
-    holder_wait_ms: _Milliseconds = 3400
-    """Time after which a former holder certainly gives no orders: the
-    platform's lease time and its slack after a thaw."""
+    holder_wait_ms: _Milliseconds = 3200
+    """Time from an election until the VM gives orders: the platform's
+    lease time, in which no two VMs may take turns, and a margin for the
+    slowest link and for timers."""
     order_timeout_ms: _Milliseconds = 400
     """Time without an answer after which an order is sent again."""
     adapter_load_ms: _Milliseconds = 25
--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -47,6 +47,7 @@
 
 _BYTES_PER_KB = 1024
 _MS = 1000
+_ROUTES_POLL = timedelta(milliseconds=20)
 _RETRY_SOON = timedelta(milliseconds=500)
 
 
@@ -137,6 +138,8 @@
         except RequestRefused as error:
             await self._send_failure(sink, "", _describe_refusal(error))
             return
+        if self._routes.routes is None:
+            await self._wait_for_routes(request)
         if self._routes.routes is None:
             await self._refuse(sink, request, _NO_ROUTES)
             return
@@ -148,6 +151,15 @@
         self._router.start_call(call)
         await self._answer(call, receive, sink)
 
+    async def _wait_for_routes(self, request: GatewayRequest) -> None:
+        """Wait a little at a VM that has just started."""
+        limit_ms = self._settings.routes_wait_ms
+        if request.deadline_ms is not None:
+            limit_ms = min(limit_ms, request.deadline_ms / 2)
+        with anyio.move_on_after(limit_ms / _MS):
+            while self._routes.routes is None:
+                await self._clock.sleep(_ROUTES_POLL)
+
     def _create_call(
         self, request: GatewayRequest, route: Route, started_at: float
     ) -> GatewayCall:
--- a/dotterelbridge/gateway/call.py
+++ b/dotterelbridge/gateway/call.py
@@ -12,6 +12,7 @@
 _URGENCY_STEPS = 2
 """Urgencies between two ranks: a slow aim goes behind its rank's others."""
 _LEAST_URGENT = 9
+_MS = 1000
 _PATIENT_AIM_MS = 1000
 """Aim from which nobody is taken to be waiting at the other end."""
 
@@ -49,6 +50,10 @@
         step = self.route.rank * _URGENCY_STEPS + 1 + patient
         return min(_LEAST_URGENT, step)
 
+    def is_late(self, now: float) -> bool:
+        """Whether the aim for its first byte is missed already."""
+        return now - self.started_at > self.route.aim_ms / _MS
+
     def left_s(self, now: float) -> float:
         """Return the seconds left for an answer."""
         return self.ends_at - now
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -73,10 +73,12 @@
         self.place: Place | None = None
         self.changed = anyio.Event()
 
-    @property
-    def order(self) -> tuple[int, float]:
-        """Sorts the most urgent first, then the one with least time."""
-        return (self.call.urgency, self.call.ends_at)
+    def rate_order(self, now: float) -> tuple[bool, int, float]:
+        """Return what sorts those first that are not late yet.
+
+        Of these the most urgent, then the one with least time.
+        """
+        return (self.call.is_late(now), self.call.urgency, self.call.ends_at)
 
     def grant(self, place: Place) -> None:
         self.place = place
@@ -269,7 +271,12 @@
 
     def _dispatch(self) -> None:
         """Give places to those who wait, the most urgent first."""
-        for waiter in sorted(self._waiters, key=lambda w: w.order):
+        if not self._waiters:
+            return
+        now = self._clock.monotonic()
+        for waiter in sorted(
+            self._waiters, key=lambda waiter: waiter.rate_order(now)
+        ):
             if waiter.place is None:
                 place = self._try_take(waiter.call)
                 if place is not None:
@@ -335,7 +342,7 @@
         grace_s = self._settings.absent_grace_ms / 1000
         expected_s = self._find_expected(call)
         if expected_s is None:
-            if waited_s > min(grace_s, left_s):
+            if waited_s > min(grace_s, (left_s + waited_s) / 2):
                 raise NoPlace(
                     "no target holds what the request needs",
                     "send it again after the time in Retry-After; its load "
--- a/dotterelbridge/gateway/settings.py
+++ b/dotterelbridge/gateway/settings.py
@@ -22,16 +22,17 @@
     retry_use_percent: Annotated[int, Meta(ge=1, le=100)] = 80
     """Part of the bound that is used: the VMs' windows and counts of each
     other are not exactly alike."""
-    spill_percent: _Percent = 80
-    """Load of the targets nearby, in percent of their slots, from which
-    requests go to another region: its bytes are paid for."""
     overfill_requests: Annotated[int, Meta(ge=0)] = 6
     """Requests beyond its slots that are sent to an engine, which queues
     them: reports are late, and a free slot is worth more than a short
     wait."""
-    absent_grace_ms: _Milliseconds = 1500
+    absent_grace_ms: _Milliseconds = 3000
     """Time that a request waits to hear when an absent item will be
-    loaded: four crossings of the slowest link and a lost message."""
+    loaded: another VM takes over the orders in about so long. At most
+    half of the request's own time."""
+    routes_wait_ms: _Milliseconds = 2000
+    """Time that a request waits at a VM that has just started and knows
+    no routes yet; at most half of the request's own time."""
     wait_percent: Annotated[int, Meta(ge=1, le=100)] = 40
     """Part of its time that a request waits for a place at a target."""
     lacking_ms: _Milliseconds = 150
--- a/tests/fleet/test_board.py
+++ b/tests/fleet/test_board.py
@@ -64,6 +64,7 @@
         news = FleetNews(
             epoch=board.epoch,
             revision=board.revision,
+            is_primed=True,
             is_whole=whole,
             changed=tuple(changed),
             removed=tuple(removed),
--- a/tests/fleet/test_feed.py
+++ b/tests/fleet/test_feed.py
@@ -28,7 +28,7 @@
 class Source:
     """A control VM, which may be cut off from the log."""
 
-    def __init__(self, world, vm) -> None:
+    def __init__(self, world, vm, is_primed=True) -> None:
         clock = LoopClock()
         self.board = FleetBoard(clock)
         self.routes = create_routes_in_force(create_native_format())
@@ -42,6 +42,8 @@
             lambda: self.detached_ms,
             lambda: world.roster,
         )
+        if is_primed:
+            self.board.prime()
 
     def submit(self, version) -> None:
         document = msgspec.json.encode(create_route_set(version))
@@ -152,6 +154,28 @@
     run(test)
 
 
+def test_a_source_that_has_just_started_takes_no_target_away():
+    """Seen on scale-1: all control VMs lost power, and for ten seconds
+    nobody was served."""
+
+    async def test(world):
+        world.sources["c1"].board.update([create_target("e1")])
+        await world.wait(lambda: "e1" in world.board.targets)
+        world.network.leave("c2")
+        world.sources["c1"] = Source(world, "c1", is_primed=False)
+        await anyio.sleep(3)
+        assert "e1" in world.board.targets
+        world.sources["c1"].board.update([create_target("e2")])
+        world.sources["c1"].board.prime()
+        world.sources["c1"].submit(1)
+        await world.wait(lambda: list(world.board.targets) == ["e2"])
+        # The first view was not whole after all.
+        world.sources["c1"].board.update([create_target("e1")])
+        await world.wait(lambda: "e1" in world.board.targets)
+
+    run(test)
+
+
 def test_the_nearest_source_is_taken_again_once_it_is_up_to_date():
     async def test(world):
         for source in world.sources.values():
