--- a/dotterelbridge/fleet/account.py
+++ b/dotterelbridge/fleet/account.py
@@ -52,6 +52,8 @@
         """The same for adapters."""
         self.evicting: set[tuple[str, str]] = set()
         """Adapters that make room for these."""
+        self.leaving_adapters: set[tuple[str, str]] = set()
+        """Adapters whose unload waits for their last request."""
         self.loading_from_store = False
         self.sending = anyio.Lock()
         """Held while an order waits for its answer."""
@@ -155,7 +157,9 @@
         if model in self.dropping or not self.target.takes_new_work:
             return False
         names = self.ready.get(model)
-        return names is not None and (not adapter or adapter in names)
+        if names is None or (model, adapter) in self.leaving_adapters:
+            return False
+        return not adapter or adapter in names
 
     def fits(self, model: str, adapter: str = "") -> bool:
         """Whether an order to load an item may be sent."""
@@ -204,7 +208,10 @@
         if not opened.order.adapter:
             self.loading = opened
         elif opened.order.kind is OrderKind.UNLOAD:
-            self._drop_adapter(opened.order)
+            # In use: it keeps its place until its last request ends.
+            self.leaving_adapters.add(
+                (opened.order.model, opened.order.adapter)
+            )
 
     def _count_order(self, now: float) -> None:
         self.orders_accepted += 1
@@ -252,6 +259,10 @@
         if adapter in self.models.get(model, ()) and model in self.ready:
             self.ready[model].add(adapter)
 
+    def has_adapter(self, model: str, adapter: str) -> bool:
+        """Whether an adapter is or may be there."""
+        return adapter in self.models.get(model, ())
+
     def shows_done(self, opened: OpenOrder, since: float) -> bool:
         """Whether a report read since then shows an order carried out."""
         if self.reported_at < since:
@@ -361,7 +372,15 @@
     def list_served(self) -> tuple[HeldModel, ...]:
         """Return what requests may use."""
         return tuple(
-            HeldModel(model, self._versions.get(model, 0), frozenset(names))
+            HeldModel(
+                model,
+                self._versions.get(model, 0),
+                frozenset(
+                    name
+                    for name in names
+                    if (model, name) not in self.leaving_adapters
+                ),
+            )
             for model, names in sorted(self.ready.items())
             if model not in self.dropping
         )
--- a/dotterelbridge/fleet/ordering.py
+++ b/dotterelbridge/fleet/ordering.py
@@ -48,6 +48,9 @@
 _CLAIM_TIMEOUT = timedelta(seconds=1)
 _LOOK_AGAIN = timedelta(milliseconds=50)
 """Pause before an engine that is busy is asked again."""
+_ADAPTER_IN_USE_S = 3.0
+"""Time that the last requests of an adapter may take to end; beyond it
+another one makes room."""
 _MOVE_LIMIT_S = 20.0
 """Time after which a move that makes no way is given up: three times the
 longest load, with two late answers."""
@@ -365,12 +368,7 @@
         while self.may_order and self._is_current(account):
             if item.adapter and not account.serves(item.model):
                 return False
-            if account.has_foreign_load:
-                await self._refresh(account)
-                continue
-            if item.adapter and account.loading is not None:
-                # Engines take no orders while one for a model is under way.
-                await self._clock.sleep(_LOOK_AGAIN)
+            if await self._wait_for_engine(account, item):
                 continue
             async with account.sending:
                 if kind is OrderKind.LOAD and not account.fits(
@@ -383,14 +381,29 @@
             if verdict is Verdict.HOLDS:
                 return True
             if verdict is Verdict.ACCEPTED:
+                if item.adapter and kind is OrderKind.LOAD:
+                    return await self._finish_adapter_load(account, item)
                 if item.adapter:
-                    return await self._finish_adapter(account, kind, item)
+                    return await self._finish_adapter_unload(account, item)
                 return await self._finish_model(account)
             if verdict is not Verdict.BUSY:
                 return False
             await self._refresh(account)
         return False
 
+    async def _wait_for_engine(
+        self, account: EngineAccount, item: ItemKey
+    ) -> bool:
+        """Wait a moment while the engine takes no orders; False if not."""
+        if account.has_foreign_load:
+            await self._refresh(account)
+            return True
+        if item.adapter and account.loading is not None:
+            # Engines take no orders while one for a model is under way.
+            await self._clock.sleep(_LOOK_AGAIN)
+            return True
+        return False
+
     async def _send_until_answered(
         self,
         account: EngineAccount,
@@ -467,15 +480,32 @@
         else:
             account.settle_refused()
 
-    async def _finish_adapter(
-        self, account: EngineAccount, kind: OrderKind, item: ItemKey
+    async def _finish_adapter_load(
+        self, account: EngineAccount, item: ItemKey
     ) -> bool:
-        if kind is OrderKind.LOAD:
-            wait = timedelta(milliseconds=self._settings.adapter_load_ms)
-            await self._clock.sleep(wait)
-            account.finish_adapter(item.model, item.adapter)
+        wait = timedelta(milliseconds=self._settings.adapter_load_ms)
+        await self._clock.sleep(wait)
+        account.finish_adapter(item.model, item.adapter)
         return True
 
+    async def _finish_adapter_unload(
+        self, account: EngineAccount, item: ItemKey
+    ) -> bool:
+        """Wait until an adapter in use has left its place."""
+        place = (item.model, item.adapter)
+        ends_at = self._clock.monotonic() + _ADAPTER_IN_USE_S
+        self._show(account)
+        try:
+            while (
+                self._is_current(account) and self._clock.monotonic() < ends_at
+            ):
+                await self._refresh(account)
+                if not account.has_adapter(*place):
+                    return True
+            return False
+        finally:
+            account.leaving_adapters.discard(place)
+
     async def _finish_model(self, account: EngineAccount) -> bool:
         """Wait until the order for a model is carried out."""
         opened = account.loading
--- a/tests/fleet/test_account.py
+++ b/tests/fleet/test_account.py
@@ -96,6 +96,21 @@
     assert account.orders_accepted == 4
 
 
+def test_an_adapter_in_use_keeps_its_place_until_it_is_seen_gone():
+    """Seen on scale-1: the next one was one too many for the engine."""
+    held = [HeldModel("m0", 0, frozenset(("a1", "a2")))]
+    account = create_account(held=held, orders=4)
+    account.open_order(unload("m0", "a1", 4), 1.0)
+    account.settle_accepted(1.0, 1.0)
+    assert not account.serves("m0", "a1")
+    assert not account.fits("m0", "a3")
+    account.take_report(create_report(held, 4), 1.0 + LATER)
+    assert not account.fits("m0", "a3")
+    left = [HeldModel("m0", 0, frozenset(("a2",)))]
+    account.take_report(create_report(left, 5), 2.0 + LATER)
+    assert account.fits("m0", "a3")
+
+
 def test_an_adapter_serves_once_its_load_is_finished():
     account = create_account(held=["m0"])
     account.open_order(load("m0", "a1"), 1.0)
