Write logs from a thread of their own; explain a request from them

Cause: a pipe that nobody reads would stop a node, and the way from a request's id to its cause was grep by hand. Change: a bounded queue and a writer; ordinary lines go first when it fills, and the next line says how many; 'dotterelbridge explain'.

--- a/dotterelbridge/cli/definition.py
+++ b/dotterelbridge/cli/definition.py
@@ -54,6 +54,7 @@
     _add_sheet_commands(commands)
     _add_state_commands(commands)
     _add_drain_commands(commands)
+    _add_explain_command(commands)
     return parser
 
 
@@ -180,6 +181,19 @@
     )
 
 
+def _add_explain_command(commands) -> None:
+    explain = commands.add_parser(
+        "explain", help="show a request's course, from log files"
+    )
+    explain.add_argument("request", metavar="REQUEST-ID")
+    explain.add_argument(
+        "files",
+        metavar="FILE",
+        nargs="*",
+        help="logs of one or more VMs; standard input without any",
+    )
+
+
 def _add_drain_commands(commands) -> None:
     drain = commands.add_parser(
         "drain", help="send no new work to a VM or target"
--- a/dotterelbridge/cli/program.py
+++ b/dotterelbridge/cli/program.py
@@ -6,6 +6,7 @@
 import sys
 
 from dotterelbridge.cli import config_commands
+from dotterelbridge.cli import explain_command
 from dotterelbridge.cli import sheet_commands
 from dotterelbridge.cli import state_commands
 from dotterelbridge.cli.client import CommandFailed
@@ -32,6 +33,7 @@
     ("dump", None): state_commands.dump_state,
     ("metrics", None): state_commands.print_metrics,
     ("events", None): state_commands.list_events,
+    ("explain", None): explain_command.explain_request,
     ("drain", None): state_commands.begin_drain,
     ("undrain", None): state_commands.end_drain,
     ("moves", "pause"): state_commands.pause_moves,
--- a/dotterelbridge/logs.py
+++ b/dotterelbridge/logs.py
@@ -7,6 +7,8 @@
 
 import structlog
 
+from dotterelbridge.log_stream import QueuedStream
+
 RECENT_EVENTS = 1000
 
 
@@ -28,6 +30,24 @@
         return list(self._lines)
 
 
+class PressureValve:
+    """Drops ordinary lines while the stream is pressed, and says so."""
+
+    def __init__(self, stream: QueuedStream) -> None:
+        self._stream = stream
+
+    def __call__(self, logger, method: str, line: dict) -> dict:
+        """Pass one line as a structlog processor, or drop it."""
+        is_ordinary = line.get("level") in ("debug", "info")
+        if is_ordinary and self._stream.is_pressed:
+            self._stream.count_dropped()
+            raise structlog.DropEvent
+        dropped = self._stream.take_dropped()
+        if dropped:
+            line["lines_dropped_before"] = dropped
+        return line
+
+
 def configure_logs(
     level: str = "info", renderer: str = "json", stream=None
 ) -> RecentEvents:
@@ -39,10 +59,14 @@
     :returns: the recent events, for the operators' listener.
     """
     recent = RecentEvents()
+    valves = (
+        [PressureValve(stream)] if isinstance(stream, QueuedStream) else []
+    )
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
+            *valves,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
             recent,
--- a/dotterelbridge/nodes/daemon.py
+++ b/dotterelbridge/nodes/daemon.py
@@ -11,6 +11,7 @@
 from dotterelbridge.errors import DotterelbridgeError
 from dotterelbridge.lifecycle import Drainable
 from dotterelbridge.lifecycle import run_until_drained
+from dotterelbridge.log_stream import QueuedStream
 from dotterelbridge.logs import configure_logs
 from dotterelbridge.nodes.settings import NodeSettings
 from dotterelbridge.nodes.settings import load_node_settings
@@ -27,10 +28,11 @@
 
     :param create_node: takes the settings, their path and the clock.
     """
+    stream = QueuedStream(env.stdout)
     try:
         settings = load_node_settings(path)
         configure_logs(
-            settings.logs.level.value, settings.logs.format.value, env.stdout
+            settings.logs.level.value, settings.logs.format.value, stream
         )
         metrics.start(settings.metrics.otlp_endpoint)
         node = create_node(settings, path, env.time)
@@ -41,4 +43,6 @@
     except OSError as error:
         env.print_error(PROGRAM, f"{error}; check addresses and files")
         return ExitStatus.ERROR
+    finally:
+        stream.close()
     return ExitStatus.OK
