Refuse at shutdown what would have to wait

Change: a draining VM refuses what has no place at once, truly and with a Retry-After of 50 ms; another VM takes it. An unused setting is gone.

--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -71,6 +71,10 @@
         self._clock = clock
         self._random = rng
 
+    def start_draining(self) -> None:
+        super().start_draining()
+        self._router.start_draining()
+
     def dump(self) -> dict[str, Any]:
         return {
             "draining": self._draining,
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -45,6 +45,8 @@
 at a busy engine two thirds of it."""
 _DOMAIN_COST = 0.01
 _LACKING_LOAD_S = 1.0
+_ELSEWHERE = timedelta(milliseconds=50)
+"""Time after which a caller may try another VM."""
 
 
 class Outcome(enum.Enum):
@@ -112,6 +114,7 @@
         self._shares: dict[ItemName, RetryShare] = {}
         self._arrivals: Counter[ItemKey] = Counter()
         self._running: Counter[ItemKey] = Counter()
+        self._is_draining = False
         self.absent = anyio.Event()
         """Set while a request waits for an item that nothing holds."""
         board.subscribe(self._refresh)
@@ -125,6 +128,16 @@
         if call.item is not None:
             self._arrivals[call.item] += 1
 
+    def start_draining(self) -> None:
+        """Refuse those who wait, and all that would have to.
+
+        They have not run, and another VM may have the time that this one
+        has not: its process is ended after a while, answered or not.
+        """
+        self._is_draining = True
+        for waiter in self._waiters:
+            waiter.changed.set()
+
     def share_of(self, call: GatewayCall) -> RetryShare:
         """Return the retry budget of the call's service."""
         name = call.service.name
@@ -327,6 +340,12 @@
         call = waiter.call
         now = self._clock.monotonic()
         left_s = call.left_s(now)
+        if self._is_draining:
+            raise NoPlace(
+                "this VM is shutting down and has no place at once",
+                "send it again; another VM takes it",
+                _ELSEWHERE,
+            )
         waited_s = now - waiter.since
         if next(self._list_holders(call), None) is not None:
             total_s = call.ends_at - call.started_at
--- a/dotterelbridge/nodes/settings.py
+++ b/dotterelbridge/nodes/settings.py
@@ -46,8 +46,6 @@
     failure_domain: FailureDomain
     peer_port: _Port
     """Port of the links between VMs, the same on all of them."""
-    metrics_port: _Port = 0
-    """Port of the metrics; 0 for none."""
     caller_address: str = ""
     """IP:PORT where callers reach an entry VM."""
     ready_address: str = ""
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -384,6 +384,33 @@
             await closed.wait()
 
 
+@run_async
+async def test_shutdown_refuses_those_who_wait_for_what_is_absent():
+    """Seen in a hunt: one waited for a load until the process was killed."""
+    async with run_gateway(absent_grace_ms=60_000) as gateway:
+        await gateway.add("e1", stream(3), service=LLM, held=["m0"])
+        answers = []
+
+        async def call():
+            answers.append(
+                await gateway.call(
+                    "/quotes/a",
+                    headers={
+                        "dotterelbridge-model": "m1",
+                        "dotterelbridge-deadline": "60000",
+                    },
+                )
+            )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(call)
+            await gateway.router.absent.wait()
+            with anyio.fail_after(20):
+                await gateway.listener.drain()
+        assert [a.status_code for a in answers] == [503]
+        assert float(answers[0].headers["retry-after"]) < 1
+
+
 @run_async
 async def test_shutdown_cuts_no_request():
     async with run_gateway() as gateway:
