Write whole answers in one place; drop two fields that nothing reads

Cause: the probes, the routes' door and the gateway's refusals wrote the same start, body and wait by three copies; OpenOrder kept two times that no code used. Change: write_whole in serving/answer.py; the fields are gone. Conclusion: no change of behaviour.

--- a/dotterelbridge/fleet/account.py
+++ b/dotterelbridge/fleet/account.py
@@ -25,8 +25,6 @@
     """An order whose effect is not certain yet."""
 
     order: Order
-    opened_at: float
-    accepted_at: float | None = None
     ready_at: float | None = None
     """When it is expected to be carried out."""
 
@@ -198,7 +196,7 @@
         )
         if order.kind is OrderKind.LOAD:
             self._count_load(order, now)
-        self.open = OpenOrder(order=order, opened_at=now)
+        self.open = OpenOrder(order=order)
         return self.open
 
     def _count_load(self, order: Order, now: float) -> None:
@@ -220,7 +218,6 @@
         opened = self.open
         self.open = None
         self._count_order(now)
-        opened.accepted_at = now
         opened.ready_at = ready_at
         self._changed_at[opened.order.model, opened.order.adapter] = now
         if not opened.order.adapter:
--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -32,6 +32,7 @@
 from dotterelbridge.routes.model import Service
 from dotterelbridge.serving.answer import SINK_EXTENSION
 from dotterelbridge.serving.answer import AnswerSink
+from dotterelbridge.serving.answer import write_whole
 from dotterelbridge.serving.draining import DrainingApp
 from dotterelbridge.serving.errors import AnswerIncomplete
 from dotterelbridge.serving.errors import CallerGone
@@ -324,20 +325,8 @@
     async def _send_failure(
         self, sink: AnswerSink, request: str, failure: Failure
     ) -> None:
-        body = failure.encode_body()
         headers = self._list_failure_headers(request, failure)
-        headers.append((b"content-length", b"%d" % len(body)))
-        sink.write(
-            {
-                "type": "http.response.start",
-                "status": failure.status,
-                "headers": headers,
-            }
-        )
-        sink.write(
-            {"type": "http.response.body", "body": body, "more_body": False}
-        )
-        await sink.wait_writable()
+        await write_whole(sink, failure.status, headers, failure.encode_body())
 
     def _list_failure_headers(
         self, request: str, failure: Failure
--- a/dotterelbridge/nodes/probes.py
+++ b/dotterelbridge/nodes/probes.py
@@ -8,6 +8,7 @@
 from dotterelbridge import metrics
 from dotterelbridge.clock import Clock
 from dotterelbridge.serving.answer import SINK_EXTENSION
+from dotterelbridge.serving.answer import write_whole
 from dotterelbridge.serving.listener import create_listening_socket
 from dotterelbridge.serving.server import HttpServer
 from dotterelbridge.serving.settings import ServingSettings
@@ -30,17 +31,7 @@
             body = metrics.render()
         elif not self._is_ready():
             status = 503
-        sink.write(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": [(b"content-length", b"%d" % len(body))],
-            }
-        )
-        sink.write(
-            {"type": "http.response.body", "body": body, "more_body": False}
-        )
-        await sink.wait_writable()
+        await write_whole(sink, status, [], body)
 
 
 class ProbeListener:
--- a/dotterelbridge/routes/door.py
+++ b/dotterelbridge/routes/door.py
@@ -11,6 +11,7 @@
 from dotterelbridge.routes.submission import RoutesSubmitter
 from dotterelbridge.serving.answer import SINK_EXTENSION
 from dotterelbridge.serving.answer import AnswerSink
+from dotterelbridge.serving.answer import write_whole
 from dotterelbridge.serving.errors import CallerGone
 from dotterelbridge.serving.errors import Failure
 from dotterelbridge.serving.request import read_body
@@ -83,14 +84,4 @@
 
 
 async def _send(sink: AnswerSink, status: int, body: bytes) -> None:
-    sink.write(
-        {
-            "type": "http.response.start",
-            "status": status,
-            "headers": [_JSON, (b"content-length", b"%d" % len(body))],
-        }
-    )
-    sink.write(
-        {"type": "http.response.body", "body": body, "more_body": False}
-    )
-    await sink.wait_writable()
+    await write_whole(sink, status, [_JSON], body)
--- a/dotterelbridge/serving/answer.py
+++ b/dotterelbridge/serving/answer.py
@@ -51,6 +51,24 @@
         """Return when the caller has taken enough of what was written."""
 
 
+async def write_whole(
+    sink: AnswerSink, status: int, headers: Headers, body: bytes
+) -> None:
+    """Write an answer whose length is known, and wait until it fits."""
+    length = (b"content-length", b"%d" % len(body))
+    sink.write(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [*headers, length],
+        }
+    )
+    sink.write(
+        {"type": "http.response.body", "body": body, "more_body": False}
+    )
+    await sink.wait_writable()
+
+
 class AnswerWriter:
     """Writes the one answer of a request."""
 
