Refuse streams before their callers leave

Cause: callers give a stream up 2 s, four aims or eight pauses after they sent it, whatever their deadline. A deadline of 12 s let them wait 4.8 s; their callers left at 2.4 s.

Now: a call knows until when its caller waits for a first byte (settings stream_patience_*). A load known to take longer is refused at once with the time at which it will be there; full targets after 0.4 of the time, an unplanned absent item after 0.6 of it, at most 4.5 s (3 s before), which covers a change of the giver of orders for work with patience. Of those that wait the first to leave goes first. request_answered now has the longest pause of a stream.

Tests: a router without a network, tests/gateway/test_router.py (six).

--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -148,6 +148,22 @@
             item=item,
             started_at=started_at,
             ends_at=started_at + limit_ms / _MS,
+            begins_by=started_at
+            + self._find_patience_ms(route, limit_ms) / _MS,
+        )
+
+    def _find_patience_ms(self, route: Route, limit_ms: float) -> float:
+        """Return how long a caller waits for the first byte."""
+        if route.repeatability is not Repeatability.STREAM:
+            return limit_ms
+        settings = self._settings
+        return min(
+            limit_ms,
+            max(
+                settings.stream_patience_ms,
+                settings.stream_patience_aims * route.aim_ms,
+                settings.stream_patience_gaps * (route.gap_aim_ms or 0),
+            ),
         )
 
     def _choose_service(
@@ -360,6 +376,9 @@
         first_ms = None
         if attempts.first_at is not None:
             first_ms = round((attempts.first_at - call.started_at) * _MS)
+        pause_ms = None
+        if attempts.longest_pause_s is not None:
+            pause_ms = round(attempts.longest_pause_s * _MS)
         events.log(
             _log,
             event,
@@ -372,6 +391,7 @@
             attempts=call.attempts,
             ran_at=sorted(call.ran_at),
             first_ms=first_ms,
+            pause_ms=pause_ms,
             total_ms=round((now - call.started_at) * _MS),
             **details,
         )
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -81,8 +81,11 @@
         self.is_finished = False
         self.first_at: float | None = None
         """When the first byte of an answer was handed on."""
+        self.longest_pause_s: float | None = None
+        """Longest time between two pieces of a stream, as they came."""
         self.is_exposed = False
         """Whether an attempt is under way that may run."""
+        self._piece_at: float | None = None
         self.call = call
         self._sink = sink
         self._router = router
@@ -227,6 +230,7 @@
                 data = self._tracker.feed(data)
                 if not data:
                     return True
+            self._note_piece()
             if not self.call.is_delivering:
                 self.call.is_delivering = True
                 headers = list_relayed_headers(exchange.headers)
@@ -245,6 +249,13 @@
             )
         self._write(b"", more=False)
 
+    def _note_piece(self) -> None:
+        now = self._clock.monotonic()
+        if self._piece_at is not None:
+            pause_s = now - self._piece_at
+            self.longest_pause_s = max(self.longest_pause_s or 0.0, pause_s)
+        self._piece_at = now
+
     def _start(self, status: int, headers: Headers) -> None:
         self.status = status
         self.first_at = self._clock.monotonic()
--- a/dotterelbridge/gateway/call.py
+++ b/dotterelbridge/gateway/call.py
@@ -29,6 +29,8 @@
     """Monotonic seconds."""
     ends_at: float
     """Monotonic seconds by which it gets its final answer."""
+    begins_by: float
+    """Monotonic seconds from which its caller waits for no first byte."""
     attempts: int = 0
     """Times that it was sent to a target."""
     ran_at: set[TargetId] = set()
@@ -57,3 +59,7 @@
     def left_s(self, now: float) -> float:
         """Return the seconds left for an answer."""
         return self.ends_at - now
+
+    def patience_s(self, now: float) -> float:
+        """Return the seconds left in which an answer has to begin."""
+        return self.begins_by - now
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -35,8 +35,10 @@
 _log = structlog.get_logger(__name__)
 
 _SWEEP_INTERVAL = timedelta(milliseconds=100)
-_LOAD_MARGIN_S = 0.3
+_LOAD_MARGIN_S = 0.2
 """Time beyond a load for the news of it and for a first event."""
+_FULL_RETRY = timedelta(seconds=1)
+"""Time in which targets that are full end about half of their requests."""
 _FAR = 1000.0
 """Cost of a place that is used only when there is no other."""
 _REGION_COST = 0.06
@@ -80,7 +82,7 @@
 
         Of these the most urgent, then the one with least time.
         """
-        return (self.call.is_late(now), self.call.urgency, self.call.ends_at)
+        return (self.call.is_late(now), self.call.urgency, self.call.begins_by)
 
     def grant(self, place: Place) -> None:
         self.place = place
@@ -339,29 +341,29 @@
         """Raise NoPlace once waiting on would be of no use."""
         call = waiter.call
         now = self._clock.monotonic()
-        left_s = call.left_s(now)
+        left_s = call.patience_s(now)
         if self._is_draining:
             raise NoPlace(
                 "this VM is shutting down and has no place at once",
                 "send it again; another VM takes it",
                 _ELSEWHERE,
             )
-        waited_s = now - waiter.since
+        total_s = call.begins_by - call.started_at
         if next(self._list_holders(call), None) is not None:
-            total_s = call.ends_at - call.started_at
-            limit_s = total_s * self._settings.wait_percent / 100
-            if now - call.started_at > limit_s:
+            if left_s < total_s * (1 - self._settings.wait_percent / 100):
                 raise NoPlace(
                     "every target that could take the request is full",
                     "send it again after the time in Retry-After",
-                    timedelta(seconds=1),
+                    _FULL_RETRY,
                 )
             return
         self.absent.set()
-        grace_s = self._settings.absent_grace_ms / 1000
         expected_s = self._find_expected(call)
         if expected_s is None:
-            if waited_s > min(grace_s, (left_s + waited_s) / 2):
+            settings = self._settings
+            share_s = total_s * settings.absent_percent / 100
+            limit_s = min(settings.absent_grace_ms / 1000, share_s)
+            if now - waiter.since > limit_s:
                 raise NoPlace(
                     "no target holds what the request needs",
                     "send it again after the time in Retry-After; its load "
--- a/dotterelbridge/gateway/settings.py
+++ b/dotterelbridge/gateway/settings.py
@@ -26,13 +26,22 @@
     """Requests beyond its slots that are sent to an engine, which queues
     them: reports are late, and a free slot is worth more than a short
     wait."""
-    absent_grace_ms: _Milliseconds = 3000
+    absent_grace_ms: _Milliseconds = 4500
     """Time that a request waits to hear when an absent item will be
-    loaded: another VM takes over the orders in about so long. At most
-    half of the request's own time."""
+    loaded: another VM takes over the orders in 3.2 s, and an engine is
+    busy with another load for a second or two."""
+    absent_percent: Annotated[int, Meta(ge=1, le=100)] = 60
+    """The same as a part of the time that its caller waits at most."""
     routes_wait_ms: _Milliseconds = 2000
     """Time that a request waits at a VM that has just started and knows
     no routes yet; at most half of the request's own time."""
+    stream_patience_ms: _Milliseconds = 2000
+    """Time without a first event after which callers give a stream up, as
+    the platform's page says; the longest of the three counts."""
+    stream_patience_aims: _Count = 4
+    """The same, in aims of the route."""
+    stream_patience_gaps: _Count = 8
+    """The same, in the route's longest pauses between events."""
     wait_percent: Annotated[int, Meta(ge=1, le=100)] = 40
     """Part of its time that a request waits for a place at a target."""
     lacking_ms: _Milliseconds = 150
--- /dev/null
+++ b/tests/gateway/test_router.py
@@ -0,0 +1,172 @@
+"""Who waits for a place and who is refused, under the loads it is for."""
+
+from datetime import timedelta
+import random
+
+import anyio
+import pytest
+
+from dotterelbridge.fleet.board import FleetBoard
+from dotterelbridge.gateway.call import GatewayCall
+from dotterelbridge.gateway.errors import NoPlace
+from dotterelbridge.gateway.request import GatewayRequest
+from dotterelbridge.gateway.router import Outcome
+from dotterelbridge.gateway.router import create_gateway_router
+from dotterelbridge.gateway.settings import GatewaySettings
+from dotterelbridge.targets.settings import TargetsSettings
+from standins.virtual_time import LoopClock
+from standins.virtual_time import run_in_virtual_time
+from tests.fleet.support import DOMAIN
+from tests.fleet.support import create_target
+from tests.fleet.support import key
+from tests.routes.support import LLM
+from tests.routes.support import create_route
+from tests.routes.support import create_route_set
+
+SETTINGS = GatewaySettings(overfill_requests=0)
+DEADLINE_S = 12.0
+PATIENCE_S = 2.4
+"""Four aims of 600 ms: callers of such a stream are gone then."""
+
+
+class Entry:
+    """The router of one entry VM, without a network."""
+
+    def __init__(self) -> None:
+        self.clock = LoopClock()
+        self.board = FleetBoard(self.clock)
+        self.router = create_gateway_router(
+            self.board,
+            self.clock,
+            SETTINGS,
+            TargetsSettings(),
+            random.Random(1),
+            DOMAIN,
+            {DOMAIN: "r"},
+            lambda: 2,
+        )
+        self.routes = create_route_set(1)
+
+    def show(self, name="e1", held=("m0",), slots=1) -> None:
+        target = create_target(name, held=list(held), slots=slots)
+        self.board.update([target])
+
+    def expect(self, model, seconds) -> None:
+        """Say that a load is under way."""
+        due = self.clock.monotonic() + seconds
+        self.board.update(expected={key(model): due})
+
+    def create_call(self, model="m0", patience_s=PATIENCE_S) -> GatewayCall:
+        now = self.clock.monotonic()
+        return GatewayCall(
+            request=GatewayRequest(
+                request="r1",
+                method="POST",
+                host="quotes.example",
+                target="/quotes/",
+                path="/quotes/",
+                headers=[],
+                body=b"",
+                deadline_ms=None,
+                model=model,
+                adapter="",
+                last_event_id=b"",
+            ),
+            route=create_route("quotes"),
+            service=self.routes.find_service(LLM),
+            item=key(model),
+            started_at=now,
+            ends_at=now + DEADLINE_S,
+            begins_by=now + patience_s,
+        )
+
+    async def time_refusal(self, call) -> tuple[float, timedelta]:
+        """Return how long a call waited, and when it may come back."""
+        with pytest.raises(NoPlace) as refusal:
+            await self.router.acquire(call)
+        waited_s = self.clock.monotonic() - call.started_at
+        return waited_s, refusal.value.retry_after
+
+
+def in_virtual_time(test):
+    def run():
+        async def main():
+            await test(Entry())
+
+        run_in_virtual_time(main)
+
+    run.__name__ = test.__name__
+    run.__doc__ = test.__doc__
+    return run
+
+
+@in_virtual_time
+async def test_a_load_longer_than_callers_wait_is_refused_at_once(entry):
+    """Seen on lbc scale-1: 170 streams held until their callers left."""
+    entry.show(held=["m0"])
+    entry.expect("m1", 4.0)
+    waited_s, retry_after = await entry.time_refusal(entry.create_call("m1"))
+    assert waited_s == 0
+    assert timedelta(seconds=4) <= retry_after < timedelta(seconds=5)
+
+
+@in_virtual_time
+async def test_a_load_within_their_patience_is_waited_for(entry):
+    entry.show(held=["m0"])
+    entry.expect("m1", 1.2)
+    async with anyio.create_task_group() as tasks:
+
+        async def finish_load():
+            await anyio.sleep(1.3)
+            entry.show(held=["m0", "m1"])
+
+        tasks.start_soon(finish_load)
+        place = await entry.router.acquire(entry.create_call("m1"))
+    assert place.target.target == "e1"
+
+
+@in_virtual_time
+async def test_callers_of_full_targets_hear_so_before_they_leave(entry):
+    """A burst that all slots are taken by."""
+    entry.show(slots=1)
+    await entry.router.acquire(entry.create_call())
+    waited_s, retry_after = await entry.time_refusal(entry.create_call())
+    assert 0 < waited_s < 0.75 * PATIENCE_S
+    assert retry_after
+
+
+@in_virtual_time
+async def test_callers_of_an_absent_model_hear_so_before_they_leave(entry):
+    """Nobody gives orders while the log has no leader."""
+    entry.show(held=["m0"])
+    waited_s, _ = await entry.time_refusal(entry.create_call("m1"))
+    assert 0 < waited_s < 0.75 * PATIENCE_S
+
+
+@in_virtual_time
+async def test_patient_callers_wait_for_the_next_giver_of_orders(entry):
+    """Work of the night waits through a change of the log's leader."""
+    entry.show(held=["m0"])
+    call = entry.create_call("m1", patience_s=12.0)
+    waited_s, _ = await entry.time_refusal(call)
+    assert waited_s > 3.2
+
+
+@in_virtual_time
+async def test_a_freed_place_goes_to_the_first_that_will_leave(entry):
+    entry.show(slots=1)
+    taken = await entry.router.acquire(entry.create_call())
+    order = []
+    async with anyio.create_task_group() as tasks:
+
+        async def wait(name, patience_s):
+            call = entry.create_call(patience_s=patience_s)
+            place = await entry.router.acquire(call)
+            order.append(name)
+            entry.router.release(place, Outcome.ANSWERED)
+
+        tasks.start_soon(wait, "patient", 20.0)
+        tasks.start_soon(wait, "hasty", 2.0)
+        await anyio.sleep(0.1)
+        entry.router.release(taken, Outcome.ANSWERED)
+    assert order == ["hasty", "patient"]
