Count own work since a report for all entry VMs

Cause: reports of engines are half a second old and the same on all entry VMs.

Now: what a VM sent and got back since the report counts once for each entry VM when places are compared. What an engine has room for is judged as before, and so are targets without reports.

Test: nine routers with the same report, no network; before, all 36 requests go to the engine that looked idle.

--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -325,7 +325,9 @@
     def _rate(self, call: GatewayCall, target: GatewayTarget) -> float:
         """Return how bad a place is."""
         slots = max(1, target.target.slots)
-        cost = target.estimate_load() / slots
+        # All VMs have the same report: a target that looks idle in it must
+        # not get the next requests of every one of them.
+        cost = target.estimate_load(self._count_entry_vms()) / slots
         if target.distance == 2:
             cost += _REGION_COST
         elif target.distance == 1:
--- a/dotterelbridge/gateway/target.py
+++ b/dotterelbridge/gateway/target.py
@@ -45,12 +45,14 @@
         )
         self._settings = settings
         self._lacking: dict[ItemKey, float] = {}
+        self._has_report = False
         self._reported = 0
         self._in_flight_then = 0
 
     def update(self, target: FleetTarget) -> None:
         """Take a newer view of the same life."""
         if target.load is not self.target.load:
+            self._has_report = True
             self._reported = target.load.running + target.load.waiting
             self._in_flight_then = self.in_flight
         self.target = target
@@ -65,13 +67,17 @@
         """Whether failures keep requests away while others have room."""
         return self.ejection.state is not EjectionState.IN
 
-    def estimate_load(self) -> int:
+    def estimate_load(self, vms: int = 1) -> int:
         """Return how many requests the target has, from all VMs.
 
         The last report, and what this VM has sent and got back since.
+
+        :param vms: VMs that are taken to have sent as much since then.
         """
+        if not self._has_report:
+            return self.in_flight
         since = self.in_flight - self._in_flight_then
-        return max(self.in_flight, self._reported + since)
+        return max(self.in_flight, self._reported + since * vms)
 
     def has_room(self) -> bool:
         """Whether one more request would soon be worked on."""
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -1,5 +1,6 @@
 """Who waits for a place and who is refused, under the loads it is for."""
 
+from collections import Counter
 from datetime import timedelta
 import random
 
@@ -7,6 +8,7 @@
 import pytest
 
 from dotterelbridge.fleet.board import FleetBoard
+from dotterelbridge.fleet.records import TargetLoad
 from dotterelbridge.gateway.call import GatewayCall
 from dotterelbridge.gateway.errors import NoPlace
 from dotterelbridge.gateway.request import GatewayRequest
@@ -32,7 +34,7 @@
 class Entry:
     """The router of one entry VM, without a network."""
 
-    def __init__(self) -> None:
+    def __init__(self, vms=2) -> None:
         self.clock = LoopClock()
         self.board = FleetBoard(self.clock)
         self.router = create_gateway_router(
@@ -43,12 +45,13 @@
             random.Random(1),
             DOMAIN,
             {DOMAIN: "r"},
-            lambda: 2,
+            lambda: vms,
         )
         self.routes = create_route_set(1)
 
-    def show(self, name="e1", held=("m0",), slots=1) -> None:
-        target = create_target(name, held=list(held), slots=slots)
+    def show(self, name="e1", held=("m0",), slots=1, running=0) -> None:
+        load = TargetLoad(running=running)
+        target = create_target(name, held=list(held), slots=slots, load=load)
         self.board.update([target])
 
     def expect(self, model, seconds) -> None:
@@ -170,3 +173,24 @@
         await anyio.sleep(0.1)
         entry.router.release(taken, Outcome.ANSWERED)
     assert order == ["hasty", "patient"]
+
+
+def test_an_engine_that_looks_idle_is_not_stormed_by_all_vms():
+    """A report is half a second old, and nine VMs act on the same one."""
+    sent = Counter()
+
+    async def main():
+        entries = [Entry(vms=9) for _ in range(9)]
+        for entry in entries:
+            for name, running in (("e1", 4), ("e2", 12), ("e3", 12)):
+                entry.show(name, slots=64, running=0)
+                entry.show(name, slots=64, running=running)
+        for _ in range(4):
+            for entry in entries:
+                place = await entry.router.acquire(entry.create_call())
+                sent[place.target.target] += 1
+
+    run_in_virtual_time(main)
+    # 16 would make all three equal; the rest goes evenly.
+    assert sent["e1"] < 24
+    assert min(sent["e2"], sent["e3"]) >= 6
