Count a dead engine no more before the platform's list drops it

Its copies counted, so that its models were loaded nowhere else, and from the moment at which another engine answered at its address the same four moves were planned and refused forty times a second.

Now: an engine is silent from the second report in a row that cannot be read until one can, and is left out of plans; "another life answers" takes it off the board at once. An item that no engine has room for is logged once (item_absent, which nothing logged so far).

Tests: models of a dead engine go elsewhere, an engine that reports again counts again, one order to an address that another engine took, one line for an absent item. The first and third fail before.

--- a/dotterelbridge/fleet/account.py
+++ b/dotterelbridge/fleet/account.py
@@ -13,6 +13,10 @@
 from dotterelbridge.fleet.records import HeldModel
 from dotterelbridge.routes.model import EngineInfo
 
+SILENT_REPORTS = 2
+"""Reports in a row that failed, from which an engine is taken for dead
+until one is read: its models are needed elsewhere, seconds before the
+platform's list drops it."""
 REPORT_LAG_S = 0.35
 """Age of what a report shows, beyond the stated 200 ms for its way."""
 
@@ -68,6 +72,7 @@
         self.in_memory: frozenset[str] = frozenset()
         self.on_disk: frozenset[str] = frozenset()
         self.reported_at = float("-inf")
+        self._failed_reports = 0
         self.ready: dict[str, set[str]] = {}
         """The part of ``models`` that requests may use."""
         self._versions: dict[str, int] = {}
@@ -80,6 +85,16 @@
         """Whether a report was read since the engine's start."""
         return self.orders_accepted is not None
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether the engine is taken for dead."""
+        return self._failed_reports >= SILENT_REPORTS
+
+    def note_failed_report(self, now: float) -> None:
+        """Note that a report could not be read."""
+        self.reported_at = now
+        self._failed_reports += 1
+
     @property
     def takes_model_moves(self) -> bool:
         """Whether a model may be moved in or out now."""
@@ -319,6 +334,7 @@
         """
         shown_at = now - REPORT_LAG_S
         self.reported_at = now
+        self._failed_reports = 0
         self.is_reported_busy = report.is_busy
         self.in_memory = report.in_memory
         self.on_disk = report.on_disk
--- a/dotterelbridge/fleet/ordering.py
+++ b/dotterelbridge/fleet/ordering.py
@@ -17,8 +17,10 @@
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import CommitUnknown
 from dotterelbridge.errors import NotCommitted
+from dotterelbridge.fleet import instruments
 from dotterelbridge.fleet.account import EngineAccount
 from dotterelbridge.fleet.board import FleetBoard
+from dotterelbridge.fleet.demand import Demand
 from dotterelbridge.fleet.demand import DemandBoard
 from dotterelbridge.fleet.engine import EngineControl
 from dotterelbridge.fleet.engine import Order
@@ -30,11 +32,13 @@
 from dotterelbridge.fleet.holder import decode_other
 from dotterelbridge.fleet.holder import encode_claim
 from dotterelbridge.fleet.policy import FleetPolicy
+from dotterelbridge.fleet.policy import ServicePlan
 from dotterelbridge.fleet.policy import Step
 from dotterelbridge.fleet.policy import estimate_load_s
 from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.fleet.records import TargetPhase
 from dotterelbridge.fleet.settings import FleetSettings
+from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import TargetId
 from dotterelbridge.ids import Term
 from dotterelbridge.ids import VmId
@@ -49,6 +53,7 @@
 _LOOK_AGAIN = timedelta(milliseconds=50)
 """Pause before an engine that is busy is asked again."""
 _MOMENT_S = 0.1
+_UNANSWERED = "unanswered"
 _UNLOAD_TIME = timedelta(milliseconds=20)
 """Time from an accepted unload of an idle model until it is done."""
 _BUSY_DOUBLINGS = 3
@@ -90,6 +95,8 @@
         self._wake = anyio.Event()
         self._expected: dict[ItemKey, float] = {}
         self._reporting: set[TargetId] = set()
+        self._blocked: dict[ItemName, set[ItemKey]] = {}
+        """Items that no engine has room for, by service."""
 
     @property
     def may_order(self) -> bool:
@@ -209,7 +216,7 @@
         try:
             report = await self._control.fetch_report(account.target, timeout)
         except EngineUnanswered as error:
-            account.reported_at = self._clock.monotonic()
+            account.note_failed_report(self._clock.monotonic())
             events.log(
                 _log,
                 FleetEvent.REPORT_FAILED,
@@ -264,9 +271,30 @@
                 self._demand.asked_s(service.name),
                 now,
             )
-            for step in policy.plan().steps:
+            plan = policy.plan()
+            self._log_absent(service.name, plan, demand)
+            for step in plan.steps:
                 self._start_step(group, step, now)
 
+    def _log_absent(
+        self,
+        service: ItemName,
+        plan: ServicePlan,
+        demand: dict[ItemKey, Demand],
+    ) -> None:
+        """Tell once of each item that waits for room."""
+        blocked = set(plan.blocked)
+        for key in sorted(blocked - self._blocked.get(service, set())):
+            events.log(
+                _log,
+                FleetEvent.ITEM_ABSENT,
+                service=service,
+                model=key.model,
+                adapter=key.adapter,
+                waiting=demand[key].waiting if key in demand else 0,
+            )
+        self._blocked[service] = blocked
+
     def _count_store_loads(self, engine: EngineInfo, now: float) -> int:
         """Return how many loads from the weight store may start now."""
         window_s = self._settings.store_burst_s
@@ -314,6 +342,7 @@
         self, account: EngineAccount, step: Step, load_s: float
     ) -> None:
         """Bring one item to an engine."""
+        began_at = self._clock.monotonic()
         with anyio.move_on_after(_MOVE_LIMIT_S):
             try:
                 evicted = step.evicted
@@ -322,6 +351,21 @@
                 await self._load(account, step.item, load_s)
             finally:
                 self._end_move(account, step)
+                self._measure_move(account, step, began_at)
+
+    def _measure_move(
+        self, account: EngineAccount, step: Step, began_at: float
+    ) -> None:
+        item = step.item
+        served = account.serves(item.model, item.adapter)
+        outcome = "served" if served else "given_up"
+        instruments.moves.record(
+            self._clock.monotonic() - began_at,
+            {
+                "item": _name_item(item),
+                "outcome": outcome,
+            },
+        )
 
     def _end_move(self, account: EngineAccount, step: Step) -> None:
         self._expected.pop(step.item, None)
@@ -461,16 +505,22 @@
             ),
             **details,
         )
+        sent_at = self._clock.monotonic()
         try:
             verdict = await self._control.send_order(
                 account.target, order, self._own, self._term, timeout
             )
         except EngineUnanswered as error:
+            _count_order(order, _UNANSWERED)
             events.log(
                 _log, FleetEvent.ORDER_OVERDUE, error=str(error), **details
             )
             await self._clock.sleep(_LOOK_AGAIN)
             return None
+        _count_order(order, verdict.value)
+        instruments.order_answers.record(
+            self._clock.monotonic() - sent_at, {"item": _name_item(order)}
+        )
         events.log(
             _log, FleetEvent.ORDER_ANSWERED, verdict=verdict.value, **details
         )
@@ -480,6 +530,8 @@
         self, account: EngineAccount, verdict: Verdict | None, load_s: float
     ) -> None:
         now = self._clock.monotonic()
+        if verdict is Verdict.OTHER_LIFE:
+            self._take_leave(account)
         if verdict is Verdict.ACCEPTED:
             account.settle_accepted(now + load_s, now)
         elif verdict is Verdict.HOLDS:
@@ -489,6 +541,16 @@
         else:
             account.settle_refused()
 
+    def _take_leave(self, account: EngineAccount) -> None:
+        """Count an engine no more: another one answers at its address.
+
+        The platform's list shows that only seconds later.
+        """
+        account.target = msgspec.structs.replace(
+            account.target, phase=TargetPhase.LEAVING
+        )
+        self._board.update([account.target])
+
     async def _finish(
         self, account: EngineAccount, kind: OrderKind, item: ItemKey
     ) -> bool:
@@ -572,6 +634,21 @@
             await self._fetch_report(account)
 
 
+def _name_item(item: Order | ItemKey) -> str:
+    return "adapter" if item.adapter else "model"
+
+
+def _count_order(order: Order, verdict: str) -> None:
+    instruments.orders.add(
+        1,
+        {
+            "kind": order.kind.value,
+            "item": _name_item(order),
+            "verdict": verdict,
+        },
+    )
+
+
 def create_ordering(
     own: VmId,
     log: RecoveringLog,
--- a/dotterelbridge/fleet/policy.py
+++ b/dotterelbridge/fleet/policy.py
@@ -120,7 +120,11 @@
     ) -> None:
         self._service = service
         self._engine = engine
-        self._accounts = [a for a in accounts if a.target.takes_new_work]
+        self._accounts = [
+            account
+            for account in accounts
+            if account.target.takes_new_work and not account.is_silent
+        ]
         self._demand = demand
         self._demand_by_model = _sum_by_model(service, demand)
         self._store_loads = store_loads
--- a/tests/fleet/test_ordering.py
+++ b/tests/fleet/test_ordering.py
@@ -4,6 +4,7 @@
 import time
 
 import anyio
+import structlog
 
 from dotterelbridge.clock import SystemClock
 from dotterelbridge.fleet.board import FleetBoard
@@ -43,6 +44,7 @@
         self.orders = []
         self.silent_orders = 0
         self.is_busy = False
+        self.answers_as_another = False
         self.clock = LoopClock()
 
     async def fetch_report(self, target, timeout):
@@ -57,6 +59,8 @@
             self.silent_orders -= 1
             await anyio.sleep(timeout.total_seconds())
             raise EngineUnanswered("silence", "send it again")
+        if self.answers_as_another:
+            return Verdict.OTHER_LIFE
         is_load = order.kind is OrderKind.LOAD
         if is_load and order.model in self.models:
             return Verdict.HOLDS
@@ -240,6 +244,39 @@
     assert again is None
 
 
+def test_an_address_that_another_engine_took_gets_one_order():
+    """Seen on lbc scale-1: forty orders a second until it was off the
+    platform's list."""
+
+    async def test(world):
+        world.engine.answers_as_another = True
+        world.ask_for("m1")
+        await world.wait(lambda: world.engine.orders)
+        await anyio.sleep(2)
+        assert len(world.engine.orders) == 1
+        assert not world.board.targets["e1"].takes_new_work
+
+    run(test)
+
+
+def test_a_model_that_no_engine_has_room_for_is_told_once():
+    async def test(world):
+        world.engine.models |= {"m1", "m2"}
+        for name in ("m0", "m1", "m2"):
+            items = (ItemDemand(key(name), 1, 1, 0),)
+            report = DemandReport(
+                entry_vm=f"f-{name}", items=items, period_ms=20
+            )
+            world.demand.take(report)
+        world.ask_for("m3")
+        await anyio.sleep(1.5)
+
+    with structlog.testing.capture_logs() as lines:
+        run(test)
+    told = [line for line in lines if line["event"] == "item_absent"]
+    assert [(line["model"], line["waiting"]) for line in told] == [("m3", 1)]
+
+
 def test_a_vm_that_leads_no_more_gives_no_orders():
     async def test(world):
         await world.wait(lambda: world.ordering.may_order)
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from dotterelbridge.fleet.account import SILENT_REPORTS
 from dotterelbridge.fleet.demand import Demand
 from dotterelbridge.fleet.policy import EVICTION_DELAY_S
 from dotterelbridge.fleet.policy import SETTLED_S
@@ -343,6 +344,25 @@
     assert [step.item for step in steps] == [key("m0", "a1")]
 
 
+def test_the_models_of_a_dead_engine_are_loaded_elsewhere():
+    """Seen on lbc scale-1: for four seconds its copies counted."""
+    accounts = [account("e1", ["m0"]), account("e2", ["m1"])]
+    for _ in range(SILENT_REPORTS):
+        accounts[0].note_failed_report(NOW)
+    demand = {key("m0"): waiting(5), key("m1"): busy(5)}
+    moves = list_models(plan(accounts, demand).steps)
+    assert [move[:2] for move in moves] == [("e2", "m0")]
+
+
+def test_an_engine_that_reports_again_counts_again():
+    dead = account("e1", ["m0"])
+    for _ in range(SILENT_REPORTS):
+        dead.note_failed_report(NOW)
+    assert dead.is_silent
+    dead.take_report(create_report(["m0"]), NOW)
+    assert not dead.is_silent
+
+
 def test_an_engine_that_is_leaving_gets_no_orders():
     leaving = account("e1", [])
     leaving.take_report(create_report([]), 1.0)
