Serve counters and latency histograms at an address of their own

A refusal has its reason as a word, also in the log.

Tests read the text format: an answered call, a refusal with reason and wait, the pauses of a stream, the listener.

--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -14,6 +14,7 @@
 from dotterelbridge.errors import TargetConnectFailed
 from dotterelbridge.errors import TargetError
 from dotterelbridge.fleet.records import ItemKey
+from dotterelbridge.gateway import instruments
 from dotterelbridge.gateway.attempts import Attempts
 from dotterelbridge.gateway.attempts import TargetFailed
 from dotterelbridge.gateway.call import GatewayCall
@@ -48,6 +49,8 @@
 _MS = 1000
 _ROUTES_POLL = timedelta(milliseconds=20)
 _RETRY_SOON = timedelta(milliseconds=500)
+_NOT_RUN = "not_run"
+"""Reason of a refusal by the targets themselves."""
 
 
 class GatewayApp(DrainingApp):
@@ -236,7 +239,11 @@
             await self._send_unknown(call, attempts, error.problem)
             return
         await self._send_refusal(
-            call, attempts, error.problem, error.retry_after
+            call,
+            attempts,
+            error.problem,
+            error.retry_after,
+            error.reason.value,
         )
 
     async def _settle_failure(
@@ -276,7 +283,11 @@
         attempts: Attempts,
         problem: str,
         retry_after: timedelta,
+        reason: str = _NOT_RUN,
     ) -> None:
+        instruments.refusals.add(
+            1, {"service": call.service.name, "reason": reason}
+        )
         failure = Failure(
             status=503,
             kind="not_run",
@@ -289,6 +300,7 @@
             GatewayEvent.REQUEST_REFUSED,
             call,
             attempts,
+            reason=reason,
             problem=problem,
             retry_after_s=retry_after.total_seconds(),
         )
@@ -365,6 +377,17 @@
             status=attempts.status,
         )
 
+    def _measure(
+        self, event: GatewayEvent, call: GatewayCall, attempts: Attempts
+    ) -> None:
+        kind = {"service": call.service.name, "rank": call.route.rank}
+        outcome = event.name.lower().removeprefix("request_")
+        instruments.requests.add(1, kind | {"outcome": outcome})
+        if attempts.first_at is not None:
+            instruments.first_bytes.record(
+                attempts.first_at - call.started_at, kind
+            )
+
     def _log(
         self,
         event: GatewayEvent,
@@ -373,6 +396,7 @@
         **details: object,
     ) -> None:
         now = self._clock.monotonic()
+        self._measure(event, call, attempts)
         first_ms = None
         if attempts.first_at is not None:
             first_ms = round((attempts.first_at - call.started_at) * _MS)
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -12,6 +12,7 @@
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import TargetConnectFailed
 from dotterelbridge.errors import TargetError
+from dotterelbridge.gateway import instruments
 from dotterelbridge.gateway.call import GatewayCall
 from dotterelbridge.gateway.errors import AnswerUnsigned
 from dotterelbridge.gateway.errors import NotRun
@@ -86,6 +87,7 @@
         self.is_exposed = False
         """Whether an attempt is under way that may run."""
         self._piece_at: float | None = None
+        self._kind = {"service": call.service.name, "rank": call.route.rank}
         self.call = call
         self._sink = sink
         self._router = router
@@ -254,6 +256,7 @@
         if self._piece_at is not None:
             pause_s = now - self._piece_at
             self.longest_pause_s = max(self.longest_pause_s or 0.0, pause_s)
+            instruments.pauses.record(pause_s, self._kind)
         self._piece_at = now
 
     def _start(self, status: int, headers: Headers) -> None:
--- /dev/null
+++ b/dotterelbridge/gateway/instruments.py
@@ -0,0 +1,29 @@
+"""What the gateway measures of its requests."""
+
+from dotterelbridge import metrics
+
+requests = metrics.meter.create_counter(
+    "dotterelbridge.gateway.requests",
+    description="Requests that ended, by service, rank and outcome",
+)
+refusals = metrics.meter.create_counter(
+    "dotterelbridge.gateway.refusals",
+    description="Requests refused as not run, by service and reason",
+)
+attempts = metrics.meter.create_counter(
+    "dotterelbridge.gateway.attempts",
+    description="Attempts at targets, by service and outcome",
+)
+first_bytes = metrics.create_latency_histogram(
+    "dotterelbridge.gateway.first_byte",
+    "Time from a request's arrival to the first byte of its answer, by "
+    "service and rank",
+)
+pauses = metrics.create_latency_histogram(
+    "dotterelbridge.gateway.pause",
+    "Time between two pieces of a stream, by service and rank",
+)
+waits = metrics.create_latency_histogram(
+    "dotterelbridge.gateway.wait",
+    "Time that a request waited for a place, by service and outcome",
+)
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -18,9 +18,11 @@
 from dotterelbridge.fleet.messages import ItemDemand
 from dotterelbridge.fleet.records import FleetTarget
 from dotterelbridge.fleet.records import ItemKey
+from dotterelbridge.gateway import instruments
 from dotterelbridge.gateway.budget import RetryShare
 from dotterelbridge.gateway.call import GatewayCall
 from dotterelbridge.gateway.errors import NoPlace
+from dotterelbridge.gateway.errors import NoPlaceReason
 from dotterelbridge.gateway.events import GatewayEvent
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.gateway.target import GatewayTarget
@@ -168,7 +170,11 @@
                 waiter.changed = anyio.Event()
                 with anyio.move_on_after(_SWEEP_INTERVAL.total_seconds()):
                     await waiter.changed.wait()
+            self._measure_wait(waiter, "placed")
             return waiter.place
+        except NoPlace:
+            self._measure_wait(waiter, "refused")
+            raise
         except BaseException:
             if waiter.place is not None:
                 self.release(waiter.place, Outcome.CANCELLED)
@@ -176,10 +182,27 @@
         finally:
             self._waiters.remove(waiter)
 
+    def _measure_wait(self, waiter: _Waiter, outcome: str) -> None:
+        instruments.waits.record(
+            self._clock.monotonic() - waiter.since,
+            {"service": waiter.call.service.name, "outcome": outcome},
+        )
+
+    def count_waiting(self) -> int:
+        """Return the requests that wait for a place."""
+        return len(self._waiters)
+
     def release(self, place: Place, outcome: Outcome) -> None:
         """Give a place back and learn from how the attempt ended."""
         holder = place.holder
         holder.in_flight -= 1
+        instruments.attempts.add(
+            1,
+            {
+                "service": place.call.service.name,
+                "outcome": outcome.value,
+            },
+        )
         now = self._clock.monotonic()
         if place.call.item is not None:
             self._running[place.call.item] -= 1
@@ -346,6 +369,7 @@
         left_s = call.patience_s(now)
         if self._is_draining:
             raise NoPlace(
+                NoPlaceReason.DRAINING,
                 "this VM is shutting down and has no place at once",
                 "send it again; another VM takes it",
                 _ELSEWHERE,
@@ -354,6 +378,7 @@
         if next(self._list_holders(call), None) is not None:
             if left_s < total_s * (1 - self._settings.wait_percent / 100):
                 raise NoPlace(
+                    NoPlaceReason.FULL,
                     "every target that could take the request is full",
                     "send it again after the time in Retry-After",
                     _FULL_RETRY,
@@ -367,6 +392,7 @@
             limit_s = min(settings.absent_grace_ms / 1000, share_s)
             if now - waiter.since > limit_s:
                 raise NoPlace(
+                    NoPlaceReason.ABSENT,
                     "no target holds what the request needs",
                     "send it again after the time in Retry-After; its load "
                     "has been asked for",
@@ -374,6 +400,7 @@
                 )
         elif expected_s + _LOAD_MARGIN_S > left_s:
             raise NoPlace(
+                NoPlaceReason.LOADING,
                 f"what the request needs is loaded in {expected_s:.1f} s",
                 "send it again after the time in Retry-After",
                 timedelta(seconds=expected_s + _LOAD_MARGIN_S),
--- a/dotterelbridge/log_stream.py
+++ b/dotterelbridge/log_stream.py
@@ -32,6 +32,8 @@
         self._lines: deque[str] = deque()
         self._waiting = threading.Event()
         self._dropped = 0
+        self.dropped_total = 0
+        """Lines dropped since the start."""
         self._stopping = False
         self._thread = threading.Thread(
             target=self._run, name="log-writer", daemon=True
@@ -44,8 +46,9 @@
         return len(self._lines) > self._limit // 2
 
     def count_dropped(self) -> None:
-        """Count a line that was dropped before it was rendered."""
+        """Count a line that was dropped."""
         self._dropped += 1
+        self.dropped_total += 1
 
     def take_dropped(self) -> int:
         """Return the lines dropped since the last call."""
@@ -55,7 +58,7 @@
     def write(self, text: str) -> int:
         """Take text; drop it when too much waits."""
         if len(self._lines) >= self._limit:
-            self._dropped += 1
+            self.count_dropped()
         else:
             self._lines.append(text)
             self._waiting.set()
--- a/dotterelbridge/metrics.py
+++ b/dotterelbridge/metrics.py
@@ -4,8 +4,12 @@
 is installed once by ``start``.
 """
 
+from collections.abc import Callable
+
 from opentelemetry import metrics as otel_metrics
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Histogram
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 import prometheus_client
 
@@ -17,6 +21,51 @@
 )
 
 
+LATENCY_BOUNDS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.15,
+    0.25,
+    0.37,
+    0.6,
+    1.0,
+    1.5,
+    2.5,
+    5.0,
+    10.0,
+)
+"""Bounds of latency histograms, with the aims that deployments state for
+first bytes and pauses among them."""
+
+
+def create_latency_histogram(name: str, description: str) -> Histogram:
+    """Return a histogram of seconds."""
+    return meter.create_histogram(
+        name,
+        unit="s",
+        description=description,
+        explicit_bucket_boundaries_advisory=LATENCY_BOUNDS_S,
+    )
+
+
+def observe(
+    name: str,
+    read: Callable[[], float],
+    description: str,
+    unit: str = "",
+) -> None:
+    """Show a value that is read whenever the metrics are."""
+    meter.create_observable_gauge(
+        name,
+        callbacks=[lambda options: [Observation(read())]],
+        unit=unit,
+        description=description,
+    )
+
+
 def start(otlp_endpoint: str | None = None) -> MeterProvider:
     """Install the meter provider.
 
--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -9,6 +9,7 @@
 import structlog
 
 from dotterelbridge import events
+from dotterelbridge import metrics
 from dotterelbridge.clock import Clock
 from dotterelbridge.dump import DumpRegistry
 from dotterelbridge.events import CoreEvent
@@ -26,6 +27,7 @@
 from dotterelbridge.ids import VmId
 from dotterelbridge.nodes.directory import ControlDirectory
 from dotterelbridge.nodes.probes import ProbeListener
+from dotterelbridge.nodes.probes import create_metrics_listeners
 from dotterelbridge.nodes.settings import NodeSettings
 from dotterelbridge.nodes.settings import load_node_settings
 from dotterelbridge.peers.websocket_network import create_peer_network
@@ -87,6 +89,8 @@
         )
         self._create_routes(routes_format, routes_path)
         self._create_fleet(listing, engines)
+        self._metrics_listeners = create_metrics_listeners(settings, clock)
+        self._observe()
         self._registry.add("replication", self._log)
         self._registry.add("peers", self._network)
 
@@ -106,6 +110,7 @@
                 self._reader.run,
                 self._ordering.run,
                 self._door.run,
+                *(listener.run for listener in self._metrics_listeners),
             ):
                 group.start_soon(run)
             events.log(
@@ -116,6 +121,24 @@
                 operator_port=self._door.port,
             )
 
+    def _observe(self) -> None:
+        metrics.observe(
+            "dotterelbridge.replication.leads",
+            lambda: int(self._log.leads()),
+            "1 while this VM leads the replicated log",
+        )
+        metrics.observe(
+            "dotterelbridge.fleet.view_age",
+            lambda: self._detached_ms() / _MS,
+            "Age of what this VM knows of targets and routes",
+            unit="s",
+        )
+        metrics.observe(
+            "dotterelbridge.routes.version",
+            lambda: self._routes.version,
+            "Version of the routes in force",
+        )
+
     async def drain(self) -> None:
         """Let another VM lead, and answer what is asked already."""
         await self._log.hand_over(_HAND_OVER_LIMIT)
--- a/dotterelbridge/nodes/daemon.py
+++ b/dotterelbridge/nodes/daemon.py
@@ -35,6 +35,11 @@
             settings.logs.level.value, settings.logs.format.value, stream
         )
         metrics.start(settings.metrics.otlp_endpoint)
+        metrics.observe(
+            "dotterelbridge.log.dropped_lines",
+            lambda: stream.dropped_total,
+            "Log lines dropped since the start, for want of room",
+        )
         node = create_node(settings, path, env.time)
         anyio.run(run_until_drained, node)
     except DotterelbridgeError as error:
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -10,6 +10,7 @@
 import structlog
 
 from dotterelbridge import events
+from dotterelbridge import metrics
 from dotterelbridge.clock import Clock
 from dotterelbridge.dump import DumpRegistry
 from dotterelbridge.events import CoreEvent
@@ -22,6 +23,7 @@
 from dotterelbridge.nodes.directory import ControlDirectory
 from dotterelbridge.nodes.probes import ProbeApp
 from dotterelbridge.nodes.probes import ProbeListener
+from dotterelbridge.nodes.probes import create_metrics_listeners
 from dotterelbridge.nodes.settings import NodeSettings
 from dotterelbridge.nodes.settings import load_node_settings
 from dotterelbridge.peers.websocket_network import create_peer_network
@@ -32,6 +34,7 @@
 _log = structlog.get_logger(__name__)
 
 _FLUSH_LIMIT = timedelta(milliseconds=500)
+_MS = 1000
 
 
 class EntryNode:
@@ -109,6 +112,8 @@
             settings.listen_at(settings.node.ready_address),
             clock,
         )
+        self._metrics_listeners = create_metrics_listeners(settings, clock)
+        self._observe()
         self._registry.add("gateway", self._app)
         self._registry.add("routing", self._router)
         self._registry.add("peers", self._network)
@@ -123,6 +128,7 @@
             self._report_demand,
             self._probes.run,
             self._listener.run,
+            *(listener.run for listener in self._metrics_listeners),
         ]
         async with anyio.create_task_group() as group:
             for run in parts:
@@ -135,6 +141,29 @@
                 caller_port=self._listener.port,
             )
 
+    def _observe(self) -> None:
+        metrics.observe(
+            "dotterelbridge.gateway.waiting",
+            self._router.count_waiting,
+            "Requests that wait for a place",
+        )
+        metrics.observe(
+            "dotterelbridge.gateway.in_flight",
+            lambda: self._app.in_flight,
+            "Requests that are being answered",
+        )
+        metrics.observe(
+            "dotterelbridge.fleet.view_age",
+            lambda: self._follower.contact.detached_ms() / _MS,
+            "Age of what this VM knows of targets and routes",
+            unit="s",
+        )
+        metrics.observe(
+            "dotterelbridge.routes.version",
+            lambda: self._routes.version,
+            "Version of the routes in force",
+        )
+
     async def drain(self) -> None:
         """Take no new work; return when all requests are answered."""
         await self._listener.drain()
--- a/dotterelbridge/nodes/probes.py
+++ b/dotterelbridge/nodes/probes.py
@@ -7,6 +7,7 @@
 
 from dotterelbridge import metrics
 from dotterelbridge.clock import Clock
+from dotterelbridge.nodes.settings import NodeSettings
 from dotterelbridge.serving.answer import SINK_EXTENSION
 from dotterelbridge.serving.answer import write_whole
 from dotterelbridge.serving.listener import create_listening_socket
@@ -14,11 +15,12 @@
 from dotterelbridge.serving.settings import ServingSettings
 
 _SWEEP_INTERVAL = timedelta(seconds=5)
-_METRICS_PATH = "/metrics"
+METRICS_PATH = "/metrics"
+_TEXT_FORMAT = b"text/plain; version=0.0.4; charset=utf-8"
 
 
 class ProbeApp:
-    """200 while the condition holds, 503 otherwise; any path but one."""
+    """200 while the condition holds, 503 otherwise; on any path."""
 
     def __init__(self, is_ready: Callable[[], bool]) -> None:
         self._is_ready = is_ready
@@ -26,12 +28,21 @@
     async def __call__(self, scope, receive, send) -> None:
         """Serve one ASGI scope."""
         sink = scope["extensions"][SINK_EXTENSION]
-        status, body = 200, b"{}"
-        if scope["path"] == _METRICS_PATH:
-            body = metrics.render()
-        elif not self._is_ready():
-            status = 503
-        await write_whole(sink, status, [], body)
+        status = 200 if self._is_ready() else 503
+        await write_whole(sink, status, [], b"{}")
+
+
+class MetricsApp:
+    """The metrics of this process in the Prometheus text format."""
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one ASGI scope."""
+        sink = scope["extensions"][SINK_EXTENSION]
+        if scope["path"] != METRICS_PATH:
+            await write_whole(sink, 404, [], b"")
+            return
+        headers = [(b"content-type", _TEXT_FORMAT)]
+        await write_whole(sink, 200, headers, metrics.render())
 
 
 class ProbeListener:
@@ -57,3 +68,13 @@
         finally:
             with anyio.CancelScope(shield=True):
                 await self._server.abort()
+
+
+def create_metrics_listeners(
+    settings: NodeSettings, clock: Clock
+) -> list[ProbeListener]:
+    """Return the listener for metrics, if the settings name an address."""
+    address = settings.node.metrics_address
+    if not address:
+        return []
+    return [ProbeListener(MetricsApp(), settings.listen_at(address), clock)]
--- a/dotterelbridge/nodes/settings.py
+++ b/dotterelbridge/nodes/settings.py
@@ -50,6 +50,8 @@
     """IP:PORT where callers reach an entry VM."""
     ready_address: str = ""
     """IP:PORT where the balancer asks whether an entry VM is ready."""
+    metrics_address: str = ""
+    """IP:PORT where the metrics are read; not served when empty."""
     operator_address: str = ""
     """IP:PORT where operators reach a control VM."""
     data_folder: str | None = None
--- a/dotterelbridge/replication/disk.py
+++ b/dotterelbridge/replication/disk.py
@@ -12,8 +12,10 @@
 import structlog
 
 from dotterelbridge import events
+from dotterelbridge.clock import Clock
 from dotterelbridge.errors import StorageError
 from dotterelbridge.ids import LogIndex
+from dotterelbridge.replication import instruments
 from dotterelbridge.replication.entries import Entry
 from dotterelbridge.replication.events import ReplicationEvent
 from dotterelbridge.replication.state import MemberState
@@ -37,6 +39,7 @@
         storage: LogStorage,
         state: MemberState,
         snapshot: Snapshot | None,
+        clock: Clock,
     ) -> None:
         self.lock = anyio.Lock()
         self.storage = storage
@@ -44,6 +47,7 @@
         """The snapshot found at the start."""
         self._snapshot_lock = anyio.Lock()
         self._state = state
+        self._clock = clock
 
     async def write_ballot(self, ballot: Ballot) -> None:
         """Store a term and vote, then let it count."""
@@ -103,11 +107,15 @@
                 restore(snapshot)
 
     async def _run(self, write: Callable, *arguments: object) -> None:
+        began_at = self._clock.monotonic()
         try:
             if self.storage.blocking:
                 await to_thread.run_sync(write, *arguments)
             else:
                 write(*arguments)
+            instruments.writes.record(
+                self._clock.monotonic() - began_at, {"what": write.__name__}
+            )
         except (StorageError, OSError) as error:
             events.log(_log, ReplicationEvent.STORAGE_FAILED, error=str(error))
             self._state.fail()
--- a/dotterelbridge/replication/member.py
+++ b/dotterelbridge/replication/member.py
@@ -18,6 +18,7 @@
 from dotterelbridge.ids import Term
 from dotterelbridge.ids import VmId
 from dotterelbridge.peers.network import PeerNetwork
+from dotterelbridge.replication import instruments
 from dotterelbridge.replication.answers import AnswerCache
 from dotterelbridge.replication.context import Context
 from dotterelbridge.replication.disk import Disk
@@ -355,9 +356,15 @@
         term = self._state.term
         self._pending += 1
         self._pending_bytes += len(command)
+        began_at = self._context.clock.monotonic()
         try:
             with anyio.fail_after(deadline.remaining().total_seconds()):
-                return await self._machines.wait_result(index, term)
+                result = await self._machines.wait_result(index, term)
+            instruments.commits.record(
+                self._context.clock.monotonic() - began_at,
+                {"machine": machine},
+            )
+            return result
         except TimeoutError:
             raise CommitUnknown(
                 "the command was not committed in time",
@@ -527,7 +534,7 @@
     """
     stored = storage.open()
     state = MemberState(network.own_id, stored, clock)
-    disk = Disk(storage, state, stored.snapshot)
+    disk = Disk(storage, state, stored.snapshot, clock)
 
     def list_contacts() -> list[VmId]:
         members = [member.vm for member in state.configuration.members]
--- a/dotterelbridge/replication/state.py
+++ b/dotterelbridge/replication/state.py
@@ -12,6 +12,7 @@
 from dotterelbridge.ids import MemberId
 from dotterelbridge.ids import Term
 from dotterelbridge.ids import VmId
+from dotterelbridge.replication import instruments
 from dotterelbridge.replication.entries import Configuration
 from dotterelbridge.replication.entries import Entry
 from dotterelbridge.replication.entry_log import EntryLog
@@ -230,6 +231,7 @@
             )
         self.role = role
         if role is Role.LEADER:
+            instruments.elections.add(1)
             events.log(_log, ReplicationEvent.LEADER_ELECTED, term=self.term)
         self.role_changed.notify()
 
