--- a/dotterelbridge/fleet/policy.py
+++ b/dotterelbridge/fleet/policy.py
@@ -57,8 +57,8 @@
 _LOAD_COST = 1.0
 """Cost of each second that a load takes: who waits for it is late."""
 _MOVE_LEFT_S = 1.5
-"""Time that a move which is under way is taken to last on: half of one
-from the disk, with its unload."""
+"""Time that a move of which no order was accepted yet is taken to last
+on: half of one from the disk, with its unload."""
 _BLOCKED_SHARE = 0.05
 """Part of the requests with an adapter whose adapter is not there yet."""
 _UNKNOWN_LOSS = 0.5
@@ -297,10 +297,16 @@
         busy = self._rate_share(account)
         blocked = load_s * self._rate_adapter_use(account) * _BLOCKED_SHARE
         if not account.takes_model_moves:
-            load_s += _MOVE_LEFT_S
+            load_s += self._estimate_move_left_s(account)
         cost = loss + load_s * _LOAD_COST + blocked + busy * _BUSY_COST
         return (cost, load_s)
 
+    def _estimate_move_left_s(self, account: EngineAccount) -> float:
+        """Return how long the present move of an engine lasts on."""
+        if account.loading is None or account.loading.ready_at is None:
+            return _MOVE_LEFT_S
+        return max(0.0, account.loading.ready_at - self._now)
+
     def _rate_share(self, account: EngineAccount) -> float:
         """Return an engine's arrivals, in equal shares of all."""
         if not self._fair_arrivals_per_s:
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -4,6 +4,8 @@
 
 from dotterelbridge.fleet.account import SILENT_REPORTS
 from dotterelbridge.fleet.demand import Demand
+from dotterelbridge.fleet.engine import Order
+from dotterelbridge.fleet.engine import OrderKind
 from dotterelbridge.fleet.policy import EVICTION_DELAY_S
 from dotterelbridge.fleet.policy import SETTLED_S
 from dotterelbridge.fleet.policy import FleetPolicy
@@ -285,6 +287,22 @@
     assert [s.target for s in plan(accounts, demand).steps] == ["e2"]
 
 
+def test_a_model_does_not_wait_for_an_engine_that_loads_for_long():
+    """Its disk saves less than the load from the store takes on."""
+    accounts = [
+        account("e1", ["m0"], on_disk=frozenset(("m3",))),
+        account("e2", ["m1"]),
+    ]
+    busy_one = accounts[0]
+    busy_one.moving_model = "m4"
+    order = Order(kind=OrderKind.LOAD, model="m4", expected_orders=0)
+    busy_one.open_order(order, NOW)
+    busy_one.settle_accepted(NOW + 60.0, NOW)
+    demand = {key("m3"): waiting(3)}
+    moves = list_models(plan(accounts, demand).steps)
+    assert ("e2", "m3") in [move[:2] for move in moves]
+
+
 def test_the_rate_of_the_weight_store_is_kept():
     accounts = [account("e1", []), account("e2", [])]
     demand = {key(name): waiting() for name in NAMES[:4]}
