--- a/dotterelbridge/fleet/policy.py
+++ b/dotterelbridge/fleet/policy.py
@@ -39,6 +39,9 @@
 EVICTION_GAIN = 10.0
 """Requests that a load must be for, to each one that uses the model which
 gives way: it has to wait for a load in its turn."""
+PRESSING_REQUESTS = 10.0
+"""Requests from which a load does not wait for a better place: until that
+is free, another model may need it more."""
 BUSY_SLOTS = 0.25
 """Share of all slots in use from which engines are kept level: streams
 pause where prompts come faster than others let them be read."""
@@ -267,6 +270,9 @@
                     ItemKey(self._service, want.model.name)
                 )
             return
+        if want.weight >= PRESSING_REQUESTS:
+            free = [c for c in choices if c[-1].takes_model_moves]
+            choices = free or choices
         _, _, account = min(choices)
         if account.takes_model_moves:
             self._place_model(account, want)
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -287,6 +287,19 @@
     assert [s.target for s in plan(accounts, demand).steps] == ["e2"]
 
 
+def test_a_model_that_many_wait_for_takes_what_is_free():
+    """Seen on lbc scale-2: a busy model waited seven seconds for places
+    that others took, while a new engine loaded a rare one."""
+    accounts = [
+        account("e1", ["m0"], on_disk=frozenset(("m9",))),
+        account("e2", []),
+    ]
+    accounts[0].moving_model = "m4"
+    demand = {key("m9"): waiting(25), key("m8"): waiting(1)}
+    moves = list_models(plan(accounts, demand).steps)
+    assert [move[:2] for move in moves] == [("e2", "m9")]
+
+
 def test_a_model_does_not_wait_for_an_engine_that_loads_for_long():
     """Its disk saves less than the load from the store takes on."""
     accounts = [
