--- a/tests/serving/fakes.py
+++ b/tests/serving/fakes.py
@@ -445,3 +445,20 @@
     run.__name__ = test.__name__
     run.__doc__ = test.__doc__
     return run
+
+
+async def wait_refused(port: int) -> None:
+    """Return once nothing listens at a port.
+
+    A connection that is made while its listener closes may be reset; that
+    is no refusal yet.
+    """
+    while True:
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+        except ConnectionRefusedError:
+            return
+        except ConnectionResetError:
+            continue
+        writer.close()
+        await asyncio.sleep(0.01)
--- a/tests/serving/test_shutdown_features.py
+++ b/tests/serving/test_shutdown_features.py
@@ -16,6 +16,7 @@
 
 from tests.serving.fakes import FakeTarget
 from tests.serving.fakes import token_event
+from tests.serving.fakes import wait_refused
 from tests.serving.fakes import wait_until
 
 scenarios("../features/shutdown.feature")
@@ -208,18 +209,7 @@
 
 @when("it has stopped accepting connections")
 def wait_until_refused(scene):
-    async def wait():
-        while True:
-            try:
-                _, writer = await asyncio.open_connection(
-                    "127.0.0.1", scene.port
-                )
-            except ConnectionRefusedError:
-                return
-            writer.close()
-            await asyncio.sleep(0.01)
-
-    scene.do(wait())
+    scene.do(wait_refused(scene.port))
 
 
 @when("the engine lets its streams end")
