Check and list the settings of nodes

`dotterelbridge config check` takes a node's file (one with [node]), and the settings reference lists [node], [discovery], [fleet] and [gateway], which nothing listed before. Two tests of the command; the page is compared with the code as before.

--- a/dotterelbridge/cli/config_commands.py
+++ b/dotterelbridge/cli/config_commands.py
@@ -8,23 +8,41 @@
 from dotterelbridge.cli import output
 from dotterelbridge.cli.environment import Environment
 from dotterelbridge.cli.exit_status import ExitStatus
+from dotterelbridge.nodes.settings import load_node_settings
 from dotterelbridge.settings import SettingsFaults
 from dotterelbridge.settings import load_settings
+from dotterelbridge.settings import parse_file
 
 
 def check_config(args: argparse.Namespace, env: Environment) -> ExitStatus:
-    """Report every fault of a settings file."""
+    """Report every fault of a settings file, of a daemon or a node."""
+    is_node = parse_file(args.file).has_section("node")
+    describe = _describe_node if is_node else _describe_daemon
     try:
-        settings = load_settings(args.file)
+        summary = describe(args.file)
     except SettingsFaults as error:
         env.print_error("dotterelbridge", str(error))
         return ExitStatus.REFUSED
-    env.stdout.write(
-        f"{args.file}: no faults; VM {settings.daemon.vm}, "
+    env.stdout.write(f"{args.file}: no faults; {summary}\n")
+    return ExitStatus.OK
+
+
+def _describe_daemon(path: str) -> str:
+    settings = load_settings(path)
+    return (
+        f"VM {settings.daemon.vm}, "
         f"{len(settings.vms())} VMs, {len(settings.targets())} targets, "
-        f"{len(settings.voters())} voters\n"
+        f"{len(settings.voters())} voters"
+    )
+
+
+def _describe_node(path: str) -> str:
+    settings = load_node_settings(path)
+    return (
+        f"VM {settings.node.name}, role {settings.node.role.value}, "
+        f"{len(settings.seeds())} seeds, "
+        f"{len(settings.regions)} failure domains"
     )
-    return ExitStatus.OK
 
 
 def list_options(args: argparse.Namespace, env: Environment) -> ExitStatus:
--- a/dotterelbridge/settings_reference.py
+++ b/dotterelbridge/settings_reference.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from dotterelbridge.nodes import settings as node_settings
 from dotterelbridge.settings import NAMED_SECTION_TYPES
 from dotterelbridge.settings import SECTION_TYPES
 from dotterelbridge.settings_schema import Section
@@ -20,6 +21,10 @@
 A daemon reads one INI file; `dotterelbridge config check FILE` reports every
 fault in it. Units are in the names of the options. This page is written by
 `make docs` from the code; a test compares the two.
+
+A node, which finds the others by seeds, reads a file with `[node]` and
+`[discovery]` in the place of `[daemon]`, and with the last sections of this
+page; the other sections are the same.
 """
 TABLE_HEAD = """
 | option | allowed | default | meaning |
@@ -39,12 +44,21 @@
 
 
 def list_sections() -> dict[str, type[Section]]:
-    """Return the section types by the name in the file."""
+    """Return the section types by the name in the file.
+
+    Those that only nodes have come last.
+    """
     named = {
         f"{kind}:NAME": section_type
         for kind, section_type in NAMED_SECTION_TYPES.items()
     }
-    return SECTION_TYPES | named
+    known = SECTION_TYPES | named
+    added = {
+        name: section_type
+        for name, section_type in node_settings.SECTION_TYPES.items()
+        if name not in known
+    }
+    return known | added
 
 
 def list_options() -> Iterator[Option]:
--- a/tests/test_config_commands.py
+++ b/tests/test_config_commands.py
@@ -32,3 +32,36 @@
     assert status is ExitStatus.REFUSED
     assert "operator_token_file: found nothing" in err
     assert "[nonsense]: found an unknown section" in err
+
+
+NODE_FILE = """
+[node]
+name = front-1
+role = {role}
+address = 10.1.0.30
+failure_domain = dub-a
+peer_port = 7380
+
+[discovery]
+seeds = 10.1.0.33:8144,10.2.0.37:8144
+secret = s
+
+[failure_domain:dub-a]
+region = dub
+"""
+
+
+def test_the_file_of_a_node_is_checked_too(tmp_path):
+    path = tmp_path / "node.ini"
+    path.write_text(NODE_FILE.format(role="entry"))
+    status, out, err = run_check(path)
+    assert status is ExitStatus.OK, err
+    assert "role entry, 2 seeds, 1 failure domains" in out
+
+
+def test_faults_of_a_nodes_file_are_listed(tmp_path):
+    path = tmp_path / "node.ini"
+    path.write_text(NODE_FILE.format(role="nobody"))
+    status, _, err = run_check(path)
+    assert status is ExitStatus.REFUSED
+    assert "[node] role" in err
