--- a/dotterelbridge/fleet/policy.py
+++ b/dotterelbridge/fleet/policy.py
@@ -59,6 +59,9 @@
 in requests."""
 _LOAD_COST = 1.0
 """Cost of each second that a load takes: who waits for it is late."""
+_OCCUPIED_COST = 1.0
+"""Cost of each second for which a load keeps its engine from others: who
+waits for those is late too."""
 _MOVE_LEFT_S = 1.5
 """Time that a move of which no order was accepted yet is taken to last
 on: half of one from the disk, with its unload."""
@@ -299,13 +302,14 @@
                 return None
             loss = self._rate_loss(victim)
             wait_s = _RUNS_LEFT_S if self._demand_of(victim).running else 0.0
-        load_s = estimate_load_s(account, model) + wait_s
+        load_s = estimate_load_s(account, model)
         busy = self._rate_share(account)
         blocked = load_s * self._rate_adapter_use(account) * _BLOCKED_SHARE
         if not account.takes_model_moves:
-            load_s += self._estimate_move_left_s(account)
-        cost = loss + load_s * _LOAD_COST + blocked + busy * _BUSY_COST
-        return (cost, load_s)
+            wait_s += self._estimate_move_left_s(account)
+        cost = loss + blocked + busy * _BUSY_COST
+        cost += (wait_s + load_s) * _LOAD_COST + load_s * _OCCUPIED_COST
+        return (cost, wait_s + load_s)
 
     def _estimate_move_left_s(self, account: EngineAccount) -> float:
         """Return how long the present move of an engine lasts on."""
--- a/dotterelbridge/gateway/settings.py
+++ b/dotterelbridge/gateway/settings.py
@@ -26,7 +26,7 @@
     """Requests beyond its slots that are sent to an engine, which queues
     them: reports are late, and a free slot is worth more than a short
     wait."""
-    absent_grace_ms: _Milliseconds = 9000
+    absent_grace_ms: _Milliseconds = 6000
     """Time that a request waits to hear when an absent item will be
     loaded: engines are busy with another load for up to 6.4 s, and
     another VM takes over the orders in 3.2 s."""
