Load no further copies for six seconds unless they are for much

A further copy whose load takes longer than 2 s now has to be for more than twice an engine's share.

--- a/dotterelbridge/fleet/policy.py
+++ b/dotterelbridge/fleet/policy.py
@@ -39,6 +39,10 @@
 EVICTION_GAIN = 10.0
 """Requests that a load must be for, to each one that uses the model which
 gives way: it has to wait for a load in its turn."""
+LONG_LOAD_S = 2.0
+"""Load from which a further copy must be for more than others."""
+LONG_LOAD_SHARE = 2.0
+"""Work of one copy, in equal shares of all engines, from which it is."""
 PRESSING_REQUESTS = 10.0
 """Requests from which a load does not wait for a better place: until that
 is free, another model may need it more."""
@@ -303,6 +307,8 @@
             loss = self._rate_loss(victim)
             wait_s = _RUNS_LEFT_S if self._demand_of(victim).running else 0.0
         load_s = estimate_load_s(account, model)
+        if load_s > LONG_LOAD_S and not self._deserves_long_load(want):
+            return None
         busy = self._rate_share(account)
         blocked = load_s * self._rate_adapter_use(account) * _BLOCKED_SHARE
         if not account.takes_model_moves:
@@ -317,6 +323,17 @@
             return _MOVE_LEFT_S
         return max(0.0, account.loading.ready_at - self._now)
 
+    def _deserves_long_load(self, want: _Want) -> bool:
+        """Whether a model may keep an engine from all others for long.
+
+        A first copy may. A further one is there when half of the time is
+        over for which its model is busy, and rare models, which wait for
+        the engine meanwhile, are served by nobody.
+        """
+        if not self._count_copies(want.model.name):
+            return True
+        return want.weight > LONG_LOAD_SHARE * self._fair_arrivals_per_s
+
     def _rate_share(self, account: EngineAccount) -> float:
         """Return an engine's arrivals, in equal shares of all."""
         if not self._fair_arrivals_per_s:
--- a/dotterelbridge/gateway/settings.py
+++ b/dotterelbridge/gateway/settings.py
@@ -26,10 +26,10 @@
     """Requests beyond its slots that are sent to an engine, which queues
     them: reports are late, and a free slot is worth more than a short
     wait."""
-    absent_grace_ms: _Milliseconds = 6000
+    absent_grace_ms: _Milliseconds = 4500
     """Time that a request waits to hear when an absent item will be
-    loaded: engines are busy with another load for up to 6.4 s, and
-    another VM takes over the orders in 3.2 s."""
+    loaded: another VM takes over the orders in 3.2 s, and an engine is
+    busy with another load for a second or two."""
     absent_percent: Annotated[int, Meta(ge=1, le=100)] = 60
     """The same as a part of the time that its caller waits at most."""
     routes_wait_ms: _Milliseconds = 2000
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -1,6 +1,7 @@
 """Which models stand where, under the loads that the policy is for."""
 
 import msgspec
+import pytest
 
 from dotterelbridge.fleet.account import SILENT_REPORTS
 from dotterelbridge.fleet.demand import Demand
@@ -22,6 +23,7 @@
 ROOMY = create_engine(NAMES, memory_mb=310)
 """Has room for adapters beside three models."""
 NOW = 100.0
+BUSY_MODELS = frozenset(("m0", "m1"))
 
 
 def plan(accounts, demand, asked_s=SETTLED_S + 1, store_loads=9):
@@ -176,7 +178,8 @@
     """Neither has too much for its copies, but each engine serves both."""
     held = [["m0", "m1", "m2"], ["m0", "m1", "m3"], ["m4"], ["m5"]]
     accounts = [
-        account(f"e{number}", names) for number, names in enumerate(held)
+        account(f"e{number}", names, on_disk=BUSY_MODELS)
+        for number, names in enumerate(held)
     ]
     demand = {
         key("m0"): busy(36, running=50),
@@ -190,7 +193,8 @@
     """Seen on trinacria scale-1: 25 streams a second on four, 4 on one."""
     held = [["m0", "m1"], ["m0", "m1"], ["m0", "m1"], ["m0"], ["m5"]]
     accounts = [
-        account(f"e{number}", names) for number, names in enumerate(held)
+        account(f"e{number}", names, on_disk=BUSY_MODELS)
+        for number, names in enumerate(held)
     ]
     demand = {
         key("m0"): busy(50, running=20),
@@ -287,6 +291,37 @@
     assert [s.target for s in plan(accounts, demand).steps] == ["e2"]
 
 
+@pytest.mark.parametrize(("per_s", "is_loaded"), [(25, False), (60, True)])
+def test_a_further_copy_keeps_an_engine_for_long_only_for_much(
+    per_s, is_loaded
+):
+    """Seen on lbc trouble-1: seven loads of 6.4 s for further copies, and
+    half as many loads for requests that waited."""
+    accounts = [
+        account("e1", ["m0"]),
+        account("e2", ["m1"]),
+        account("e3", ["m2"]),
+    ]
+    demand = {
+        key("m0"): busy(per_s),
+        key("m1"): busy(15),
+        key("m2"): busy(10),
+    }
+    moves = list_models(plan(accounts, demand).steps)
+    assert ("m0" in [move[1] for move in moves]) is is_loaded
+
+
+def test_a_further_copy_comes_from_a_disk_at_once():
+    accounts = [
+        account("e1", ["m0"]),
+        account("e2", ["m1"]),
+        account("e3", ["m2"], on_disk=frozenset(("m0",))),
+    ]
+    demand = {key("m0"): busy(25), key("m1"): busy(15), key("m2"): busy(10)}
+    moves = list_models(plan(accounts, demand).steps)
+    assert ("e3", "m0") in [move[:2] for move in moves]
+
+
 def test_a_model_that_many_wait_for_takes_what_is_free():
     """Seen on lbc scale-2: a busy model waited seven seconds for places
     that others took, while a new engine loaded a rare one."""
