Ask for the share of engines before a long load; believe a lack longer

Now: a further copy may keep an engine for more than 2 s where each engine that serves the model has more than twice an equal share. A target that says again that it lacks an item is believed twice as long each time.

--- a/dotterelbridge/fleet/policy.py
+++ b/dotterelbridge/fleet/policy.py
@@ -40,9 +40,10 @@
 """Requests that a load must be for, to each one that uses the model which
 gives way: it has to wait for a load in its turn."""
 LONG_LOAD_S = 2.0
-"""Load from which a further copy must be for more than others."""
+"""Load from which a further copy must be for much."""
 LONG_LOAD_SHARE = 2.0
-"""Work of one copy, in equal shares of all engines, from which it is."""
+"""Share of each engine that serves a model, in equal shares of all, from
+which it is."""
 PRESSING_REQUESTS = 10.0
 """Requests from which a load does not wait for a better place: until that
 is free, another model may need it more."""
@@ -330,9 +331,10 @@
         over for which its model is busy, and rare models, which wait for
         the engine meanwhile, are served by nobody.
         """
-        if not self._count_copies(want.model.name):
-            return True
-        return want.weight > LONG_LOAD_SHARE * self._fair_arrivals_per_s
+        return all(
+            self._rate_share(account) > LONG_LOAD_SHARE
+            for account in self._list_holders(want.model.name)
+        )
 
     def _rate_share(self, account: EngineAccount) -> float:
         """Return an engine's arrivals, in equal shares of all."""
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -208,6 +208,8 @@
             self._running[place.call.item] -= 1
         if outcome is Outcome.ANSWERED:
             holder.ejection.record_success()
+            if place.call.item is not None:
+                holder.note_held(place.call.item)
         elif outcome is Outcome.LACKING and place.call.item is not None:
             holder.note_lacking(place.call.item, now)
         elif outcome in _FAILURES:
--- a/dotterelbridge/gateway/target.py
+++ b/dotterelbridge/gateway/target.py
@@ -18,6 +18,17 @@
 from dotterelbridge.targets.client import create_target_client
 from dotterelbridge.targets.settings import TargetsSettings
 
+_LACK_DOUBLINGS = 4
+"""Together 4.6 s: the platform's list shows a restart within some 4 s."""
+
+
+class _Lack:
+    """What a target said that it does not hold."""
+
+    def __init__(self) -> None:
+        self.ends_at = 0.0
+        self.times = 0
+
 
 class GatewayTarget:
     """Aggregate: no new work goes to a target that is leaving."""
@@ -44,7 +55,7 @@
             rng,
         )
         self._settings = settings
-        self._lacking: dict[ItemKey, float] = {}
+        self._lacking: dict[ItemKey, _Lack] = {}
         self._has_report = False
         self._reported = 0
         self._in_flight_then = 0
@@ -55,6 +66,8 @@
             self._has_report = True
             self._reported = target.load.running + target.load.waiting
             self._in_flight_then = self.in_flight
+        if target.held != self.target.held:
+            self._lacking.clear()
         self.target = target
 
     @property
@@ -90,17 +103,24 @@
             return False
         if not self.target.holds(item.model, item.adapter):
             return True
-        until = self._lacking.get(item)
-        if until is None:
-            return False
-        if now >= until:
-            del self._lacking[item]
-            return False
-        return True
+        lack = self._lacking.get(item)
+        return lack is not None and now < lack.ends_at
 
     def note_lacking(self, item: ItemKey, now: float) -> None:
-        """Take the target's word that it does not hold an item."""
-        self._lacking[item] = now + self._settings.lacking_ms / 1000
+        """Take the target's word that it does not hold an item.
+
+        Each time that it says so again without news of what it holds, as
+        after a restart that the platform's list does not show yet, it is
+        believed for twice as long.
+        """
+        lack = self._lacking.setdefault(item, _Lack())
+        pause_s = self._settings.lacking_ms / 1000
+        lack.ends_at = now + pause_s * 2 ** min(lack.times, _LACK_DOUBLINGS)
+        lack.times += 1
+
+    def note_held(self, item: ItemKey) -> None:
+        """Note that it ran a request for an item."""
+        self._lacking.pop(item, None)
 
     def take(self, call: GatewayCall) -> "Place":
         """Occupy a place for one attempt."""
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -311,6 +311,19 @@
     assert ("m0" in [move[1] for move in moves]) is is_loaded
 
 
+def test_new_engines_relieve_one_that_serves_all_busy_models():
+    """Seen on lbc trouble-3: three new engines loaded rare models, while
+    one old one served two busy models alone."""
+    accounts = [
+        account("e1", ["m0", "m1"]),
+        account("e2", []),
+        account("e3", []),
+    ]
+    demand = {key("m0"): busy(25), key("m1"): busy(15), key("m5"): waiting(1)}
+    moves = list_models(plan(accounts, demand).steps)
+    assert {move[1] for move in moves} == {"m0", "m1"}
+
+
 def test_a_further_copy_comes_from_a_disk_at_once():
     accounts = [
         account("e1", ["m0"]),
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -1,6 +1,7 @@
 """Who waits for a place and who is refused, under the loads it is for."""
 
 from collections import Counter
+import contextlib
 from datetime import timedelta
 import random
 
@@ -194,3 +195,39 @@
     # 16 would make all three equal; the rest goes evenly.
     assert sent["e1"] < 24
     assert min(sent["e2"], sent["e3"]) >= 6
+
+
+@in_virtual_time
+async def test_a_target_that_lost_its_models_is_asked_ever_less(entry):
+    """Seen on lbc scale-2: thirteen attempts of one request at an engine
+    that had restarted, before the platform's list showed it."""
+    entry.show(held=["m0"], slots=9)
+    attempts = 0
+
+    async def send_on():
+        nonlocal attempts
+        while True:
+            with contextlib.suppress(NoPlace):
+                place = await entry.router.acquire(entry.create_call())
+                attempts += 1
+                entry.router.release(place, Outcome.LACKING)
+                await anyio.sleep(0.02)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(send_on)
+        for number in range(40):
+            await anyio.sleep(0.1)
+            entry.show(held=["m0"], slots=9, running=number % 3)
+        tasks.cancel_scope.cancel()
+    assert 2 <= attempts <= 6
+
+
+@in_virtual_time
+async def test_news_of_what_a_target_holds_ends_its_lack(entry):
+    entry.show(held=["m0"], slots=9)
+    place = await entry.router.acquire(entry.create_call())
+    entry.router.release(place, Outcome.LACKING)
+    entry.show(held=["m0", "m1"], slots=9)
+    before = entry.clock.monotonic()
+    await entry.router.acquire(entry.create_call())
+    assert entry.clock.monotonic() == before
