End the lack of an item only when news say that it has come

Any change of what a target holds ended it, and adapters change several times a second; a report that is older than the target's refusal would have sent the next requests there again. Now the item must have been missing and be shown again.

--- a/dotterelbridge/gateway/target.py
+++ b/dotterelbridge/gateway/target.py
@@ -66,8 +66,10 @@
             self._has_report = True
             self._reported = target.load.running + target.load.waiting
             self._in_flight_then = self.in_flight
-        if target.held != self.target.held:
-            self._lacking.clear()
+        for item in list(self._lacking):
+            held_before = self.target.holds(item.model, item.adapter)
+            if not held_before and target.holds(item.model, item.adapter):
+                del self._lacking[item]
         self.target = target
 
     @property
@@ -109,9 +111,9 @@
     def note_lacking(self, item: ItemKey, now: float) -> None:
         """Take the target's word that it does not hold an item.
 
-        Each time that it says so again without news of what it holds, as
-        after a restart that the platform's list does not show yet, it is
-        believed for twice as long.
+        Each time that it says so again, and no news say that the item has
+        come since, it is believed for twice as long: it may have restarted,
+        which the platform's list does not show yet.
         """
         lack = self._lacking.setdefault(item, _Lack())
         pause_s = self._settings.lacking_ms / 1000
