--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 CODE := dotterelbridge platform standins bench tests
 
 .DEFAULT_GOAL := help
-.PHONY: help install run keep test format lint soak fuzz slopes bench docs clean
+.PHONY: help install run keep test format lint soak fuzz slopes bench journal docs clean
 
 help: ## list the jobs
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -52,6 +52,9 @@
 bench: install ## replay the shipped traces against their outcomes
 	$(BIN)/python -m bench.replay --all
 
+journal: install ## write the page of the platform's runs from journal/
+	$(BIN)/python -m bench.journal_page > docs/measurements/platform.md
+
 docs: install ## write the generated pages (EVENTS, SETTINGS)
 	$(BIN)/python -m dotterelbridge.cli.program config options \
 		--markdown > docs/SETTINGS.md
