--- a/tests/fleet/test_account.py
+++ b/tests/fleet/test_account.py
@@ -141,7 +141,8 @@
 
 def test_an_adapter_whose_order_is_open_counts_whatever_reports_show():
     """Seen on lbc scale-1: an order carried out seconds late, after two
-    reports without its adapter, was one more than the engine's places."""
+    reports without its adapter, was one more than the engine's places.
+    """
     engine = create_engine(("m0", "m1"), memory_mb=310, adapter_places=1)
     account = create_account(held=["m0"], engine=engine)
     account.open_order(load("m0", "a1"), 1.0)
--- a/tests/fleet/test_ordering.py
+++ b/tests/fleet/test_ordering.py
@@ -246,7 +246,8 @@
 
 def test_an_address_that_another_engine_took_gets_one_order():
     """Seen on lbc scale-1: forty orders a second until it was off the
-    platform's list."""
+    platform's list.
+    """
 
     async def test(world):
         world.engine.answers_as_another = True
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -296,7 +296,8 @@
     per_s, is_loaded
 ):
     """Seen on lbc trouble-1: seven loads of 6.4 s for further copies, and
-    half as many loads for requests that waited."""
+    half as many loads for requests that waited.
+    """
     accounts = [
         account("e1", ["m0"]),
         account("e2", ["m1"]),
@@ -313,7 +314,8 @@
 
 def test_new_engines_relieve_one_that_serves_all_busy_models():
     """Seen on lbc trouble-3: three new engines loaded rare models, while
-    one old one served two busy models alone."""
+    one old one served two busy models alone.
+    """
     accounts = [
         account("e1", ["m0", "m1"]),
         account("e2", []),
@@ -337,7 +339,8 @@
 
 def test_a_model_that_many_wait_for_takes_what_is_free():
     """Seen on lbc scale-2: a busy model waited seven seconds for places
-    that others took, while a new engine loaded a rare one."""
+    that others took, while a new engine loaded a rare one.
+    """
     accounts = [
         account("e1", ["m0"], on_disk=frozenset(("m9",))),
         account("e2", []),
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -200,7 +200,8 @@
 @in_virtual_time
 async def test_a_target_that_lost_its_models_is_asked_ever_less(entry):
     """Seen on lbc scale-2: thirteen attempts of one request at an engine
-    that had restarted, before the platform's list showed it."""
+    that had restarted, before the platform's list showed it.
+    """
     entry.show(held=["m0"], slots=9)
     attempts = 0
 
