Say once what the platform's nodes, listeners and targets have in common

Found in reading the whole change: entry and control nodes set up the same network, board, routes, dump, reload and metrics (now nodes/node.py); the probe listener repeated the callers' (now both extend Listener); what the list gives and what VMs tell each other were two types of the same fields (FleetTarget serves both); the gateway had its own reading of whole answers (Exchange.read_whole serves it and serving/attempts); an open order was looked for by two functions in an account; the labels of a call and its time to the first byte were worked out twice.

Gone as dead: GatewayTarget.is_leaving and note_leaving, Outcome.FAILED, Attempts.is_exposed, DemandReport.period_ms with its clock, a term check that _run_election repeats under the lock, the second of two checks in a row of a waiting request. The urgencies of the policy are an Enum.

The answer's message about its limit stays with its remedy at each caller.

--- a/dotterelbridge/fleet/account.py
+++ b/dotterelbridge/fleet/account.py
@@ -381,31 +381,24 @@
         served = self.ready.get(model)
         for adapter in self.models[model] | present[model]:
             changed = self._changed_at.get((model, adapter), -math.inf)
-            if changed > shown_at or self._is_adapter_ordered(model, adapter):
+            if changed > shown_at or self._is_ordered(model, adapter):
                 continue
             _set_member(self.models[model], adapter, adapter in present[model])
             if served is not None:
                 shown = adapter in ready.get(model, ())
                 _set_member(served, adapter, shown)
 
-    def _is_ordered(self, model: str) -> bool:
+    def _is_ordered(self, model: str, adapter: str = "") -> bool:
+        """Whether an order for an item is open or being carried out.
+
+        The engine may accept an open one at any time.
+        """
         return any(
             order is not None
-            and not order.order.adapter
-            and order.order.model == model
+            and (order.order.model, order.order.adapter) == (model, adapter)
             for order in (self.open, self.loading)
         )
 
-    def _is_adapter_ordered(self, model: str, adapter: str) -> bool:
-        """Whether an order for an adapter waits for its answer.
-
-        The engine may accept it at any time until then.
-        """
-        if self.open is None:
-            return False
-        order = self.open.order
-        return (order.model, order.adapter) == (model, adapter)
-
     def list_served(self) -> tuple[HeldModel, ...]:
         """Return what requests may use."""
         return tuple(
--- a/dotterelbridge/fleet/accounts.py
+++ b/dotterelbridge/fleet/accounts.py
@@ -157,4 +157,4 @@
         account.target = msgspec.structs.replace(
             account.target, phase=TargetPhase.LEAVING
         )
-        self._board.update([account.target])
+        self.show(account)
--- a/dotterelbridge/fleet/listing.py
+++ b/dotterelbridge/fleet/listing.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import msgspec
 import structlog
 
 from dotterelbridge import events
@@ -13,8 +14,6 @@
 from dotterelbridge.fleet.errors import ListingFailed
 from dotterelbridge.fleet.events import FleetEvent
 from dotterelbridge.fleet.records import FleetTarget
-from dotterelbridge.fleet.records import ListedTarget
-from dotterelbridge.fleet.records import TargetLoad
 from dotterelbridge.fleet.settings import FleetSettings
 from dotterelbridge.ids import TargetId
 
@@ -25,7 +24,7 @@
     """Source of the platform's list."""
 
     @abc.abstractmethod
-    async def fetch(self, timeout: timedelta) -> list[ListedTarget]:
+    async def fetch(self, timeout: timedelta) -> list[FleetTarget]:
         """Return every target that is listed, from a whole read.
 
         Entries that name no usable target are left out.
@@ -79,7 +78,7 @@
         if self._is_reader():
             self._take(listed)
 
-    def _take(self, listed: list[ListedTarget]) -> None:
+    def _take(self, listed: list[FleetTarget]) -> None:
         named = {entry.target for entry in listed}
         for name in self._board.targets:
             if name in named:
@@ -96,23 +95,13 @@
         self._board.update([self._merge(e) for e in listed], gone)
         self._board.prime()
 
-    def _merge(self, entry: ListedTarget) -> FleetTarget:
+    def _merge(self, entry: FleetTarget) -> FleetTarget:
         """Return the entry with what is known better than by the list.
 
         What a target holds comes later by the list than by its reports
         and by the orders that were given to it.
         """
         known = self._board.targets.get(entry.target)
-        is_same_life = known is not None and known.born == entry.born
-        return FleetTarget(
-            entry.target,
-            entry.born,
-            entry.service,
-            entry.host,
-            entry.port,
-            entry.failure_domain,
-            entry.slots,
-            entry.phase,
-            known.held if is_same_life else entry.held,
-            known.load if is_same_life else TargetLoad(),
-        )
+        if known is None or known.born != entry.born:
+            return entry
+        return msgspec.structs.replace(entry, held=known.held, load=known.load)
--- a/dotterelbridge/fleet/messages.py
+++ b/dotterelbridge/fleet/messages.py
@@ -67,4 +67,3 @@
 
     entry_vm: VmId
     items: tuple[ItemDemand, ...]
-    period_ms: int
--- a/dotterelbridge/fleet/policy.py
+++ b/dotterelbridge/fleet/policy.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterator
+import enum
 import math
 
 import msgspec
@@ -92,16 +93,18 @@
     """Whether the load takes part of the weight store's rate."""
 
 
-_NOW = 0
-_WANTED_LATELY = 1
-_HELD_NOWHERE = 2
+class _Urgency(enum.IntEnum):
+    """Which wants go first."""
+
+    NOW = 0
+    WANTED_LATELY = 1
+    HELD_NOWHERE = 2
 
 
 class _Want(msgspec.Struct, frozen=True):
     """A model that should have one more copy."""
 
-    urgency: int
-    """One of the constants above; the lowest goes first."""
+    urgency: _Urgency
     weight: float
     """Requests that it is for: those that wait, and a second's arrivals
     for each copy."""
@@ -178,20 +181,20 @@
             wanted = self._find_wanted(model.name, copies)
             if not copies and demand.waiting:
                 weight = demand.waiting + demand.arrivals_per_s
-                yield _Want(_NOW, weight, model, "requests wait")
+                yield _Want(_Urgency.NOW, weight, model, "requests wait")
             elif copies < wanted and wanted > 1 and self._is_settled:
                 weight = demand.arrivals_per_s / max(1, copies)
                 reason = f"{copies} of {wanted} copies"
-                yield _Want(_NOW, weight, model, reason)
+                yield _Want(_Urgency.NOW, weight, model, reason)
             elif not copies and demand.arrivals_per_s > 0.05:
                 yield _Want(
-                    _WANTED_LATELY,
+                    _Urgency.WANTED_LATELY,
                     demand.arrivals_per_s,
                     model,
                     "wanted lately",
                 )
             elif not copies:
-                yield _Want(_HELD_NOWHERE, 0.0, model, "held nowhere")
+                yield _Want(_Urgency.HELD_NOWHERE, 0.0, model, "held nowhere")
 
     def _demand_of(self, model: str) -> Demand:
         """Return the demand for a model and all of its adapters."""
@@ -204,7 +207,7 @@
     def _list_holders(self, model: str) -> Iterator[EngineAccount]:
         """Yield the engines that serve a model or will serve it soon."""
         for account in self._accounts:
-            if account.serves(model) or account.moving_model == model:
+            if _will_serve(account, model):
                 yield account
 
     def _find_wanted(self, model: str, copies: int) -> int:
@@ -271,7 +274,7 @@
             if rating is not None:
                 choices.append((rating, account.target.target, account))
         if not choices:
-            if want.urgency == _NOW and not self._count_copies(
+            if want.urgency == _Urgency.NOW and not self._count_copies(
                 want.model.name
             ):
                 self._plan.blocked.append(
@@ -349,7 +352,7 @@
     def _list_models(self, account: EngineAccount) -> Iterator[str]:
         """Yield the models that an engine serves or will serve soon."""
         for model in account.models:
-            if account.serves(model) or account.moving_model == model:
+            if _will_serve(account, model):
                 yield model
 
     def _rate_adapter_use(self, account: EngineAccount) -> float:
@@ -408,7 +411,7 @@
         nowhere loads in seconds, while one copy of a busy model slows all
         of its streams for as long as it stays the only one.
         """
-        if want.urgency > _NOW or self._asked_s < EVICTION_DELAY_S:
+        if want.urgency > _Urgency.NOW or self._asked_s < EVICTION_DELAY_S:
             return False
         copies = self._count_copies(model)
         demand = self._demand_of(model)
@@ -558,6 +561,11 @@
     return totals
 
 
+def _will_serve(account: EngineAccount, model: str) -> bool:
+    """Whether an engine serves a model or will serve it soon."""
+    return account.serves(model) or account.moving_model == model
+
+
 def _rate_adapter_place(account: EngineAccount) -> tuple[int, int]:
     load = account.target.load
     return (account.adapter_count, load.running + load.waiting)
--- a/dotterelbridge/fleet/records.py
+++ b/dotterelbridge/fleet/records.py
@@ -48,8 +48,8 @@
     kv_tokens_used: int = 0
 
 
-class ListedTarget(msgspec.Struct, frozen=True, kw_only=True):
-    """One entry of the platform's list."""
+class FleetTarget(msgspec.Struct, frozen=True, array_like=True):
+    """One target, as the platform lists it and the VMs tell each other."""
 
     target: TargetId
     born: int
@@ -62,20 +62,6 @@
     slots: int
     phase: TargetPhase
     held: tuple[HeldModel, ...] = ()
-
-
-class FleetTarget(msgspec.Struct, frozen=True, array_like=True):
-    """One target as the VMs tell each other of it."""
-
-    target: TargetId
-    born: int
-    service: ItemName
-    host: str
-    port: int
-    failure_domain: FailureDomain
-    slots: int
-    phase: TargetPhase
-    held: tuple[HeldModel, ...] = ()
     load: TargetLoad = TargetLoad()
 
     @property
--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -38,7 +38,6 @@
 from dotterelbridge.serving.errors import AnswerIncomplete
 from dotterelbridge.serving.errors import CallerGone
 from dotterelbridge.serving.errors import Failure
-from dotterelbridge.serving.errors import RequestMalformed
 from dotterelbridge.serving.errors import RequestTooLarge
 from dotterelbridge.serving.hang_up import run_until_hang_up
 from dotterelbridge.serving.settings import ServingSettings
@@ -380,13 +379,10 @@
     def _measure(
         self, event: GatewayEvent, call: GatewayCall, attempts: Attempts
     ) -> None:
-        kind = {"service": call.service.name, "rank": call.route.rank}
         outcome = event.name.lower().removeprefix("request_")
-        instruments.requests.add(1, kind | {"outcome": outcome})
-        if attempts.first_at is not None:
-            instruments.first_bytes.record(
-                attempts.first_at - call.started_at, kind
-            )
+        instruments.requests.add(1, call.labels | {"outcome": outcome})
+        if attempts.first_byte_s is not None:
+            instruments.first_bytes.record(attempts.first_byte_s, call.labels)
 
     def _log(
         self,
@@ -397,12 +393,6 @@
     ) -> None:
         now = self._clock.monotonic()
         self._measure(event, call, attempts)
-        first_ms = None
-        if attempts.first_at is not None:
-            first_ms = round((attempts.first_at - call.started_at) * _MS)
-        pause_ms = None
-        if attempts.longest_pause_s is not None:
-            pause_ms = round(attempts.longest_pause_s * _MS)
         events.log(
             _log,
             event,
@@ -414,8 +404,8 @@
             target=attempts.place.target.target if attempts.place else None,
             attempts=call.attempts,
             ran_at=sorted(call.ran_at),
-            first_ms=first_ms,
-            pause_ms=pause_ms,
+            first_ms=_round_ms(attempts.first_byte_s),
+            pause_ms=_round_ms(attempts.longest_pause_s),
             total_ms=round((now - call.started_at) * _MS),
             **details,
         )
@@ -438,12 +428,14 @@
 )
 
 
+def _round_ms(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * _MS)
+
+
 def _describe_refusal(error: RequestRefused) -> Failure:
     status, kind = 400, "malformed"
     if isinstance(error, RequestTooLarge):
         status, kind = 413, "too_large"
-    elif isinstance(error, RequestMalformed):
-        status, kind = 400, "malformed"
     return Failure(
         status=status,
         kind=kind,
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -84,10 +84,8 @@
         """When the first byte of an answer was handed on."""
         self.longest_pause_s: float | None = None
         """Longest time between two pieces of a stream, as they came."""
-        self.is_exposed = False
-        """Whether an attempt is under way that may run."""
         self._piece_at: float | None = None
-        self._kind = {"service": call.service.name, "rank": call.route.rank}
+        self._labels = call.labels
         self.call = call
         self._sink = sink
         self._router = router
@@ -98,6 +96,13 @@
         self._tracker = EventTracker()
         self._tracker.last_id = call.request.last_event_id
 
+    @property
+    def first_byte_s(self) -> float | None:
+        """Seconds from the arrival to the first byte; None without one."""
+        if self.first_at is None:
+            return None
+        return self.first_at - self.call.started_at
+
     async def run(self) -> None:
         """Answer the caller.
 
@@ -133,15 +138,12 @@
             outcome = _find_outcome(error)
             raise
         finally:
-            self.is_exposed = False
             self._router.release(place, outcome)
 
     @contextlib.asynccontextmanager
     async def _open(self, place: Place) -> AsyncIterator[Exchange]:
         request = self._create_request(place)
         target = place.target.target
-        # From here on the request may run, unless it proves otherwise.
-        self.is_exposed = True
         try:
             async with place.client.open_exchange(request) as exchange:
                 yield exchange
@@ -208,7 +210,9 @@
                 f"the resumed stream began with status {exchange.status}",
                 "check that the target resumes streams",
             )
-        body = await _read_whole(exchange)
+        body = await exchange.read_whole(
+            _ANSWER_LIMIT_BYTES, "ask for a stream"
+        )
         headers = list_relayed_headers(exchange.headers)
         if exchange.status >= _SERVER_ERROR:
             raise TargetFailed(exchange.status, headers, body)
@@ -256,7 +260,7 @@
         if self._piece_at is not None:
             pause_s = now - self._piece_at
             self.longest_pause_s = max(self.longest_pause_s or 0.0, pause_s)
-            instruments.pauses.record(pause_s, self._kind)
+            instruments.pauses.record(pause_s, self._labels)
         self._piece_at = now
 
     def _start(self, status: int, headers: Headers) -> None:
@@ -333,17 +337,3 @@
     if isinstance(error, TargetFailed):
         return Outcome.ANSWERED
     return Outcome.BROKEN
-
-
-async def _read_whole(exchange: Exchange) -> bytes:
-    chunks = []
-    size = 0
-    while chunk := await exchange.read():
-        size += len(chunk)
-        if size > _ANSWER_LIMIT_BYTES:
-            raise AnswerMalformed(
-                f"the answer exceeds {_ANSWER_LIMIT_BYTES} bytes",
-                "ask for a stream",
-            )
-        chunks.append(chunk)
-    return b"".join(chunks)
--- a/dotterelbridge/gateway/call.py
+++ b/dotterelbridge/gateway/call.py
@@ -45,6 +45,11 @@
         """Whether the answer is a stream of events."""
         return self.route.repeatability is Repeatability.STREAM
 
+    @property
+    def labels(self) -> dict[str, str | int]:
+        """What tells kinds of calls apart in metrics."""
+        return {"service": self.service.name, "rank": self.route.rank}
+
     @property
     def urgency(self) -> int:
         """0 goes first, 9 last."""
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -63,11 +63,10 @@
     """Not run: another target, or without the item."""
     CONNECT_FAILED = "connect_failed"
     BROKEN = "broken"
-    FAILED = "failed"
     CANCELLED = "cancelled"
 
 
-_FAILURES = (Outcome.CONNECT_FAILED, Outcome.BROKEN, Outcome.FAILED)
+_FAILURES = (Outcome.CONNECT_FAILED, Outcome.BROKEN)
 
 
 class _Waiter:
@@ -165,11 +164,13 @@
         self._log_waiting(call)
         self._waiters.append(waiter)
         try:
-            while waiter.place is None:
-                self._check_hope(waiter)
+            while True:
                 waiter.changed = anyio.Event()
                 with anyio.move_on_after(_SWEEP_INTERVAL.total_seconds()):
                     await waiter.changed.wait()
+                if waiter.place is not None:
+                    break
+                self._check_hope(waiter)
             self._measure_wait(waiter, "placed")
             return waiter.place
         except NoPlace:
@@ -224,10 +225,6 @@
                 )
         self._dispatch()
 
-    def note_leaving(self, place: Place) -> None:
-        """Take the target's own word that it is leaving."""
-        place.holder.is_leaving = True
-
     # Demand.
 
     def read_demand(self) -> tuple[ItemDemand, ...]:
--- a/dotterelbridge/gateway/target.py
+++ b/dotterelbridge/gateway/target.py
@@ -46,8 +46,6 @@
         self.distance = distance
         """0 in the own failure domain, 1 in the own region, 2 beyond."""
         self.in_flight = 0
-        self.is_leaving = False
-        """Whether it said so itself, before the platform's list does."""
         self.ejection = Ejection(
             settings.ejection_failures,
             settings.ejection_ms / 1000,
@@ -75,7 +73,7 @@
     @property
     def takes_new_work(self) -> bool:
         """Whether requests may be sent here."""
-        return self.target.takes_new_work and not self.is_leaving
+        return self.target.takes_new_work
 
     @property
     def is_ejected(self) -> bool:
@@ -127,7 +125,7 @@
     def take(self, call: GatewayCall) -> "Place":
         """Occupy a place for one attempt."""
         invariants.check(
-            self.target.takes_new_work and not self.is_leaving,
+            self.takes_new_work,
             "leaving_target_gets_no_work",
             target=self.target.target,
         )
--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -2,18 +2,9 @@
 
 from datetime import timedelta
 from pathlib import Path
-import random
-from typing import Any
 
-import anyio
-import structlog
-
-from dotterelbridge import events
 from dotterelbridge import metrics
 from dotterelbridge.clock import Clock
-from dotterelbridge.dump import DumpRegistry
-from dotterelbridge.events import CoreEvent
-from dotterelbridge.fleet.board import FleetBoard
 from dotterelbridge.fleet.demand import DemandBoard
 from dotterelbridge.fleet.engine import EngineControl
 from dotterelbridge.fleet.feed import FleetFeed
@@ -26,31 +17,25 @@
 from dotterelbridge.fleet.ordering import create_ordering
 from dotterelbridge.ids import VmId
 from dotterelbridge.nodes.directory import ControlDirectory
+from dotterelbridge.nodes.node import FLUSH_LIMIT
+from dotterelbridge.nodes.node import Node
 from dotterelbridge.nodes.probes import ProbeListener
-from dotterelbridge.nodes.probes import create_metrics_listeners
 from dotterelbridge.nodes.settings import NodeSettings
-from dotterelbridge.nodes.settings import load_node_settings
-from dotterelbridge.peers.websocket_network import create_peer_network
 from dotterelbridge.replication.file_storage import create_file_storage
 from dotterelbridge.replication.member import LogMember
 from dotterelbridge.replication.member import create_log_member
 from dotterelbridge.replication.recovering import create_recovering_log
 from dotterelbridge.routes.document import RoutesFormat
 from dotterelbridge.routes.door import RoutesDoor
-from dotterelbridge.routes.force import RoutesInForce
 from dotterelbridge.routes.submission import create_routes_submitter
 from dotterelbridge.routes.table import MACHINE_NAME as ROUTES_MACHINE
 from dotterelbridge.routes.table import RouteTable
 
-_log = structlog.get_logger(__name__)
-
 _HAND_OVER_LIMIT = timedelta(seconds=2)
-_FLUSH_LIMIT = timedelta(milliseconds=500)
 _LOG_FOLDER = "log"
-_MS = 1000
 
 
-class ControlNode:
+class ControlNode(Node):
     """The parts of a control VM."""
 
     def __init__(
@@ -63,22 +48,7 @@
         engines: EngineControl,
         clock: Clock,
     ) -> None:
-        self._rng = random.SystemRandom()
-        self._settings = settings
-        self._path = path
-        self._clock = clock
-        self._registry = DumpRegistry()
-        self._own = settings.own_vm()
-        self._network = create_peer_network(
-            settings.peers,
-            self._own,
-            [],
-            clock,
-            settings.discovery.secret.encode(),
-            dial=(),
-            random=self._rng,
-            accept_unknown=True,
-        )
+        super().__init__(settings, path, routes_format, clock)
         self._log = create_recovering_log(self._open_log, clock)
         self._directory = ControlDirectory(
             self._network,
@@ -89,10 +59,12 @@
         )
         self._create_routes(routes_format, routes_path)
         self._create_fleet(listing, engines)
-        self._metrics_listeners = create_metrics_listeners(settings, clock)
-        self._observe()
+        metrics.observe(
+            "dotterelbridge.replication.leads",
+            lambda: int(self._log.leads()),
+            "1 while this VM leads the replicated log",
+        )
         self._registry.add("replication", self._log)
-        self._registry.add("peers", self._network)
 
     def list_roster(self) -> tuple[VmId, ...]:
         """Return the VMs that hold the log, as far as is known here."""
@@ -101,63 +73,27 @@
 
     async def run_parts(self) -> None:
         """Run all parts until cancelled."""
-        async with anyio.create_task_group() as group:
-            for run in (
-                self._network.run,
+        await self._run(
+            (
                 self._log.run,
                 self._directory.run,
                 self._follower.run,
                 self._reader.run,
                 self._ordering.run,
                 self._door.run,
-                *(listener.run for listener in self._metrics_listeners),
-            ):
-                group.start_soon(run)
-            events.log(
-                _log,
-                CoreEvent.DAEMON_STARTED,
-                vm=self._settings.node.name,
-                role="control",
-                operator_port=self._door.port,
-            )
-
-    def _observe(self) -> None:
-        metrics.observe(
-            "dotterelbridge.replication.leads",
-            lambda: int(self._log.leads()),
-            "1 while this VM leads the replicated log",
-        )
-        metrics.observe(
-            "dotterelbridge.fleet.view_age",
-            lambda: self._detached_ms() / _MS,
-            "Age of what this VM knows of targets and routes",
-            unit="s",
-        )
-        metrics.observe(
-            "dotterelbridge.routes.version",
-            lambda: self._routes.version,
-            "Version of the routes in force",
+            ),
+            operator_port=self._door.port,
         )
 
     async def drain(self) -> None:
         """Let another VM lead, and answer what is asked already."""
         await self._log.hand_over(_HAND_OVER_LIMIT)
-        await self._network.flush(_FLUSH_LIMIT)
-
-    def reload(self) -> None:
-        """Take the seeds of changed settings."""
-        settings = load_node_settings(self._path)
-        self._directory.set_seeds(settings.seeds())
+        await self._network.flush(FLUSH_LIMIT)
 
     def describe_open_work(self) -> dict[str, int]:
         """Return nothing: requests of operators are short."""
         return {}
 
-    def write_dump(self) -> str | None:
-        """Log the state of all parts."""
-        state: dict[str, Any] = self._registry.dump_all()
-        events.log(_log, CoreEvent.STATE_DUMPED, path=None, state=state)
-
     def _open_log(self) -> LogMember:
         settings = self._settings
         folder = Path(settings.node.data_folder) / _LOG_FOLDER
@@ -175,7 +111,6 @@
     def _create_routes(
         self, routes_format: RoutesFormat, routes_path: str
     ) -> None:
-        self._routes = RoutesInForce(routes_format)
         table = RouteTable()
         table.subscribe(self._routes.adopt)
         self._log.add_machine(ROUTES_MACHINE, table)
@@ -191,7 +126,6 @@
     ) -> None:
         settings = self._settings.fleet
         clock = self._clock
-        self._board = FleetBoard(clock)
         self._demand = DemandBoard(clock)
         self._feed = FleetFeed(
             self._network,
@@ -236,7 +170,6 @@
         return [leader]
 
     def _detached_ms(self) -> int:
-        """Return how long ago this VM was certainly up to date."""
         self._feed.deployment_entry_vms = self._follower.entry_vms
         if self._log.leads():
             return 0
--- a/dotterelbridge/nodes/probes.py
+++ b/dotterelbridge/nodes/probes.py
@@ -3,18 +3,13 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-import anyio
-
 from dotterelbridge import metrics
 from dotterelbridge.clock import Clock
 from dotterelbridge.nodes.settings import NodeSettings
 from dotterelbridge.serving.answer import SINK_EXTENSION
 from dotterelbridge.serving.answer import write_whole
-from dotterelbridge.serving.listener import create_listening_socket
-from dotterelbridge.serving.server import HttpServer
-from dotterelbridge.serving.settings import ServingSettings
+from dotterelbridge.serving.listener import Listener
 
-_SWEEP_INTERVAL = timedelta(seconds=5)
 METRICS_PATH = "/metrics"
 _TEXT_FORMAT = b"text/plain; version=0.0.4; charset=utf-8"
 
@@ -45,29 +40,10 @@
         await write_whole(sink, 200, headers, metrics.render())
 
 
-class ProbeListener:
+class ProbeListener(Listener):
     """Serves an application until the process ends, also while draining."""
 
-    def __init__(self, app, settings: ServingSettings, clock: Clock) -> None:
-        self._server = HttpServer(app, settings, clock)
-        self._socket = create_listening_socket(settings)
-        self._clock = clock
-
-    @property
-    def port(self) -> int:
-        """Port that the listener is bound to."""
-        return self._socket.getsockname()[1]
-
-    async def run(self) -> None:
-        """Serve until cancelled."""
-        await self._server.start(self._socket)
-        try:
-            while True:
-                await self._clock.sleep(_SWEEP_INTERVAL)
-                self._server.sweep()
-        finally:
-            with anyio.CancelScope(shield=True):
-                await self._server.abort()
+    sweep_interval = timedelta(seconds=5)
 
 
 def create_metrics_listeners(
--- a/dotterelbridge/replication/election.py
+++ b/dotterelbridge/replication/election.py
@@ -69,8 +69,6 @@
             request_term, pre_vote=True, hand_over=True
         ):
             return False
-        if self._state.term >= request_term:
-            return False
         return await self._run_election(request_term, hand_over=True)
 
     async def _begin(self) -> Term:
--- a/dotterelbridge/serving/attempts.py
+++ b/dotterelbridge/serving/attempts.py
@@ -31,11 +31,11 @@
 from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.targets.client import Exchange
 from dotterelbridge.targets.client import ExchangeRequest
-from dotterelbridge.targets.errors import AnswerMalformed
 from dotterelbridge.targets.errors import TargetSilent
 
 _BYTES_PER_KB = 1024
 _REFUSAL_LIMIT = 65536
+_TOO_LONG_REMEDY = "raise answer_limit_kb in [serving], or ask for a stream"
 _REFUSAL_STATUSES = (404, 503)
 _REFUSALS = {
     "model_not_ready": Outcome.NOT_READY,
@@ -187,7 +187,7 @@
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in list_relayed_headers(exchange.headers)
             ],
-            body=await _read_whole(exchange, limit),
+            body=await exchange.read_whole(limit, _TOO_LONG_REMEDY),
         )
 
     async def _check_refusal(self, slot: Slot, exchange: Exchange) -> None:
@@ -197,7 +197,7 @@
         answer = RecordedAnswer(
             status=exchange.status,
             headers=[("content-type", "application/json")],
-            body=await _read_whole(exchange, _REFUSAL_LIMIT),
+            body=await exchange.read_whole(_REFUSAL_LIMIT, _TOO_LONG_REMEDY),
         )
         refusal = _REFUSALS.get(_read_error_type(answer.body))
         if refusal is not None:
@@ -247,22 +247,6 @@
     return Outcome.CONNECT_FAILED
 
 
-async def _read_whole(exchange: Exchange, limit: int) -> bytes:
-    chunks = []
-    size = 0
-    while True:
-        chunk = await exchange.read()
-        if not chunk:
-            return b"".join(chunks)
-        size += len(chunk)
-        if size > limit:
-            raise AnswerMalformed(
-                f"the answer exceeds {limit} bytes",
-                "raise answer_limit_kb in [serving], or ask for a stream",
-            )
-        chunks.append(chunk)
-
-
 class _ErrorDetail(msgspec.Struct):
     type: str = ""
 
--- a/dotterelbridge/serving/listener.py
+++ b/dotterelbridge/serving/listener.py
@@ -1,4 +1,4 @@
-"""The callers' listener: serves the application until it is drained."""
+"""Listeners, and that of callers, which is drained before it ends."""
 
 from datetime import timedelta
 import socket
@@ -14,17 +14,15 @@
 from dotterelbridge.serving.settings import ServingSettings
 
 _log = structlog.get_logger(__name__)
-_SWEEP_INTERVAL = timedelta(seconds=1)
 
 
-class CallerListener:
+class Listener:
     """Binds at once, so that the port is known before ``run``."""
 
-    def __init__(
-        self, app: CallerApp, settings: ServingSettings, clock: Clock
-    ) -> None:
-        self._app = app
-        self._settings = settings
+    sweep_interval = timedelta(seconds=1)
+    """Time between two looks at silent connections."""
+
+    def __init__(self, app, settings: ServingSettings, clock: Clock) -> None:
         self._clock = clock
         self._server = HttpServer(app, settings, clock)
         self._socket = create_listening_socket(settings)
@@ -34,22 +32,33 @@
         """Port that the listener is bound to."""
         return self._socket.getsockname()[1]
 
-    @property
-    def connections(self) -> int:
-        """Open connections."""
-        return self._server.connections
-
     async def run(self) -> None:
         """Serve until cancelled."""
         await self._server.start(self._socket)
         try:
             while True:
-                await self._clock.sleep(_SWEEP_INTERVAL)
+                await self._clock.sleep(self.sweep_interval)
                 self._server.sweep()
         finally:
             with anyio.CancelScope(shield=True):
                 await self._server.abort()
 
+
+class CallerListener(Listener):
+    """Serves callers until it is drained."""
+
+    def __init__(
+        self, app: CallerApp, settings: ServingSettings, clock: Clock
+    ) -> None:
+        super().__init__(app, settings, clock)
+        self._app = app
+        self._settings = settings
+
+    @property
+    def connections(self) -> int:
+        """Open connections."""
+        return self._server.connections
+
     async def drain(self) -> None:
         """Turn /readyz false, then answer all that is in flight."""
         self._app.start_draining()
--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -21,6 +21,7 @@
 from dotterelbridge.ids import AttemptId
 from dotterelbridge.membership.view import TargetInfo
 from dotterelbridge.targets.connection import TargetConnection
+from dotterelbridge.targets.errors import AnswerMalformed
 from dotterelbridge.targets.errors import CrossedAnswer
 from dotterelbridge.targets.errors import TargetSilent
 from dotterelbridge.targets.events import TargetEvent
@@ -75,6 +76,25 @@
         """
         return await self._connection.read_body()
 
+    async def read_whole(self, limit: int, remedy: str) -> bytes:
+        """Return the whole body.
+
+        :param limit: bytes.
+        :param remedy: what to do about a longer body.
+        :raises AnswerMalformed: it is longer.
+        :raises TargetBroken: the answer will not be whole.
+        """
+        chunks = []
+        size = 0
+        while chunk := await self.read():
+            size += len(chunk)
+            if size > limit:
+                raise AnswerMalformed(
+                    f"the answer exceeds {limit} bytes", remedy
+                )
+            chunks.append(chunk)
+        return b"".join(chunks)
+
     async def relay(
         self,
         consume: Callable[[bytes], bool],
--- a/tests/fleet/test_ordering.py
+++ b/tests/fleet/test_ordering.py
@@ -120,9 +120,7 @@
     def ask_for(self, model) -> None:
         """Report that a request waits for a model."""
         items = (ItemDemand(key(model), 1, 0, 1),)
-        self.demand.take(
-            DemandReport(entry_vm="f1", items=items, period_ms=20)
-        )
+        self.demand.take(DemandReport(entry_vm="f1", items=items))
         self.ordering.wake()
 
     async def wait(self, condition) -> None:
@@ -265,9 +263,7 @@
         world.engine.models |= {"m1", "m2"}
         for name in ("m0", "m1", "m2"):
             items = (ItemDemand(key(name), 1, 1, 0),)
-            report = DemandReport(
-                entry_vm=f"f-{name}", items=items, period_ms=20
-            )
+            report = DemandReport(entry_vm=f"f-{name}", items=items)
             world.demand.take(report)
         world.ask_for("m3")
         await anyio.sleep(1.5)
