Start every VM whatever figures the platform states

Cause: the template fills settings with the platform's bounds, which may be fractions, zero or absent, while the settings allowed only whole numbers from one.

Ruled out: a fault of the template's text; the values arrive as stated.

--- a/dotterelbridge/gateway/settings.py
+++ b/dotterelbridge/gateway/settings.py
@@ -17,8 +17,11 @@
     retry_percent: _Percent = 20
     """Further arrivals at a service's targets, in percent of its requests;
     together with retry_extra the platform's bound."""
-    retry_extra: _Count = 56
-    retry_window_s: _Count = 10
+    retry_extra: Annotated[float, Meta(ge=0)] = 56
+    """Further arrivals beside that part, over all entry VMs; fractions
+    count."""
+    retry_window_s: Annotated[float, Meta(gt=0)] = 10
+    """Window over which both are counted."""
     retry_use_percent: Annotated[int, Meta(ge=1, le=100)] = 80
     """Part of the bound that is used: the VMs' windows and counts of each
     other are not exactly alike."""
--- a/dotterelbridge/replication/settings.py
+++ b/dotterelbridge/replication/settings.py
@@ -39,7 +39,7 @@
     tail_mb: Annotated[int, Meta(ge=0)] = 2
     """Bound of the size of those entries."""
     snapshot_chunk_kb: Annotated[int, Meta(ge=1, le=4096)] = 256
-    losses_tolerated: Annotated[int, Meta(ge=0, le=4)] = 0
+    losses_tolerated: Annotated[int, Meta(ge=0)] = 0
     """Disks f that may be lost at once: the group grows to 2f + 1 voters
     by itself. 0 for the VMs that the settings list as voters."""
     silent_voter_ms: _Milliseconds = 3000
