Tell what plans cost, what holds items up, and how late the loop runs

Change: a histogram of plan times and a line (planned, 5537) for each service and second: longest plan, what held wants up (no room, the store's limit, busy engines), age of the oldest report, items and requests that wait and the longest wait. A histogram of the event loop's lag on every node, and a line (loop_late, 1011) where it exceeds the time between two plans.

--- a/dotterelbridge/events.py
+++ b/dotterelbridge/events.py
@@ -84,6 +84,12 @@
         "A part of the daemon failed; the daemon stops. Read the error, "
         "then restart it.",
     )
+    LOOP_LATE = (
+        1011,
+        logging.WARNING,
+        "The event loop ran a timer late: the process is busy, was stalled "
+        "or its VM suspended. Look for long plans or a busy processor.",
+    )
     INVARIANT_FAILED = (
         1010,
         logging.ERROR,
--- a/dotterelbridge/fleet/events.py
+++ b/dotterelbridge/fleet/events.py
@@ -87,3 +87,10 @@
         logging.WARNING,
         "An item that requests wait for finds no room on any engine.",
     )
+    PLANNED = (
+        5537,
+        logging.INFO,
+        "What the plans of about a second did and cost: the longest one, "
+        "what held wanted items up, the age of the oldest report, and what "
+        "requests wait for.",
+    )
--- a/dotterelbridge/fleet/instruments.py
+++ b/dotterelbridge/fleet/instruments.py
@@ -15,3 +15,7 @@
     "Time from the plan to bring an item to an engine until it serves, by "
     "item and outcome",
 )
+plans = metrics.create_latency_histogram(
+    "dotterelbridge.fleet.plan",
+    "Time that the plan for one service takes",
+)
--- a/dotterelbridge/fleet/ordering.py
+++ b/dotterelbridge/fleet/ordering.py
@@ -25,6 +25,7 @@
 from dotterelbridge.fleet.engine import EngineControl
 from dotterelbridge.fleet.engine import OrderKind
 from dotterelbridge.fleet.events import FleetEvent
+from dotterelbridge.fleet.planning import PlanningRecord
 from dotterelbridge.fleet.policy import FleetPolicy
 from dotterelbridge.fleet.policy import ServicePlan
 from dotterelbridge.fleet.policy import Step
@@ -69,6 +70,7 @@
         self._demand = demand
         self._settings = settings
         self._clock = clock
+        self._record = PlanningRecord(clock)
         self._store_starts: deque[float] = deque()
         self._expected: dict[ItemKey, float] = {}
         self._blocked: dict[ItemName, set[ItemKey]] = {}
@@ -113,16 +115,27 @@
         for service in self._routes.services():
             if service.engine is None:
                 continue
+            began_at = self._clock.monotonic()
+            accounts = self._accounts.list_service(service.name)
+            store_loads = self._count_store_loads(service.engine, now)
             policy = FleetPolicy(
                 service.name,
                 service.engine,
-                self._accounts.list_service(service.name),
+                accounts,
                 demand,
-                self._count_store_loads(service.engine, now),
+                store_loads,
                 self._demand.asked_s(service.name),
                 now,
             )
             plan = policy.plan()
+            self._record.note(
+                service.name,
+                plan,
+                self._clock.monotonic() - began_at,
+                accounts,
+                demand,
+                store_loads,
+            )
             self._log_absent(service.name, plan, demand)
             for step in plan.steps:
                 self._start_step(group, step, now)
--- a/dotterelbridge/fleet/policy.py
+++ b/dotterelbridge/fleet/policy.py
@@ -5,6 +5,7 @@
 engine is returned; the next round goes on from what has changed.
 """
 
+from collections import Counter
 from collections.abc import Iterator
 import enum
 import math
@@ -112,11 +113,24 @@
     reason: str
 
 
+class HoldUp(enum.Enum):
+    """Why an item that requests wait for is not brought to an engine."""
+
+    NO_ROOM = "no_room"
+    """Nothing may give way."""
+    STORE_LIMIT = "store_limit"
+    """The weight store allows no further load."""
+    ENGINES_BUSY = "engines_busy"
+    """The engines that could take it carry out other orders."""
+
+
 class ServicePlan(msgspec.Struct):
     """The steps to take now, and what no engine has room for."""
 
     steps: list[Step] = []
     blocked: list[ItemKey] = []
+    held_up: Counter[HoldUp] = msgspec.field(default_factory=Counter)
+    """What wants were not served for."""
 
 
 class FleetPolicy:
@@ -274,12 +288,8 @@
             if rating is not None:
                 choices.append((rating, account.target.target, account))
         if not choices:
-            if want.urgency == _Urgency.NOW and not self._count_copies(
-                want.model.name
-            ):
-                self._plan.blocked.append(
-                    ItemKey(self._service, want.model.name)
-                )
+            if want.urgency == _Urgency.NOW:
+                self._note_held_up(want)
             return
         if want.weight >= PRESSING_REQUESTS:
             free = [c for c in choices if c[-1].takes_model_moves]
@@ -287,8 +297,17 @@
         _, _, account = min(choices)
         if account.takes_model_moves:
             self._place_model(account, want)
-        # Otherwise the best place is busy for a moment, and worth waiting
-        # for: it has the model on its disk.
+        else:
+            # The best place is busy for a moment, and worth waiting for:
+            # it has the model on its disk.
+            self._plan.held_up[HoldUp.ENGINES_BUSY] += 1
+
+    def _note_held_up(self, want: _Want) -> None:
+        is_limited = self._store_loads <= 0
+        reason = HoldUp.STORE_LIMIT if is_limited else HoldUp.NO_ROOM
+        self._plan.held_up[reason] += 1
+        if not self._count_copies(want.model.name):
+            self._plan.blocked.append(ItemKey(self._service, want.model.name))
 
     def _rate_place(
         self, account: EngineAccount, want: _Want
@@ -443,6 +462,8 @@
             return
         choices = [a for a in holders if a.takes_adapter_moves]
         if not choices:
+            if holders:
+                self._plan.held_up[HoldUp.ENGINES_BUSY] += 1
             return
         free = [a for a in choices if self._has_adapter_room(a, key.model)]
         if free:
@@ -451,6 +472,7 @@
             return
         victim = self._find_idle_adapter(choices)
         if victim is None:
+            self._plan.held_up[HoldUp.NO_ROOM] += 1
             self._plan.blocked.append(key)
             return
         account, evicted = victim
--- a/dotterelbridge/nodes/node.py
+++ b/dotterelbridge/nodes/node.py
@@ -17,6 +17,7 @@
 from dotterelbridge.dump import DumpRegistry
 from dotterelbridge.events import CoreEvent
 from dotterelbridge.fleet.board import FleetBoard
+from dotterelbridge.loop_lag import LoopMonitor
 from dotterelbridge.nodes.directory import ControlDirectory
 from dotterelbridge.nodes.probes import create_metrics_listeners
 from dotterelbridge.nodes.settings import NodeSettings
@@ -97,6 +98,7 @@
         """
         async with anyio.create_task_group() as group:
             group.start_soon(self._network.run)
+            group.start_soon(LoopMonitor(self._clock).run)
             for run in parts:
                 group.start_soon(run)
             for listener in self._metrics_listeners:
--- /dev/null
+++ b/tests/fleet/test_planning.py
@@ -0,0 +1,48 @@
+"""What is told of plans, so that a slow one shows and why items wait."""
+
+from collections import Counter
+from datetime import timedelta
+
+import structlog
+
+from dotterelbridge.clock import ManualClock
+from dotterelbridge.fleet.demand import Demand
+from dotterelbridge.fleet.planning import PlanningRecord
+from dotterelbridge.fleet.policy import HoldUp
+from dotterelbridge.fleet.policy import ServicePlan
+from tests.fleet.support import create_account
+from tests.fleet.support import key
+from tests.routes.support import LLM
+
+WAITING = {key("m3"): Demand(waiting=2), key("m0"): Demand(running=1)}
+
+
+def note_plans(record, clock, count, duration_s=0.01, held_up=()):
+    """Note plans 0.125 s apart; return the lines that were logged."""
+    with structlog.testing.capture_logs() as lines:
+        for _ in range(count):
+            plan = ServicePlan(held_up=Counter(held_up))
+            accounts = [create_account("e1", ["m0"], now=clock.monotonic())]
+            record.note(LLM, plan, duration_s, accounts, WAITING, 4)
+            clock.advance(timedelta(milliseconds=125))
+    return [line for line in lines if line["event"] == "planned"]
+
+
+def test_a_line_a_second_tells_the_longest_plan_and_what_held_items_up():
+    clock = ManualClock()
+    record = PlanningRecord(clock)
+    note_plans(record, clock, 5, duration_s=0.7)
+    lines = note_plans(record, clock, 10, held_up=[HoldUp.STORE_LIMIT])
+    assert len(lines) == 1
+    assert lines[0]["longest_ms"] == 700.0
+    assert lines[0]["held_up"] == {"store_limit": 4}
+    assert lines[0]["waiting_items"] == 1
+    assert lines[0]["waiting_requests"] == 2
+
+
+def test_the_line_tells_how_long_an_item_has_been_waited_for():
+    clock = ManualClock()
+    record = PlanningRecord(clock)
+    first, *_, last = note_plans(record, clock, 45)
+    assert first["longest_wait_s"] == 0.0
+    assert last["longest_wait_s"] > 2.0
