Plan for a fleet in proportion to its size

Callers saw: on the grown deployments models came late or never, while the leader's processor was used up.

Cause: a plan counted the copies of a model, the share of an engine and the use of its adapters by walking over all engines, for each model and each place that it rated, and looked models up in a list. It was made anew for each report that was read, 90 a second with 45 engines.

Ruled out as the only cause: the small twins fall short with an idle leader.

Plans pause for four times as long as the last one took.

--- a/dotterelbridge/fleet/ordering.py
+++ b/dotterelbridge/fleet/ordering.py
@@ -25,11 +25,11 @@
 from dotterelbridge.fleet.engine import EngineControl
 from dotterelbridge.fleet.engine import OrderKind
 from dotterelbridge.fleet.events import FleetEvent
+from dotterelbridge.fleet.model_placement import estimate_load_s
+from dotterelbridge.fleet.plan import ServicePlan
+from dotterelbridge.fleet.plan import Step
 from dotterelbridge.fleet.planning import PlanningRecord
-from dotterelbridge.fleet.policy import FleetPolicy
-from dotterelbridge.fleet.policy import ServicePlan
-from dotterelbridge.fleet.policy import Step
-from dotterelbridge.fleet.policy import estimate_load_s
+from dotterelbridge.fleet.policy import plan_service
 from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.fleet.sender import OrderSender
 from dotterelbridge.fleet.sender import name_item
@@ -43,6 +43,12 @@
 _log = structlog.get_logger(__name__)
 
 _TICK = timedelta(milliseconds=100)
+_PLAN_PAUSE_S = 0.02
+"""Shortest time between two plans: that in which an adapter is loaded.
+Reports of many engines arrive faster."""
+_PLAN_PAUSE_RATIO = 4.0
+"""The same in durations of the last plan, so that plans leave most of the
+processor to reports, orders and the feed."""
 _MOVE_LIMIT_S = 20.0
 """Time after which a move that makes no way is given up: three times the
 longest load, with two late answers."""
@@ -97,16 +103,24 @@
                 while self.may_order:
                     self._accounts.match()
                     self._accounts.start_reports(group)
+                    began_at = self._clock.monotonic()
                     self._plan(group)
+                    took_s = self._clock.monotonic() - began_at
                     self._board.update(expected=dict(self._expected))
-                    with anyio.move_on_after(_TICK.total_seconds()):
-                        await self._accounts.changed.wait()
-                    self._accounts.changed = anyio.Event()
+                    await self._wait_for_change(took_s)
                 group.cancel_scope.cancel()
         finally:
             self._accounts.clear()
             self._authority.give_up()
 
+    async def _wait_for_change(self, plan_s: float) -> None:
+        """Return when the next plan is due."""
+        pause_s = max(_PLAN_PAUSE_S, plan_s * _PLAN_PAUSE_RATIO)
+        await self._clock.sleep(timedelta(seconds=pause_s))
+        with anyio.move_on_after(_TICK.total_seconds()):
+            await self._accounts.changed.wait()
+        self._accounts.changed = anyio.Event()
+
     # Plans.
 
     def _plan(self, group: TaskGroup) -> None:
@@ -118,7 +132,7 @@
             began_at = self._clock.monotonic()
             accounts = self._accounts.list_service(service.name)
             store_loads = self._count_store_loads(service.engine, now)
-            policy = FleetPolicy(
+            plan = plan_service(
                 service.name,
                 service.engine,
                 accounts,
@@ -127,7 +141,6 @@
                 self._demand.asked_s(service.name),
                 now,
             )
-            plan = policy.plan()
             self._record.note(
                 service.name,
                 plan,
--- a/dotterelbridge/fleet/planning.py
+++ b/dotterelbridge/fleet/planning.py
@@ -12,8 +12,8 @@
 from dotterelbridge.fleet.account import EngineAccount
 from dotterelbridge.fleet.demand import Demand
 from dotterelbridge.fleet.events import FleetEvent
-from dotterelbridge.fleet.policy import HoldUp
-from dotterelbridge.fleet.policy import ServicePlan
+from dotterelbridge.fleet.plan import HoldUp
+from dotterelbridge.fleet.plan import ServicePlan
 from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.ids import ItemName
 
--- a/dotterelbridge/routes/model.py
+++ b/dotterelbridge/routes/model.py
@@ -1,6 +1,7 @@
 """What operators declare: routes, services, and limits of callers."""
 
 import enum
+from functools import cached_property
 
 import msgspec
 
@@ -68,7 +69,7 @@
     adapter_mb: float = 0.0
 
 
-class EngineInfo(msgspec.Struct, frozen=True, kw_only=True):
+class EngineInfo(msgspec.Struct, frozen=True, kw_only=True, dict=True):
     """What all engines of a service have in common."""
 
     slots: int
@@ -84,10 +85,11 @@
 
     def find_model(self, name: str) -> ModelInfo | None:
         """Return a model by its name."""
-        for model in self.models:
-            if model.name == name:
-                return model
-        return None
+        return self._models_by_name.get(name)
+
+    @cached_property
+    def _models_by_name(self) -> dict[str, ModelInfo]:
+        return {model.name: model for model in self.models}
 
 
 class Service(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/fleet/test_planning.py
+++ b/tests/fleet/test_planning.py
@@ -7,9 +7,9 @@
 
 from dotterelbridge.clock import ManualClock
 from dotterelbridge.fleet.demand import Demand
+from dotterelbridge.fleet.plan import HoldUp
+from dotterelbridge.fleet.plan import ServicePlan
 from dotterelbridge.fleet.planning import PlanningRecord
-from dotterelbridge.fleet.policy import HoldUp
-from dotterelbridge.fleet.policy import ServicePlan
 from tests.fleet.support import create_account
 from tests.fleet.support import key
 from tests.routes.support import LLM
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -7,9 +7,9 @@
 from dotterelbridge.fleet.demand import Demand
 from dotterelbridge.fleet.engine import Order
 from dotterelbridge.fleet.engine import OrderKind
-from dotterelbridge.fleet.policy import EVICTION_DELAY_S
-from dotterelbridge.fleet.policy import SETTLED_S
-from dotterelbridge.fleet.policy import FleetPolicy
+from dotterelbridge.fleet.model_placement import EVICTION_DELAY_S
+from dotterelbridge.fleet.model_placement import SETTLED_S
+from dotterelbridge.fleet.policy import plan_service
 from dotterelbridge.fleet.records import HeldModel
 from dotterelbridge.fleet.records import TargetPhase
 from tests.fleet.support import create_account
@@ -27,7 +27,7 @@
 
 
 def plan(accounts, demand, asked_s=SETTLED_S + 1, store_loads=9):
-    policy = FleetPolicy(
+    return plan_service(
         LLM,
         accounts[0].engine,
         accounts,
@@ -36,7 +36,6 @@
         asked_s,
         NOW,
     )
-    return policy.plan()
 
 
 def list_models(steps):
