Allow as many loads at once as the weight store's rate carries

Cause: four loads from the store at a time, whatever the deployment. At 6.4 s a load that is 0.6 loads a second, where 13 are allowed.

Ruled out: room. The engines held enough that nobody used.

Change: at the stated rate, rate times duration are under way; that many are allowed, less once loads turn out to take longer than stated. A new holder starts with what the rule allows beside the rate, as it does not know what the one before has just started.

--- a/dotterelbridge/fleet/authority.py
+++ b/dotterelbridge/fleet/authority.py
@@ -1,6 +1,7 @@
 """Which VM may give orders: one at a time, by claims on the log."""
 
 from datetime import timedelta
+import math
 
 import structlog
 
@@ -37,6 +38,8 @@
         self.own = own
         self.term: Term | None = None
         """The term in which this VM may give orders."""
+        self.elected_at = math.inf
+        """Monotonic time from which no other VM gives any in that term."""
         self._log = log
         self._settings = settings
         self._clock = clock
@@ -79,6 +82,7 @@
         if not self._log.leads() or self._log.term != term:
             return False
         self.term = term
+        self.elected_at = elected_at
         events.log(_log, FleetEvent.ORDERING_STARTED, term=term)
         return True
 
--- a/dotterelbridge/fleet/ordering.py
+++ b/dotterelbridge/fleet/ordering.py
@@ -6,7 +6,6 @@
 a copy which an engine carries out late finds another number and fails.
 """
 
-from collections import deque
 from datetime import timedelta
 
 import anyio
@@ -34,11 +33,11 @@
 from dotterelbridge.fleet.sender import OrderSender
 from dotterelbridge.fleet.sender import name_item
 from dotterelbridge.fleet.settings import FleetSettings
+from dotterelbridge.fleet.store import StoreBudget
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import VmId
 from dotterelbridge.replication.recovering import RecoveringLog
 from dotterelbridge.routes.force import RoutesInForce
-from dotterelbridge.routes.model import EngineInfo
 
 _log = structlog.get_logger(__name__)
 
@@ -77,7 +76,7 @@
         self._settings = settings
         self._clock = clock
         self._record = PlanningRecord(clock)
-        self._store_starts: deque[float] = deque()
+        self._store = StoreBudget(settings, clock.monotonic())
         self._expected: dict[ItemKey, float] = {}
         self._blocked: dict[ItemName, set[ItemKey]] = {}
         """Items that no engine has room for, by service."""
@@ -98,6 +97,7 @@
             await self._serve_term()
 
     async def _serve_term(self) -> None:
+        self._store = StoreBudget(self._settings, self._authority.elected_at)
         try:
             async with anyio.create_task_group() as group:
                 while self.may_order:
@@ -131,7 +131,9 @@
                 continue
             began_at = self._clock.monotonic()
             accounts = self._accounts.list_service(service.name)
-            store_loads = self._count_store_loads(service.engine, now)
+            store_loads = self._store.count_allowed(
+                service.engine, self._count_store_loads(), now
+            )
             plan = plan_service(
                 service.name,
                 service.engine,
@@ -172,22 +174,14 @@
             )
         self._blocked[service] = blocked
 
-    def _count_store_loads(self, engine: EngineInfo, now: float) -> int:
-        """Return how many loads from the weight store may start now."""
-        window_s = self._settings.store_burst_s
-        while self._store_starts and self._store_starts[0] < now - window_s:
-            self._store_starts.popleft()
-        in_window = int(engine.loads_per_s * window_s)
-        running = sum(a.loading_from_store for a in self._accounts)
-        return min(
-            in_window - len(self._store_starts),
-            self._settings.store_at_once - running,
-        )
+    def _count_store_loads(self) -> int:
+        """Return the loads from the weight store that are under way."""
+        return sum(a.loading_from_store for a in self._accounts)
 
     def _start_step(self, group: TaskGroup, step: Step, now: float) -> None:
         account = self._accounts[step.target]
         if step.from_store:
-            self._store_starts.append(now)
+            self._store.note_start(now)
             account.loading_from_store = True
         model = account.engine.find_model(step.item.model)
         if step.item.adapter:
@@ -225,7 +219,7 @@
                 evicted = step.evicted
                 if evicted and not await self._evict(account, evicted):
                     return
-                await self._load(account, step.item, load_s)
+                await self._load(account, step, load_s)
             finally:
                 self._end_move(account, step)
                 self._measure_move(account, step, began_at)
@@ -271,9 +265,19 @@
         return done
 
     async def _load(
-        self, account: EngineAccount, item: ItemKey, load_s: float
+        self, account: EngineAccount, step: Step, load_s: float
     ) -> None:
-        await self._sender.carry_out(account, OrderKind.LOAD, item, load_s)
+        began_at = self._clock.monotonic()
+        done = await self._sender.carry_out(
+            account, OrderKind.LOAD, step.item, load_s
+        )
+        if done and step.from_store:
+            self._store.note_end(
+                account.engine,
+                self._count_store_loads(),
+                load_s,
+                self._clock.monotonic() - began_at,
+            )
         self._accounts.show(account)
 
 
--- a/dotterelbridge/fleet/settings.py
+++ b/dotterelbridge/fleet/settings.py
@@ -54,7 +54,5 @@
     """Time between taking a model out of use and its unload, in which
     the entry VMs hear of it: one crossing of the slowest link to the
     control VMs, one of a request on its way, and a margin."""
-    store_at_once: _Count = 4
-    """Loads from the weight store at a time."""
     store_burst_s: Annotated[float, Meta(gt=0)] = 5.0
     """Window over which loads from the weight store are counted."""
