Send a dead target one request from each entry VM, not three and more

Callers saw: failures at a target that had crashed, for as long as the platform's list showed it: each of N entry VMs counted three failures in a row before it left the target out, and one that alone held a model got every request for it all the while.

Cause: a threshold for each VM that was chosen for eight of them; a probe that only connects; and the VM that gives orders, which finds reports failing within a second, told nobody.

Change: one failure has a target probed with a real request on its health path; while probes break off it gets none, and callers a true refusal with the time to come back. A target too busy to answer its probe counts as living. The VM that gives orders shows the others which targets are silent, so that these probe them at once. A request without an id carries no empty one.

Tests: three in tests/gateway/test_gateway.py, and one each for the news and for what they cause.

--- a/dotterelbridge/fleet/accounts.py
+++ b/dotterelbridge/fleet/accounts.py
@@ -101,6 +101,12 @@
             report = await self._control.fetch_report(account.target, timeout)
         except EngineUnanswered as error:
             account.note_failed_report(self._clock.monotonic())
+            if account.is_silent and self.is_current(account):
+                # Each entry VM would lose requests to find out by itself.
+                account.target = msgspec.structs.replace(
+                    account.target, is_silent=True
+                )
+                self.show(account)
             events.log(
                 _log,
                 FleetEvent.REPORT_FAILED,
@@ -125,7 +131,10 @@
             )
         account.take_report(report, self._clock.monotonic())
         target = msgspec.structs.replace(
-            account.target, held=account.list_served(), load=report.load
+            account.target,
+            held=account.list_served(),
+            load=report.load,
+            is_silent=False,
         )
         if report.is_leaving:
             target = msgspec.structs.replace(target, phase=TargetPhase.LEAVING)
--- a/dotterelbridge/fleet/listing.py
+++ b/dotterelbridge/fleet/listing.py
@@ -104,4 +104,9 @@
         known = self._board.targets.get(entry.target)
         if known is None or known.born != entry.born:
             return entry
-        return msgspec.structs.replace(entry, held=known.held, load=known.load)
+        return msgspec.structs.replace(
+            entry,
+            held=known.held,
+            load=known.load,
+            is_silent=known.is_silent,
+        )
--- a/dotterelbridge/fleet/records.py
+++ b/dotterelbridge/fleet/records.py
@@ -63,6 +63,8 @@
     phase: TargetPhase
     held: tuple[HeldModel, ...] = ()
     load: TargetLoad = TargetLoad()
+    is_silent: bool = False
+    """Whether the VM that gives orders could not read its last reports."""
 
     @property
     def takes_new_work(self) -> bool:
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -37,6 +37,7 @@
 _log = structlog.get_logger(__name__)
 
 _SWEEP_INTERVAL = timedelta(milliseconds=100)
+_PROBE_TIMEOUT = timedelta(seconds=1)
 _LOAD_MARGIN_S = 0.2
 """Time beyond a load for the news of it and for a first event."""
 _FULL_RETRY = timedelta(seconds=1)
@@ -268,6 +269,7 @@
                     "in_flight": target.in_flight,
                     "estimated_load": target.estimate_load(),
                     "ejection": target.ejection.state.value,
+                    "is_unreachable": target.is_unreachable,
                     "connections": target.client.counts(),
                 }
                 for name, target in self._targets.items()
@@ -275,7 +277,9 @@
         }
 
     async def _probe(self, target: GatewayTarget) -> None:
-        answered = await target.client.probe(timedelta(seconds=1))
+        answered = await target.client.probe(
+            _PROBE_TIMEOUT, target.health_path
+        )
         target.ejection.finish_probe(answered, self._clock.monotonic())
         self._dispatch()
 
@@ -287,7 +291,7 @@
                 self._targets.pop(name).client.close()
         for name, target in self._board.targets.items():
             if name in self._targets:
-                self._targets[name].update(target)
+                self._targets[name].update(target, self._clock.monotonic())
             else:
                 self._targets[name] = create_gateway_target(
                     target,
@@ -325,6 +329,7 @@
             if (
                 target.target.service == call.service.name
                 and target.takes_new_work
+                and not target.is_unreachable
                 and not target.lacks(call.item, now)
             ):
                 yield target
--- a/dotterelbridge/gateway/settings.py
+++ b/dotterelbridge/gateway/settings.py
@@ -50,10 +50,13 @@
     lacking_ms: _Milliseconds = 150
     """Time for which a target gets no requests for an item that it has
     just said it lacks; the way of its next report."""
-    ejection_failures: _Count = 3
-    """Failures in a row after which a target gets no requests."""
-    ejection_ms: _Milliseconds = 1000
-    ejection_limit_ms: _Milliseconds = 8000
+    ejection_failures: _Count = 1
+    """Failures in a row after which a target is probed, and used only
+    where there is no other: each VM has to find out by itself."""
+    ejection_ms: _Milliseconds = 100
+    """Time until the first probe."""
+    ejection_limit_ms: _Milliseconds = 2000
+    """Longest time between two probes; shorter than most disruptions."""
     answer_grace_ms: _Milliseconds = 150
     """Time beyond a request's own for the target's last word on it."""
     silent_answer_ms: _Milliseconds = 1500
--- a/dotterelbridge/gateway/target.py
+++ b/dotterelbridge/gateway/target.py
@@ -46,6 +46,8 @@
         self.distance = distance
         """0 in the own failure domain, 1 in the own region, 2 beyond."""
         self.in_flight = 0
+        self.health_path = ""
+        """Where it answers probes, by the service that used it last."""
         self.ejection = Ejection(
             settings.ejection_failures,
             settings.ejection_ms / 1000,
@@ -58,7 +60,7 @@
         self._reported = 0
         self._in_flight_then = 0
 
-    def update(self, target: FleetTarget) -> None:
+    def update(self, target: FleetTarget, now: float) -> None:
         """Take a newer view of the same life."""
         if target.load is not self.target.load:
             self._has_report = True
@@ -68,6 +70,8 @@
             held_before = self.target.holds(item.model, item.adapter)
             if not held_before and target.holds(item.model, item.adapter):
                 del self._lacking[item]
+        if target.is_silent and not self.target.is_silent:
+            self.ejection.suspect(now)
         self.target = target
 
     @property
@@ -75,6 +79,15 @@
         """Whether requests may be sent here."""
         return self.target.takes_new_work
 
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether it failed, and a probe of it too: it gets no request.
+
+        What is sent there may count as run, so that its caller is lost;
+        a refusal leaves the caller the time to come back.
+        """
+        return self.ejection.is_confirmed
+
     @property
     def is_ejected(self) -> bool:
         """Whether failures keep requests away while others have room."""
@@ -130,6 +143,7 @@
             target=self.target.target,
         )
         self.in_flight += 1
+        self.health_path = call.service.health_path
         return Place(self, call)
 
 
--- a/dotterelbridge/routes/model.py
+++ b/dotterelbridge/routes/model.py
@@ -100,6 +100,8 @@
     """Connections that one target takes from all VMs together."""
     engine: EngineInfo | None = None
     """None for a plain service."""
+    health_path: str = ""
+    """Path that targets answer while they live; empty where none is set."""
 
 
 class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/dotterelbridge/routing/ejection.py
+++ b/dotterelbridge/routing/ejection.py
@@ -30,12 +30,18 @@
         self._ejections = 0
         self._until = 0.0
         self._state = EjectionState.IN
+        self._is_confirmed = False
 
     @property
     def state(self) -> EjectionState:
         """The state, for choice and dump."""
         return self._state
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether a probe has failed too, and nothing succeeded since."""
+        return self._is_confirmed
+
     @property
     def failures(self) -> int:
         """Failures in a row."""
@@ -45,6 +51,7 @@
         """An answer came whole."""
         self._failures = 0
         self._ejections = 0
+        self._is_confirmed = False
 
     def record_failure(self, now: float) -> float | None:
         """Count a failure; return the seconds of an ejection it caused."""
@@ -55,6 +62,12 @@
             return None
         return self._eject(now)
 
+    def suspect(self, now: float) -> None:
+        """Have the target probed at once: others found it silent."""
+        if self._state is EjectionState.IN:
+            self._state = EjectionState.EJECTED
+            self._until = now
+
     def is_probe_due(self, now: float) -> bool:
         """Whether to probe the target now."""
         return self._state is EjectionState.EJECTED and now >= self._until
@@ -65,6 +78,7 @@
 
     def finish_probe(self, answered: bool, now: float) -> None:
         """Take the probe's outcome."""
+        self._is_confirmed = not answered
         if not answered:
             self._eject(now)
             return
--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -18,6 +18,7 @@
 from dotterelbridge import events
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import TargetConnectFailed
+from dotterelbridge.errors import TargetError
 from dotterelbridge.ids import AttemptId
 from dotterelbridge.membership.view import TargetInfo
 from dotterelbridge.targets.connection import TargetConnection
@@ -194,13 +195,32 @@
         idle_s = self._clock.monotonic() - connection.last_byte_at
         return idle_s > limit_s
 
-    async def probe(self, timeout: timedelta) -> bool:
-        """Return whether the target accepts a new connection."""
+    async def probe(self, timeout: timedelta, path: str = "") -> bool:
+        """Return whether the target lives.
+
+        It does if it accepts a new connection and does not break it off.
+        What it answers does not count, nor that it is too busy to answer.
+
+        :param path: where it answers without work; empty to only connect.
+        """
+        request = ExchangeRequest(
+            attempt=AttemptId(""),
+            method="GET",
+            path=path,
+            headers=[],
+            fresh_connection=True,
+        )
         try:
             with anyio.fail_after(timeout.total_seconds()):
+                if path:
+                    async with self.open_exchange(request):
+                        return True
                 connection = await self._connect()
-        except (TargetConnectFailed, TimeoutError):
+        except TargetError:
             return False
+        except TimeoutError:
+            # A connection that is not accepted fails earlier.
+            return bool(path)
         connection.abort()
         return True
 
@@ -311,8 +331,10 @@
         lines = [
             f"{request.method} {request.path} HTTP/1.1".encode(),
             b"host: " + (request.host or self._host),
-            self._request_id_header + b": " + request.attempt.encode(),
         ]
+        if request.attempt:
+            attempt = request.attempt.encode()
+            lines.append(self._request_id_header + b": " + attempt)
         lines += [name + b": " + value for name, value in request.headers]
         if request.body or request.method not in ("GET", "HEAD"):
             lines.append(b"content-length: %d" % len(request.body))
--- a/tests/fleet/test_ordering.py
+++ b/tests/fleet/test_ordering.py
@@ -44,10 +44,13 @@
         self.orders = []
         self.silent_orders = 0
         self.is_busy = False
+        self.is_dead = False
         self.answers_as_another = False
         self.clock = LoopClock()
 
     async def fetch_report(self, target, timeout):
+        if self.is_dead:
+            raise EngineUnanswered("a reset", "check the engine")
         return create_report(
             sorted(self.models), self.accepted, is_busy=self.is_busy
         )
@@ -274,6 +277,19 @@
     assert [(line["model"], line["waiting"]) for line in told] == [("m3", 1)]
 
 
+# Guards against callers lost to a dead engine by each entry VM in its turn,
+# until the platform's list drops it seconds later.
+def test_all_vms_hear_of_an_engine_that_reports_no_more_until_it_does():
+    async def test(world):
+        await world.wait(lambda: world.ordering.may_order)
+        world.engine.is_dead = True
+        await world.wait(lambda: world.board.targets["e1"].is_silent)
+        world.engine.is_dead = False
+        await world.wait(lambda: not world.board.targets["e1"].is_silent)
+
+    run(test)
+
+
 def test_a_vm_that_leads_no_more_gives_no_orders():
     async def test(world):
         await world.wait(lambda: world.ordering.may_order)
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -57,11 +57,15 @@
 class Gateway:
     """The app, its board, and the targets."""
 
-    def __init__(self, routes, settings: GatewaySettings) -> None:
+    def __init__(
+        self, routes, settings: GatewaySettings, health_path: str
+    ) -> None:
         self.clock = SystemClock()
         self.board = FleetBoard(self.clock)
         rng = random.Random(1)
-        self.force = put_in_force(create_route_set(1, routes))
+        self.force = put_in_force(
+            create_route_set(1, routes, health_path=health_path)
+        )
         self.targets: dict[str, FakeTarget] = {}
         self.router = create_gateway_router(
             self.board,
@@ -121,11 +125,12 @@
 
 
 @contextlib.asynccontextmanager
-async def run_gateway(routes=None, **settings):
+async def run_gateway(routes=None, health_path="", **settings):
     """Run a gateway; it ends with the context."""
     gateway = Gateway(
         routes or list_routes(),
         GatewaySettings(**({"absent_grace_ms": 200} | settings)),
+        health_path,
     )
     async with anyio.create_task_group() as group:
         group.start_soon(gateway.router.run)
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -433,3 +433,67 @@
             await wait_until(lambda: not gateway.app.ready)
             go_on.set()
         assert [a.content for a in answers] == [b"late"]
+
+
+# Guards against callers lost by the dozen to a dead target: each of many
+# entry VMs sent it three requests and more, which may count as run, where
+# it was the only one that held their model.
+@run_async
+async def test_a_dead_target_gets_one_request_until_it_lives_again():
+    async with run_gateway(health_path="/health") as gateway:
+        target = await gateway.add("t1", reset)
+        assert (await gateway.call("/book/a")).status_code == 502
+        await wait_until(lambda: is_unreachable(gateway, "t1"))
+        for _ in range(5):
+            answer = await gateway.call("/book/a")
+            assert answer.status_code == 503
+            assert float(answer.headers["retry-after"]) > 0
+        assert [r.path for r in target.received].count("/book/a") == 1
+        target.behaviour = echo
+        await wait_until(lambda: not is_unreachable(gateway, "t1"))
+        assert (await gateway.call("/book/a")).status_code == 200
+
+
+# Guards against a sound target that is shunned since an answer was lost.
+@run_async
+async def test_a_target_that_answers_its_probe_is_used_again():
+    async with run_gateway(health_path="/health") as gateway:
+
+        async def lose_first(received):
+            if len(target.received) == 1:
+                received.reset()
+            else:
+                await received.answer(b"-", headers=SIGNED)
+
+        target = await gateway.add("t1", lose_first)
+        assert (await gateway.call("/book/a")).status_code == 502
+        await wait_until(lambda: len(target.received) == 2)
+        await wait_until(lambda: not is_ejected(gateway, "t1"))
+        assert (await gateway.call("/book/a")).status_code == 200
+
+
+# Guards against a busy target taken for a dead one: it answers no probe.
+@run_async
+async def test_a_target_too_busy_for_its_probe_is_used_again():
+    async with run_gateway(health_path="/health") as gateway:
+
+        async def serve(received):
+            if received.path == "/health":
+                await received.wait_closed()
+            elif len(target.received) == 1:
+                received.reset()
+            else:
+                await received.answer(b"-", headers=SIGNED)
+
+        target = await gateway.add("t1", serve)
+        assert (await gateway.call("/book/a")).status_code == 502
+        await wait_until(lambda: not is_ejected(gateway, "t1"))
+        assert (await gateway.call("/book/a")).status_code == 200
+
+
+def is_ejected(gateway, name) -> bool:
+    return gateway.router.dump()["targets"][name]["ejection"] != "in"
+
+
+def is_unreachable(gateway, name) -> bool:
+    return gateway.router.dump()["targets"][name]["is_unreachable"]
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -233,3 +233,14 @@
     before = entry.clock.monotonic()
     await entry.router.acquire(entry.create_call())
     assert entry.clock.monotonic() == before
+
+
+# Guards against requests sent to an engine that others know to be dead.
+@in_virtual_time
+async def test_an_engine_that_the_news_call_silent_is_probed_first(entry):
+    entry.show("e1", running=0, slots=8)
+    entry.show("e2", running=7, slots=8)
+    silent = create_target("e1", held=["m0"], slots=8, is_silent=True)
+    entry.board.update([silent])
+    place = await entry.router.acquire(entry.create_call("m0"))
+    assert place.target.target == "e2"
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -65,7 +65,9 @@
     return ModelInfo(**(defaults | fields))
 
 
-def create_route_set(version=1, routes=None, engine=None) -> RouteSet:
+def create_route_set(
+    version=1, routes=None, engine=None, health_path=""
+) -> RouteSet:
     return RouteSet(
         version=version,
         routes=tuple(routes if routes is not None else [create_route()]),
@@ -75,7 +77,7 @@
                 connections_limit=100,
                 engine=engine or create_engine(),
             ),
-            Service(name=JOBS, connections_limit=100),
+            Service(name=JOBS, connections_limit=100, health_path=health_path),
         ),
         limits=LIMITS,
     )
--- a/tests/serving/fakes.py
+++ b/tests/serving/fakes.py
@@ -82,7 +82,11 @@
         await self.send_head(200, fields | (headers or {}))
 
     async def send_head(self, status: int, fields: dict[str, str]) -> None:
-        echo = {"x-request-id": self.headers["x-request-id"]}
+        echo = {
+            name: value
+            for name, value in self.headers.items()
+            if name == "x-request-id"
+        }
         lines = [f"HTTP/1.1 {status} Status"]
         lines += [f"{k}: {v}" for k, v in (echo | fields).items()]
         await self.send("\r\n".join([*lines, "", ""]).encode())
