Spread requests of all entry VMs by what is missing up to a common level

Callers saw: on the grown deployments engines that rejected a fifth of what arrived, while others had places: the busiest got 2.8 to 3.9 times the mean.

Cause: every entry VM sent its next request to the target that looked least loaded in a report that all of them had. What a VM had sent since was counted once for each VM, which with eight of them keeps engines level, and with 57 makes each engine look full after one request.

Change: the requests of all VMs until the next report are taken to fill up the reported levels like water; a target is chosen in proportion to what is missing to that level (load interpretation). How many requests that is follows from the VM's own arrivals for the item, and from what it has sent since the report.

--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -19,11 +19,13 @@
 from dotterelbridge.fleet.records import FleetTarget
 from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.gateway import instruments
+from dotterelbridge.gateway.balance import choose_candidate
 from dotterelbridge.gateway.budget import RetryShare
 from dotterelbridge.gateway.call import GatewayCall
 from dotterelbridge.gateway.errors import NoPlace
 from dotterelbridge.gateway.errors import NoPlaceReason
 from dotterelbridge.gateway.events import GatewayEvent
+from dotterelbridge.gateway.rates import ArrivalRates
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.gateway.target import GatewayTarget
 from dotterelbridge.gateway.target import Place
@@ -42,13 +44,14 @@
 """Time beyond a load for the news of it and for a first event."""
 _FULL_RETRY = timedelta(seconds=1)
 """Time in which targets that are full end about half of their requests."""
-_FAR = 1000.0
-"""Cost of a place that is used only when there is no other."""
-_REGION_COST = 0.06
-"""Cost of another region, in shares of an engine's slots: the bytes of a
-stream that crosses cost some hundredths of its worth, a pause in a stream
-at a busy engine two thirds of it."""
-_DOMAIN_COST = 0.01
+_DISTANCE_COSTS = (0.0, 0.01, 0.06)
+"""Cost of a target in the own failure domain, in the own region, and in
+another one, in shares of its slots: the bytes of a stream that crosses
+regions cost some hundredths of its worth, a pause in a stream at a busy
+engine two thirds of it."""
+_REPORT_PERIOD_S = 0.6
+"""Time for which a report is acted on: the interval of reports, and their
+way."""
 _LACKING_LOAD_S = 1.0
 _ELSEWHERE = timedelta(milliseconds=50)
 """Time after which a caller may try another VM."""
@@ -118,6 +121,7 @@
         self._shares: dict[ItemName, RetryShare] = {}
         self._arrivals: Counter[ItemKey] = Counter()
         self._running: Counter[ItemKey] = Counter()
+        self._rates = ArrivalRates(clock)
         self._is_draining = False
         self.absent = anyio.Event()
         """Set while a request waits for an item that nothing holds."""
@@ -131,6 +135,7 @@
         self.share_of(call).count_request()
         if call.item is not None:
             self._arrivals[call.item] += 1
+            self._rates.count(call.item)
 
     def start_draining(self) -> None:
         """Refuse those who wait, and all that would have to.
@@ -335,36 +340,34 @@
                 yield target
 
     def _try_take(self, call: GatewayCall) -> Place | None:
-        best = None
-        best_cost = float("inf")
-        for target in self._list_holders(call):
-            if not target.has_room():
-                continue
-            cost = self._rate(call, target)
-            if cost < best_cost:
-                best, best_cost = target, cost
-        if best is None:
+        targets = [t for t in self._list_holders(call) if t.has_room()]
+        if not targets:
             return None
+        targets = self._list_preferred(call, targets)
+        chosen = choose_candidate(
+            [t.describe_load(_DISTANCE_COSTS[t.distance]) for t in targets],
+            self._count_entry_vms(),
+            self._expect_requests(call),
+            self._random,
+        )
         if call.item is not None:
             self._running[call.item] += 1
-        return best.take(call)
-
-    def _rate(self, call: GatewayCall, target: GatewayTarget) -> float:
-        """Return how bad a place is."""
-        slots = max(1, target.target.slots)
-        # All VMs have the same report: a target that looks idle in it must
-        # not get the next requests of every one of them.
-        cost = target.estimate_load(self._count_entry_vms()) / slots
-        if target.distance == 2:
-            cost += _REGION_COST
-        elif target.distance == 1:
-            cost += _DOMAIN_COST
-        if target.target.target in call.avoided:
-            cost += _FAR
-        if target.is_ejected:
-            cost += _FAR * 2
-        # Ties are broken at random, so that VMs don't move in step.
-        return cost + self._random.random() * 0.5 / slots
+        return targets[chosen].take(call)
+
+    def _list_preferred(
+        self, call: GatewayCall, targets: list[GatewayTarget]
+    ) -> list[GatewayTarget]:
+        """Leave out those that failed, unless all of them did."""
+        sound = [t for t in targets if not t.is_ejected] or targets
+        fresh = [t for t in sound if t.target.target not in call.avoided]
+        return fresh or sound
+
+    def _expect_requests(self, call: GatewayCall) -> float:
+        """Return such requests of all VMs until the next report."""
+        if call.item is None:
+            return 0.0
+        per_s = self._rates.read(call.item) * self._count_entry_vms()
+        return per_s * _REPORT_PERIOD_S
 
     def _check_hope(self, waiter: _Waiter) -> None:
         """Raise NoPlace once waiting on would be of no use."""
--- a/dotterelbridge/gateway/target.py
+++ b/dotterelbridge/gateway/target.py
@@ -6,6 +6,7 @@
 from dotterelbridge.clock import Clock
 from dotterelbridge.fleet.records import FleetTarget
 from dotterelbridge.fleet.records import ItemKey
+from dotterelbridge.gateway.balance import Candidate
 from dotterelbridge.gateway.call import GatewayCall
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.ids import Business
@@ -93,17 +94,31 @@
         """Whether failures keep requests away while others have room."""
         return self.ejection.state is not EjectionState.IN
 
-    def estimate_load(self, vms: int = 1) -> int:
-        """Return how many requests the target has, from all VMs.
+    def estimate_load(self) -> int:
+        """Return how many requests the target has, as far as is known.
 
         The last report, and what this VM has sent and got back since.
-
-        :param vms: VMs that are taken to have sent as much since then.
         """
         if not self._has_report:
             return self.in_flight
-        since = self.in_flight - self._in_flight_then
-        return max(self.in_flight, self._reported + since * vms)
+        return max(self.in_flight, self._reported + self._sent_since)
+
+    @property
+    def _sent_since(self) -> int:
+        return self.in_flight - self._in_flight_then
+
+    def describe_load(self, distance_cost: float) -> Candidate:
+        """Return the target as one that a request may go to.
+
+        :param distance_cost: in shares of its slots.
+        """
+        level = distance_cost * self.target.slots
+        if not self._has_report:
+            return Candidate(level + self.in_flight)
+        return Candidate(
+            level + max(self.in_flight - self._sent_since, self._reported),
+            self._sent_since,
+        )
 
     def has_room(self) -> bool:
         """Whether one more request would soon be worked on."""
