--- a/dotterelbridge/fleet/model_placement.py
+++ b/dotterelbridge/fleet/model_placement.py
@@ -236,7 +236,7 @@
         _, _, account = min(choices, key=lambda choice: choice[:2])
         if account.takes_model_moves:
             self._place(account, want)
-        else:
+        elif want.urgency == _Urgency.NOW:
             # The best place is busy for a moment, and worth waiting for:
             # it has the model on its disk.
             self._plan.held_up[HoldUp.ENGINES_BUSY] += 1
--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -451,3 +451,10 @@
         leaving.target, phase=TargetPhase.LEAVING
     )
     assert plan([leaving], {key("m0"): waiting()}).steps == []
+
+
+def test_only_what_is_asked_for_counts_as_held_up():
+    moving = account("e1", ["m0", "m1", "m2"], on_disk=frozenset(NAMES))
+    moving.moving_model = "m3"
+    assert not plan([moving], {}).held_up
+    assert plan([moving], {key("m9"): waiting()}).held_up
