Start nodes without the libraries that only the tool uses

Cause: what a program takes from its surroundings named the type of the tool's HTTP transport, and so each start of a node imported httpx with its certificates and its command line.

Change: the type is imported for type checks only.

--- a/dotterelbridge/cli/environment.py
+++ b/dotterelbridge/cli/environment.py
@@ -3,12 +3,15 @@
 from collections.abc import Mapping
 import os
 import sys
+from typing import TYPE_CHECKING
 from typing import TextIO
 
-import httpx
-
 from dotterelbridge import clock
 
+if TYPE_CHECKING:
+    # A daemon's start would pay for what only the tool uses.
+    import httpx
+
 
 class Environment:
     """Streams, variables and clock of one run; tests pass their own."""
@@ -19,7 +22,7 @@
         stdout: TextIO | None = None,
         stderr: TextIO | None = None,
         variables: Mapping[str, str] | None = None,
-        transport: httpx.BaseTransport | None = None,
+        transport: "httpx.BaseTransport | None" = None,
         time: clock.Clock | None = None,
     ) -> None:
         self.stdin = stdin or sys.stdin
