--- a/tests/fleet/test_policy.py
+++ b/tests/fleet/test_policy.py
@@ -471,8 +471,8 @@
     return accounts, {key(name): busy(7.0) for name in names}
 
 
-# Guards against SHORT of the grown deployments: a model with 37 in 1,000 of all
-# requests is busy for 45 engines, where it is over one and a half times what one gets.
+# Guards against SHORT of the grown deployments: a model with 37 in 1,000 of
+# all requests has 1.6 times the work that one of 45 engines gets.
 @pytest.mark.parametrize("engines", [5, 15, 45])
 def test_a_model_with_more_work_than_an_engine_gets_is_spread(engines):
     accounts, demand = create_large_fleet(engines)
