--- a/dotterelbridge/fleet/ordering.py
+++ b/dotterelbridge/fleet/ordering.py
@@ -27,7 +27,7 @@
 from dotterelbridge.fleet.model_placement import estimate_load_s
 from dotterelbridge.fleet.plan import ServicePlan
 from dotterelbridge.fleet.plan import Step
-from dotterelbridge.fleet.planning import PlanningRecord
+from dotterelbridge.fleet.plan_record import PlanRecord
 from dotterelbridge.fleet.policy import plan_service
 from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.fleet.sender import OrderSender
@@ -75,7 +75,7 @@
         self._demand = demand
         self._settings = settings
         self._clock = clock
-        self._record = PlanningRecord(clock)
+        self._record = PlanRecord(clock)
         self._store = StoreBudget(settings, clock.monotonic())
         self._expected: dict[ItemKey, float] = {}
         self._blocked: dict[ItemName, set[ItemKey]] = {}
--- a/dotterelbridge/fleet/planning.py
+++ b/dotterelbridge/fleet/plan_record.py
@@ -34,7 +34,7 @@
     held_up: Counter[HoldUp] = msgspec.field(default_factory=Counter)
 
 
-class PlanningRecord:
+class PlanRecord:
     """Measures each plan; logs a line for each service and second."""
 
     def __init__(self, clock: Clock) -> None:
--- a/dotterelbridge/gateway/target.py
+++ b/dotterelbridge/gateway/target.py
@@ -116,7 +116,7 @@
         if not self._has_report:
             return Candidate(level + self.in_flight)
         return Candidate(
-            level + max(self.in_flight - self._sent_since, self._reported),
+            level + max(self._in_flight_then, self._reported),
             self._sent_since,
         )
 
--- a/tests/fleet/test_planning.py
+++ b/tests/fleet/test_plan_record.py
@@ -9,7 +9,7 @@
 from dotterelbridge.fleet.demand import Demand
 from dotterelbridge.fleet.plan import HoldUp
 from dotterelbridge.fleet.plan import ServicePlan
-from dotterelbridge.fleet.planning import PlanningRecord
+from dotterelbridge.fleet.plan_record import PlanRecord
 from tests.fleet.support import create_account
 from tests.fleet.support import key
 from tests.routes.support import LLM
@@ -30,7 +30,7 @@
 
 def test_a_line_a_second_tells_the_longest_plan_and_what_held_items_up():
     clock = ManualClock()
-    record = PlanningRecord(clock)
+    record = PlanRecord(clock)
     note_plans(record, clock, 5, duration_s=0.7)
     lines = note_plans(record, clock, 10, held_up=[HoldUp.STORE_LIMIT])
     assert len(lines) == 1
@@ -42,7 +42,7 @@
 
 def test_the_line_tells_how_long_an_item_has_been_waited_for():
     clock = ManualClock()
-    record = PlanningRecord(clock)
+    record = PlanRecord(clock)
     first, *_, last = note_plans(record, clock, 45)
     assert first["longest_wait_s"] == 0.0
     assert last["longest_wait_s"] > 2.0
