Name the check of a poll for what it asks: any news at all

From reading the change once more: the name spoke of loads, the check compares revisions. Behaviour as before; formatter, linters and the feed's tests ran, the whole suite not again.

--- a/dotterelbridge/fleet/feed.py
+++ b/dotterelbridge/fleet/feed.py
@@ -85,7 +85,7 @@
         with anyio.move_on_after(self._settings.load_gather_ms / 1000):
             while not self._has_urgent_news(poll):
                 await self._changed.wait()
-        while not self._has_urgent_news(poll) and not self._has_loads(poll):
+        while not self._has_urgent_news(poll) and not self._has_any_news(poll):
             await self._changed.wait()
         gather = timedelta(milliseconds=self._settings.news_gather_ms)
         await self._clock.sleep(gather)
@@ -99,7 +99,7 @@
             or poll.roster != self._list_roster()
         )
 
-    def _has_loads(self, poll: FleetPoll) -> bool:
+    def _has_any_news(self, poll: FleetPoll) -> bool:
         return poll.revision != self._board.revision
 
     def _create_news(self, poll: FleetPoll) -> FleetNews:
