Test answers that end with their connection, on both listeners

Cause: a response with neither a length nor chunks ends with its connection. The record of ORDER shows two streams that broke off like that.

Ruled out by tests that pass here: streams cut within an event, resets, statuses without a body, HEAD.

--- /dev/null
+++ b/tests/gateway/test_unframed_answers.py
@@ -0,0 +1,211 @@
+"""Answers with neither a length nor chunks, which end with their connection.
+
+The end of the connection is all that marks their end, so that a target that
+breaks off can look like one that has finished.
+"""
+
+import contextlib
+
+import anyio
+import pytest
+
+from tests.gateway.support import HOST
+from tests.gateway.support import SIGNED_HEADERS
+from tests.gateway.support import create_event
+from tests.gateway.support import run_gateway
+from tests.gateway.support import wait_until
+from tests.routes.support import LLM
+from tests.serving.fakes import run_async
+
+JSON_HEADERS = SIGNED_HEADERS | {"content-type": "application/json"}
+STREAM_HEADERS = SIGNED_HEADERS | {"content-type": "text/event-stream"}
+BINARY_HEADERS = SIGNED_HEADERS | {"content-type": "application/octet-stream"}
+CONNECTION_END_LIMIT_S = 5
+STREAM_PATHS = ["/quotes/", "/drafts/"]
+"""A stream that may not be resumed, and one that may."""
+CALL_PATHS = ["/book/a", "/look/a"]
+"""A request that may not be repeated, and one that may."""
+
+
+def answer_unframed(headers: dict[str, str], *parts: bytes, status=200):
+    """Return a handler whose answer ends with its connection."""
+
+    async def handle(received):
+        await received.send_head(status, headers)
+        for part in parts:
+            await received.send(part)
+        received.writer.close()
+
+    return handle
+
+
+async def send_raw(gateway, lines: list[str]) -> bytes:
+    """Send a request and return all bytes until the connection ends.
+
+    A connection that stays open does not end the wait of a failing test.
+    """
+    stream = await anyio.connect_tcp("127.0.0.1", gateway.listener.port)
+    async with stream:
+        await stream.send("\r\n".join([*lines, "", ""]).encode())
+        received = b""
+        with (
+            anyio.move_on_after(CONNECTION_END_LIMIT_S),
+            contextlib.suppress(anyio.EndOfStream),
+        ):
+            while True:
+                received += await stream.receive()
+    return received
+
+
+def is_admitted(gateway, name: str) -> bool:
+    return gateway.router.dump()["targets"][name]["ejection"] == "in"
+
+
+def create_request_lines(path, method="POST", version="1.1") -> list[str]:
+    return [
+        f"{method} {path} HTTP/{version}",
+        f"host: {HOST}",
+        "x-request-id: r1",
+        "dotterelbridge-deadline: 2000",
+        "content-length: 0",
+    ]
+
+
+# Guards against an empty 200 for a stream that broke before its first event.
+@pytest.mark.parametrize("path", STREAM_PATHS)
+@pytest.mark.parametrize(
+    "body", [b"", b": hello\n\n"], ids=["empty", "comment"]
+)
+def test_stream_that_ends_before_its_first_event_is_not_an_answer(path, body):
+    async def check():
+        handler = answer_unframed(STREAM_HEADERS, body)
+        async with run_gateway() as gateway:
+            await gateway.add_target("e1", handler, service=LLM)
+            response = await gateway.call(path)
+        assert response.status_code in (502, 504)
+
+    run_async(check)()
+
+
+# Guards against half a JSON document under a content length of our own.
+@pytest.mark.parametrize("path", CALL_PATHS)
+@pytest.mark.parametrize(
+    "body",
+    [b'{"quote": "half of it', b'["a", ', b""],
+    ids=["object", "array", "empty"],
+)
+def test_json_that_breaks_off_is_not_an_answer(path, body):
+    async def check():
+        handler = answer_unframed(JSON_HEADERS, body)
+        async with run_gateway() as gateway:
+            await gateway.add_target("t1", handler)
+            response = await gateway.call(path)
+        assert response.status_code == 502
+
+    run_async(check)()
+
+
+# Guards against a length that makes an uncertain end look certain.
+@pytest.mark.parametrize("status", [200, 500])
+@pytest.mark.parametrize("body", [b"", b"x" * 300_000], ids=["empty", "long"])
+def test_answer_whose_end_is_unknown_is_passed_on_as_it_came(status, body):
+    async def check():
+        handler = answer_unframed(BINARY_HEADERS, body, status=status)
+        async with run_gateway() as gateway:
+            await gateway.add_target("t1", handler)
+            received = await send_raw(gateway, create_request_lines("/book/a"))
+        head, _, received_body = received.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 %d" % status)
+        assert b"content-length" not in head
+        assert b"transfer-encoding" not in head
+        assert b"connection: close" in head
+        assert received_body == body
+
+    run_async(check)()
+
+
+@pytest.mark.parametrize("path", CALL_PATHS)
+@pytest.mark.parametrize(
+    "body",
+    [b"{}", b'{"a": [1, 2]}\n', b'"b"'],
+    ids=["empty", "object", "string"],
+)
+def test_whole_json_document_is_an_answer(path, body):
+    async def check():
+        handler = answer_unframed(JSON_HEADERS, body)
+        async with run_gateway() as gateway:
+            await gateway.add_target("t1", handler)
+            response = await gateway.call(path)
+        assert response.status_code == 200
+        assert response.content == body
+
+    run_async(check)()
+
+
+@run_async
+async def test_long_stream_that_ends_with_its_connection_is_complete():
+    events = [create_event(number) for number in range(500)]
+    handler = answer_unframed(STREAM_HEADERS, b": hello\n\n", *events)
+    async with run_gateway() as gateway:
+        await gateway.add_target("e1", handler, service=LLM)
+        response = await gateway.call("/quotes/")
+    assert response.content == b": hello\n\n" + b"".join(events)
+
+
+@pytest.mark.parametrize("status", [204, 304])
+def test_status_without_a_body_needs_no_framing(status):
+    async def check():
+        handler = answer_unframed(SIGNED_HEADERS, status=status)
+        async with run_gateway() as gateway:
+            await gateway.add_target("t1", handler)
+            response = await gateway.call("/look/a")
+        assert response.status_code == status
+
+    run_async(check)()
+
+
+@run_async
+async def test_answer_to_head_needs_no_framing():
+    handler = answer_unframed(JSON_HEADERS)
+    async with run_gateway() as gateway:
+        await gateway.add_target("t1", handler)
+        response = await gateway.call("/look/a", method="HEAD")
+    assert response.status_code == 200
+    assert response.content == b""
+
+
+@run_async
+async def test_http_1_0_caller_gets_whole_answers_only():
+    lines = create_request_lines("/look/a", version="1.0")
+    async with run_gateway() as gateway:
+        target = await gateway.add_target(
+            "t1", answer_unframed(JSON_HEADERS, b'{"a": 1}')
+        )
+        assert (await send_raw(gateway, lines)).endswith(b'{"a": 1}')
+        target.handler = answer_unframed(JSON_HEADERS, b'{"a":')
+        received = await send_raw(gateway, lines)
+    assert received.startswith(b"HTTP/1.1 502")
+
+
+# Guards against a target that is trusted again after each sound answer.
+@run_async
+async def test_target_that_breaks_off_every_second_answer_comes_back():
+    count = 0
+
+    async def answer_by_turns(received):
+        nonlocal count
+        count += 1
+        body = b'{"a":' if count % 2 else b'{"a": 1}'
+        await answer_unframed(JSON_HEADERS, body)(received)
+
+    statuses = []
+    admitted = []
+    async with run_gateway() as gateway:
+        await gateway.add_target("t1", answer_by_turns)
+        for _ in range(6):
+            response = await gateway.call("/book/a")
+            statuses.append(response.status_code)
+            admitted.append(is_admitted(gateway, "t1"))
+            await wait_until(lambda: is_admitted(gateway, "t1"))
+    assert statuses == [502, 200] * 3
+    assert admitted == [False, True] * 3
