Do not frame a body as complete whose end cannot be known

What callers saw: half a JSON document as a 200 with a content length of ours, where the target had broken off; the same length on any body that ended with its connection.

Cause: a body that ends with its connection was read to that end and sent on with the length of what had come.

Ruled out: resets, which were noticed.

Change: targets/completeness.py decides for both listeners by framing, declared type and content. A JSON document that cannot be decoded is broken off; what cannot be told is passed on without a length, ended by the connection, also from the record of an idempotency key.

The test of broken JSON accepted 502 only; a request that may be repeated is repeated until its deadline and gets 504 there, which is as true.

--- a/dotterelbridge/claims/service.py
+++ b/dotterelbridge/claims/service.py
@@ -33,6 +33,9 @@
     status: int
     headers: list[tuple[str, str]]
     body: bytes
+    is_end_known: bool = True
+    """Whether the end of the body can be told from a cut; otherwise it is
+    passed on without a length."""
 
 
 class ClaimReply(msgspec.Struct, frozen=True, kw_only=True):
--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -17,6 +17,7 @@
 from dotterelbridge.gateway import instruments
 from dotterelbridge.gateway.attempts import AttemptRunner
 from dotterelbridge.gateway.attempts import TargetFailed
+from dotterelbridge.gateway.attempts import WholeResponse
 from dotterelbridge.gateway.call import GatewayCall
 from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.errors import RequestNotRun
@@ -204,7 +205,7 @@
         except NoTargetAvailable as error:
             await self._handle_no_target(call, runner, error)
         except TargetFailed as error:
-            await runner.send_response(error.status, error.headers, error.body)
+            await runner.send_response(error.response)
             self._log_response(call, runner)
         except TargetError as error:
             await self._handle_target_error(call, runner, error)
@@ -364,7 +365,9 @@
         request_id = runner.call.request.request_id
         headers = self._create_error_headers(request_id, error_response)
         await runner.send_response(
-            error_response.status, headers, error_response.encode_body()
+            WholeResponse(
+                error_response.status, headers, error_response.encode_body()
+            )
         )
 
     async def _write_error(
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -6,6 +6,7 @@
 import math
 import random
 
+import msgspec
 import structlog
 
 from dotterelbridge import events
@@ -26,9 +27,11 @@
 from dotterelbridge.routes.model import Repeatability
 from dotterelbridge.serving.response import Headers
 from dotterelbridge.serving.response import ResponseSink
+from dotterelbridge.serving.response import create_response_start
 from dotterelbridge.serving.response import filter_response_headers
 from dotterelbridge.targets.client import Exchange
 from dotterelbridge.targets.client import ExchangeRequest
+from dotterelbridge.targets.completeness import verify_body_end
 from dotterelbridge.targets.connection import BodyFraming
 from dotterelbridge.targets.errors import MalformedResponse
 from dotterelbridge.targets.errors import ResponseTruncated
@@ -52,17 +55,25 @@
     """A status says that a request has not run, but no header confirms it."""
 
 
+class WholeResponse(msgspec.Struct, frozen=True):
+    """A response that was received up to its end."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    is_end_known: bool = True
+    """Whether the end of the body can be told from a cut."""
+
+
 class TargetFailed(TargetError):
     """A target ran the request and responded with a server error."""
 
-    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
+    def __init__(self, response: WholeResponse) -> None:
         super().__init__(
-            f"the target answered with status {status}",
+            f"the target answered with status {response.status}",
             "try again, or check the target",
         )
-        self.status = status
-        self.headers = headers
-        self.body = body
+        self.response = response
 
 
 class AttemptRunner:
@@ -246,19 +257,28 @@
             self._settings.answer_limit_kb * _BYTES_PER_KB,
             "raise answer_limit_kb in [gateway], or ask for a stream",
         )
-        headers = filter_response_headers(exchange.headers)
+        response = WholeResponse(
+            exchange.status,
+            filter_response_headers(exchange.headers),
+            body,
+            is_end_known=verify_body_end(exchange, body),
+        )
         if exchange.status >= _SERVER_ERROR_STATUS:
-            raise TargetFailed(exchange.status, headers, body)
-        await self.send_response(exchange.status, headers, body)
-
-    async def send_response(
-        self, status: int, headers: Headers, body: bytes
-    ) -> None:
-        """Send the caller a response with a content length."""
+            raise TargetFailed(response)
+        await self.send_response(response)
+
+    async def send_response(self, response: WholeResponse) -> None:
+        """Send the caller a response, with a length if its end is known."""
+        headers = response.headers
+        if response.is_end_known:
+            length = (b"content-length", b"%d" % len(response.body))
+            headers = [*headers, length]
         self._start_response(
-            status, headers + [(b"content-length", b"%d" % len(body))]
+            response.status,
+            headers,
+            ends_with_connection=not response.is_end_known,
         )
-        self._write_body(body, more=False)
+        self._write_body(response.body, more=False)
         await self._sink.wait_writable()
 
     async def _forward_stream(self, exchange: Exchange) -> None:
@@ -314,15 +334,16 @@
             )
         self._last_chunk_at = now
 
-    def _start_response(self, status: int, headers: Headers) -> None:
+    def _start_response(
+        self,
+        status: int,
+        headers: Headers,
+        ends_with_connection: bool = False,
+    ) -> None:
         self.status = status
         self.first_byte_at = self._clock.monotonic()
         self._sink.write(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": headers,
-            }
+            create_response_start(status, headers, ends_with_connection)
         )
 
     def _write_body(self, data: bytes, more: bool) -> bool:
--- a/dotterelbridge/serving/attempts.py
+++ b/dotterelbridge/serving/attempts.py
@@ -31,6 +31,7 @@
 from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.targets.client import Exchange
 from dotterelbridge.targets.client import ExchangeRequest
+from dotterelbridge.targets.completeness import verify_body_end
 from dotterelbridge.targets.errors import TargetIdleTimeout
 
 _BYTES_PER_KB = 1024
@@ -188,15 +189,18 @@
         """Return a complete response.
 
         :raises MalformedResponse: it exceeds the size limit.
+        :raises ResponseTruncated: it is certainly incomplete.
         """
         limit = self._settings.answer_limit_kb * _BYTES_PER_KB
+        body = await exchange.read_all(limit, _TOO_LARGE_REMEDY)
         return RecordedResponse(
             status=exchange.status,
             headers=[
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in filter_response_headers(exchange.headers)
             ],
-            body=await exchange.read_all(limit, _TOO_LARGE_REMEDY),
+            body=body,
+            is_end_known=verify_body_end(exchange, body),
         )
 
     async def _check_refusal(self, slot: Slot, exchange: Exchange) -> None:
--- a/dotterelbridge/serving/response.py
+++ b/dotterelbridge/serving/response.py
@@ -13,6 +13,9 @@
 SINK_EXTENSION = "dotterelbridge.sink"
 """Key of the ResponseSink in the extensions of an ASGI scope."""
 
+ENDS_WITH_CONNECTION = "dotterelbridge.ends_with_connection"
+"""Key of ASGI's response start: the body has neither a length nor chunks."""
+
 HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -51,18 +54,28 @@
         """Wait until the write buffer has drained enough."""
 
 
+def create_response_start(
+    status: int, headers: Headers, ends_with_connection: bool = False
+) -> dict:
+    """Return the ASGI message that starts a response.
+
+    :param ends_with_connection: whether the body has neither a length nor
+        chunks, because its end cannot be told from a cut.
+    """
+    return {
+        "type": "http.response.start",
+        "status": status,
+        "headers": headers,
+        ENDS_WITH_CONNECTION: ends_with_connection,
+    }
+
+
 async def write_response(
     sink: ResponseSink, status: int, headers: Headers, body: bytes
 ) -> None:
     """Write a complete response and wait until the sink is writable."""
     length = (b"content-length", b"%d" % len(body))
-    sink.write(
-        {
-            "type": "http.response.start",
-            "status": status,
-            "headers": [*headers, length],
-        }
-    )
+    sink.write(create_response_start(status, [*headers, length]))
     sink.write(
         {"type": "http.response.body", "body": body, "more_body": False}
     )
@@ -100,6 +113,15 @@
             (name.encode("latin-1"), value.encode("latin-1"))
             for name, value in response.headers
         ]
+        if not response.is_end_known:
+            await self._send_body(
+                response.status,
+                headers,
+                response.body,
+                run_status,
+                ends_with_connection=True,
+            )
+            return
         await self.send_response(
             response.status, headers, response.body, run_status
         )
@@ -114,12 +136,26 @@
         """Send a complete response with its Content-Length."""
         if status not in _BODYLESS_STATUSES:
             headers = headers + [(b"content-length", b"%d" % len(body))]
-        self.start(status, headers, run_status)
+        await self._send_body(status, headers, body, run_status)
+
+    async def _send_body(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        run_status: RunStatus | None,
+        ends_with_connection: bool = False,
+    ) -> None:
+        self.start(status, headers, run_status, ends_with_connection)
         self.write_body(body, more=False)
         await self.wait_writable()
 
     def start(
-        self, status: int, headers: Headers, run_status: RunStatus | None
+        self,
+        status: int,
+        headers: Headers,
+        run_status: RunStatus | None,
+        ends_with_connection: bool = False,
     ) -> None:
         """Write status and headers."""
         self.started = True
@@ -129,11 +165,9 @@
         if run_status is not None:
             added.append((RUN_HEADER, run_status.value.encode()))
         self._sink.write(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": headers + added,
-            }
+            create_response_start(
+                status, headers + added, ends_with_connection
+            )
         )
 
     def write_body(self, data: bytes, more: bool = True) -> bool:
--- a/dotterelbridge/serving/server.py
+++ b/dotterelbridge/serving/server.py
@@ -22,6 +22,7 @@
 from dotterelbridge.serving.errors import ErrorResponse
 from dotterelbridge.serving.errors import ResponseIncomplete
 from dotterelbridge.serving.events import ServingEvent
+from dotterelbridge.serving.response import ENDS_WITH_CONNECTION
 from dotterelbridge.serving.response import SINK_EXTENSION
 from dotterelbridge.serving.response import ResponseSink
 from dotterelbridge.serving.settings import ServingSettings
@@ -331,7 +332,11 @@
         if self._transport is None:
             return True
         if message["type"] == "http.response.start":
-            self._write_head(message["status"], message["headers"])
+            self._write_head(
+                message["status"],
+                message["headers"],
+                message.get(ENDS_WITH_CONNECTION, False),
+            )
         else:
             self._write_body(message["body"], message["more_body"])
         return self._drain_waiter is None
@@ -341,7 +346,10 @@
             await asyncio.shield(self._drain_waiter)
 
     def _write_head(
-        self, status: int, headers: list[tuple[bytes, bytes]]
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        ends_with_connection: bool,
     ) -> None:
         request = self._active_request
         header_names = {name for name, _ in headers}
@@ -349,7 +357,11 @@
             status in _BODYLESS_STATUSES or request.method == b"HEAD"
         )
         has_length = b"content-length" in header_names or self._has_no_body
-        self._chunked = not has_length and request.http_version == "1.1"
+        self._chunked = (
+            not has_length
+            and not ends_with_connection
+            and request.http_version == "1.1"
+        )
         self._ends_body_by_close = not has_length and not self._chunked
         if self._ends_body_by_close:
             request.keep_alive = False
