Log the shared prompt parts of a failed attempt

Cause: attempt_failed named target and error but not the prompt, so that no log could show what the requests under which several replicas ended have in common.

Change: `shared_parts`, all parts but the last, which is the request's own. No logic changes.

Before: no field. After: tests/gateway passes.

--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -388,6 +388,7 @@
             error=error.problem,
             may_have_run=not not_run,
             follows=will_retry,
+            shared_parts=call.request.shared_parts,
             **self._describe_response(),
         )
         if not will_retry:
--- a/dotterelbridge/gateway/request.py
+++ b/dotterelbridge/gateway/request.py
@@ -41,6 +41,14 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: bytes | None = None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """IDs of the parts that other requests may have in common with it.
+
+        The last part is the request's own, or its session's.
+        """
+        return tuple(part.part_id for part in self.prompt_parts[:-1])
+
 
 async def read_gateway_request(
     scope,
