--- a/tests/nodes/test_platform_path.py
+++ b/tests/nodes/test_platform_path.py
@@ -157,13 +157,13 @@
             self.clock,
         )
 
-    def create_entry(self):
+    def create_entry(self, name="f1", address=ENTRY_ADDRESS):
         settings, path = self.load_settings(
-            "f1",
+            name,
             "entry",
-            ENTRY_ADDRESS,
-            caller_address=f"{ENTRY_ADDRESS}:{self.caller_port}",
-            ready_address=f"{ENTRY_ADDRESS}:{self.ready_port}",
+            address,
+            caller_address=f"{address}:{self.caller_port}",
+            ready_address=f"{address}:{self.ready_port}",
         )
         return create_entry_node(
             settings,
@@ -189,16 +189,23 @@
                                 return response
                     await anyio.sleep(0.05)
 
-    async def send_request(self, model) -> httpx.Response:
+    async def send_request(
+        self, model, address=ENTRY_ADDRESS, **headers
+    ) -> httpx.Response:
+        """Send a request to an entry VM.
+
+        :param headers: further ones; an underscore stands for a hyphen.
+        """
+        values = {
+            "host": HOST,
+            "x-dotterelbridge-request-id": "r1",
+            "x-dotterelbridge-model": model,
+            "x-dotterelbridge-deadline-ms": "15000",
+        }
+        values |= {k.replace("_", "-"): v for k, v in headers.items()}
         async with httpx.AsyncClient(timeout=20) as client:
             return await client.post(
-                f"http://{ENTRY_ADDRESS}:{self.caller_port}/q/x",
-                headers={
-                    "host": HOST,
-                    "x-dotterelbridge-request-id": "r1",
-                    "x-dotterelbridge-model": model,
-                    "x-dotterelbridge-deadline-ms": "15000",
-                },
+                f"http://{address}:{self.caller_port}/q/x", headers=values
             )
 
     async def wait_until_ready(self) -> None:
