Follow what targets say of themselves in their answers

What callers saw: a target that says in an answer that it leaves, but is still listed as ready, went on getting new requests; one that answered 503 with Retry-After was retried at once, up to 13 times within one request, and probed.

Cause: no response was read for either.

Change: targets/statements.py reads both from the head of every response, in targets/client.py, which both listeners and the control calls use. Leaving lasts as long as the incarnation, closes idle connections and outlives an old list. After a 503 with Retry-After the client sends nothing to that target, requests, probes and reports alike; other targets take the requests, a caller that can't wait is told the earliest true time, VMs return spread over up to 1 s, requests by rank. Values that can't be read are passed over, logged and counted; a wait is at most an hour.

--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -37,6 +37,7 @@
 from dotterelbridge.targets.errors import MalformedResponse
 from dotterelbridge.targets.errors import ResponseTruncated
 from dotterelbridge.targets.errors import SendNotPermitted
+from dotterelbridge.targets.errors import TargetHeldBack
 
 _log = structlog.get_logger(__name__)
 
@@ -204,16 +205,17 @@
             body=request.body,
             reused_first_byte_limit=first_byte_limit,
             new_first_byte_limit=first_byte_limit,
-            may_send=self._has_time_left,
+            may_send=lambda: self._may_send(slot),
         )
 
-    def _has_time_left(self) -> bool:
-        """Whether the caller still waits, also after a pause of the process.
+    def _may_send(self, slot: Slot) -> bool:
+        """Whether to send still, also after a pause of the process.
 
         The caller was promised an answer by the deadline, and may repeat a
-        request that it gave up.
+        request that it gave up. The target may have said that it leaves.
         """
-        return self.call.remaining_s(self._clock.monotonic()) > 0
+        has_time_left = self.call.remaining_s(self._clock.monotonic()) > 0
+        return has_time_left and slot.gateway_target.takes_new_work
 
     def _check_response(self, slot: Slot, exchange: Exchange) -> None:
         """Check that the response may be forwarded to the caller.
@@ -439,6 +441,8 @@
             if is_item_missing
             else AttemptOutcome.REFUSED
         )
+    if isinstance(error, TargetHeldBack):
+        return AttemptOutcome.REFUSED
     if isinstance(error, TargetConnectFailed):
         return AttemptOutcome.CONNECT_FAILED
     if isinstance(error, TargetFailed):
--- a/dotterelbridge/gateway/errors.py
+++ b/dotterelbridge/gateway/errors.py
@@ -19,6 +19,8 @@
     """No target holds the item, and no load of it is known."""
     LOADING = "loading"
     """The item is being loaded, for longer than the caller waits."""
+    HELD_BACK = "held_back"
+    """Every target that could take the request asked to wait."""
     QUARANTINED = "quarantined"
     """Targets crash under a part of the request's prompt."""
 
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -215,6 +215,9 @@
                 if queued.slot is not None:
                     break
                 self._check_quarantine(call)
+                self._dispatch_after_holds()
+                if queued.slot is not None:
+                    break
                 self._check_wait(queued)
             self._record_wait(queued, "placed")
             return queued.slot
@@ -264,6 +267,13 @@
         """Return the number of requests that wait for a slot."""
         return len(self._queue)
 
+    def count_held_targets(self) -> int:
+        """Return the number of targets that leave or asked to wait."""
+        return sum(
+            target.client.is_leaving or target.client.is_held_back
+            for target in self._targets.values()
+        )
+
     def release(self, slot: Slot, outcome: AttemptOutcome) -> None:
         """Release a slot and record the outcome of its attempt."""
         target = slot.gateway_target
@@ -336,6 +346,7 @@
         async with anyio.create_task_group() as group:
             while True:
                 await self._clock.sleep(_SWEEP_INTERVAL)
+                self._dispatch_after_holds()
                 now = self._clock.monotonic()
                 for target in list(self._targets.values()):
                     if target.client.has_connections:
@@ -357,6 +368,8 @@
                     "phase": target.view.phase.value,
                     "in_flight": target.in_flight,
                     "estimated_load": target.estimate_load(),
+                    "is_leaving": not target.takes_new_work,
+                    "held_back_s": round(target.client.held_back_s, 1),
                     "slowness": round(target.slowness, 1),
                     "ejection": target.ejection.state.value,
                     "is_unreachable": target.is_unreachable,
@@ -371,7 +384,7 @@
             _PROBE_TIMEOUT, target.health_path
         )
         target.ejection.finish_probe(answered, self._clock.monotonic())
-        if not answered:
+        if not answered and target.takes_new_work:
             self.crash_watch.record_crash(target.view)
         self._dispatch()
 
@@ -380,7 +393,8 @@
         for name, known in list(self._targets.items()):
             target = self._fleet_state.targets.get(name)
             if target is None or target.born != known.view.born:
-                self.crash_watch.record_crash(known.view)
+                if known.takes_new_work:
+                    self.crash_watch.record_crash(known.view)
                 self._targets.pop(name).client.close()
         for name, target in self._fleet_state.targets.items():
             known = self._targets.get(name)
@@ -455,9 +469,27 @@
                 if slot is not None:
                     queued.assign_slot(slot)
 
+    def _dispatch_after_holds(self) -> None:
+        """Assign slots of targets that no longer want to be left alone."""
+        ended = [
+            target.client.notice_wait_end()
+            for target in self._targets.values()
+        ]
+        if any(ended):
+            self._dispatch()
+
     def _list_eligible_targets(
         self, call: GatewayCall
     ) -> Iterator[GatewayTarget]:
+        """Yield the targets that can take the request, busy ones included."""
+        for target in self._list_suitable_targets(call):
+            if not target.client.is_held_back:
+                yield target
+
+    def _list_suitable_targets(
+        self, call: GatewayCall
+    ) -> Iterator[GatewayTarget]:
+        """Yield the eligible targets, and those that asked to wait."""
         now = self._clock.monotonic()
         for target in self._targets.values():
             if (
@@ -537,6 +569,8 @@
                     _FULL_RETRY_AFTER,
                 )
             return
+        if self._may_wait_for_held_target(call, remaining_s, total_s):
+            return
         if not queued.is_reported:
             queued.is_reported = True
             self.missing_item_event.set()
@@ -562,6 +596,35 @@
                 timedelta(seconds=load_time_left_s + _LOAD_MARGIN_S),
             )
 
+    def _may_wait_for_held_target(
+        self, call: GatewayCall, remaining_s: float, total_s: float
+    ) -> bool:
+        """Return whether a target that asked to wait takes requests in time.
+
+        False if there is no such target.
+
+        :raises NoTargetAvailable: the earliest of them returns too late.
+        """
+        held_back_s = min(
+            (
+                target.client.held_back_s
+                for target in self._list_suitable_targets(call)
+            ),
+            default=None,
+        )
+        if held_back_s is None:
+            return False
+        wait_limit_s = total_s * self._settings.wait_percent / 100
+        waited_s = total_s - remaining_s
+        if waited_s + held_back_s > wait_limit_s:
+            raise NoTargetAvailable(
+                UnavailableReason.HELD_BACK,
+                "every target that could take the request asked to wait",
+                "send it again after the time in Retry-After",
+                timedelta(seconds=held_back_s),
+            )
+        return True
+
     def _find_load_time_left_s(self, call: GatewayCall) -> float | None:
         """Return the seconds until the item is loaded, if that is known.
 
--- a/dotterelbridge/gateway/target.py
+++ b/dotterelbridge/gateway/target.py
@@ -96,8 +96,11 @@
 
     @property
     def takes_new_work(self) -> bool:
-        """Whether requests may be sent here."""
-        return self.view.takes_new_work
+        """Whether requests may be sent here.
+
+        What the target itself said of leaving outlives an old list.
+        """
+        return self.view.takes_new_work and not self.client.is_leaving
 
     @property
     def is_slow(self) -> bool:
@@ -265,5 +268,5 @@
         port=target.port,
         service=target.service,
     )
-    client = create_target_client(info, targets_settings, clock)
+    client = create_target_client(info, targets_settings, clock, rng)
     return GatewayTarget(target, client, distance, settings, rng)
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -123,6 +123,11 @@
             self._router.count_waiting_requests,
             "Requests that wait for a place",
         )
+        metrics.register_gauge(
+            "dotterelbridge.gateway.held_targets",
+            self._router.count_held_targets,
+            "Targets that said that they leave, or asked to wait",
+        )
         metrics.register_gauge(
             "dotterelbridge.gateway.in_flight",
             lambda: self._app.in_flight,
--- a/dotterelbridge/routing/router.py
+++ b/dotterelbridge/routing/router.py
@@ -277,10 +277,17 @@
                 if ticks % _CLIENT_SWEEP_INTERVAL_TICKS == 0:
                     self.sweep_clients()
                     self._record_waiting()
+                self._dispatch_after_holds()
                 self.expire_waiters()
                 for target in self.start_due_probes():
                     group.start_soon(self.probe, target)
 
+    def _dispatch_after_holds(self) -> None:
+        """Assign slots of targets that no longer want to be left alone."""
+        for target in self._targets.values():
+            if target.client.notice_wait_end():
+                self._dispatch_target(target)
+
     def _record_waiting(self) -> None:
         for priority in Priority:
             metrics.record_waiting(
@@ -500,6 +507,7 @@
             target
             for target in candidates
             if not target.lacks_item(model, now)
+            and not target.client.is_held_back
         ]
         not_ejected = [target for target in ready if not target.is_ejected]
         if not_ejected:
@@ -597,7 +605,9 @@
             for target in candidates
         ]
         slots = sum(target.concurrency.limit for target in candidates)
-        return (ahead + 1) * (sum(slot_holds_s) / len(slot_holds_s)) / slots
+        slot_hold_s = sum(slot_holds_s) / len(slot_holds_s)
+        held_back_s = min(target.client.held_back_s for target in candidates)
+        return held_back_s + (ahead + 1) * slot_hold_s / slots
 
     def _dispatch_all(self) -> None:
         self._dispatch(tuple(self._queue.list_items()))
--- a/dotterelbridge/routing/target.py
+++ b/dotterelbridge/routing/target.py
@@ -98,7 +98,11 @@
     @property
     def takes_new_work(self) -> bool:
         """Whether the target takes new requests; false once it is leaving."""
-        return self.view.takes_new_work and not self._reported_leaving
+        return (
+            self.view.takes_new_work
+            and not self._reported_leaving
+            and not self.client.is_leaving
+        )
 
     @property
     def is_ejected(self) -> bool:
--- a/dotterelbridge/serving/attempts.py
+++ b/dotterelbridge/serving/attempts.py
@@ -32,6 +32,7 @@
 from dotterelbridge.targets.client import Exchange
 from dotterelbridge.targets.client import ExchangeRequest
 from dotterelbridge.targets.completeness import verify_body_end
+from dotterelbridge.targets.errors import TargetHeldBack
 from dotterelbridge.targets.errors import TargetIdleTimeout
 
 _BYTES_PER_KB = 1024
@@ -253,6 +254,8 @@
     """Return the outcome that routing records for a failed attempt."""
     if isinstance(error, EngineRefused):
         return error.outcome
+    if isinstance(error, TargetHeldBack):
+        return Outcome.OVERLOADED
     if isinstance(error, TargetFailed):
         failed = error.response.status >= _SERVER_ERROR_STATUS
         return Outcome.FAILED if failed else Outcome.SUCCEEDED
--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 import contextlib
 from datetime import timedelta
+import math
+import random
 
 import anyio
 import msgspec
@@ -21,13 +23,17 @@
 from dotterelbridge.errors import TargetError
 from dotterelbridge.ids import AttemptId
 from dotterelbridge.membership.view import TargetInfo
+from dotterelbridge.targets import instruments
 from dotterelbridge.targets.connection import TargetConnection
 from dotterelbridge.targets.errors import MalformedResponse
 from dotterelbridge.targets.errors import ResponseIdMismatch
 from dotterelbridge.targets.errors import SendNotPermitted
+from dotterelbridge.targets.errors import TargetHeldBack
 from dotterelbridge.targets.errors import TargetIdleTimeout
 from dotterelbridge.targets.events import TargetEvent
 from dotterelbridge.targets.settings import TargetsSettings
+from dotterelbridge.targets.statements import TargetStatement
+from dotterelbridge.targets.statements import read_statement
 
 _log = structlog.get_logger(__name__)
 _BYTES_PER_KIB = 1024
@@ -135,7 +141,11 @@
     """Connection pool and exchanges of one target."""
 
     def __init__(
-        self, info: TargetInfo, settings: TargetsSettings, clock: Clock
+        self,
+        info: TargetInfo,
+        settings: TargetsSettings,
+        clock: Clock,
+        rng: random.Random,
     ) -> None:
         self.info = info
         self._settings = settings
@@ -144,7 +154,14 @@
         self._busy_connections: set[TargetConnection] = set()
         self._host = f"{info.host}:{info.port}".encode()
         self._request_id_header = settings.request_id_header.encode()
+        self._leaving_header = settings.leaving_header.lower().encode()
+        self._random = rng
         self._is_closed = False
+        self.is_leaving = False
+        """Whether the target has said that it leaves."""
+        self._returns_at = -math.inf
+        """Monotonic time from which the target takes requests again."""
+        self._has_wait_ended = True
 
     @contextlib.asynccontextmanager
     async def open_exchange(
@@ -157,8 +174,11 @@
 
         :raises TargetConnectFailed: no byte can have reached the target.
         :raises SendNotPermitted: the same, because ``may_send`` was false.
+        :raises TargetHeldBack: the same, because the target wants no
+            requests for a time.
         :raises TargetExchangeFailed: the request may have run.
         """
+        self._check_held_back()
         connection = await self._acquire_connection(request.fresh_connection)
         if request.may_send is not None and not request.may_send():
             connection.abort()
@@ -177,6 +197,11 @@
                 request.method,
             )
             await connection.read_head()
+            self.record_statement(
+                read_statement(
+                    connection.status, connection.headers, self._leaving_header
+                )
+            )
             yield Exchange(connection)
         except ResponseIdMismatch:
             events.log(
@@ -193,6 +218,72 @@
             self._busy_connections.discard(connection)
             self._release_connection(connection)
 
+    # What the target says of itself.
+
+    @property
+    def held_back_s(self) -> float:
+        """Seconds for which the target wants no requests from this VM."""
+        return max(0.0, self._returns_at - self._clock.monotonic())
+
+    @property
+    def is_held_back(self) -> bool:
+        """Whether the target wants no requests from this VM at present."""
+        return self._returns_at > self._clock.monotonic()
+
+    def record_statement(self, statement: TargetStatement) -> None:
+        """Follow what a response said of the target."""
+        if statement.unreadable:
+            self._count_statement("unreadable")
+            events.log(
+                _log,
+                TargetEvent.STATEMENT_UNREADABLE,
+                target=self.info.target,
+            )
+        if statement.is_leaving and not self.is_leaving:
+            self.is_leaving = True
+            self._count_statement("leaving")
+            events.log(
+                _log,
+                TargetEvent.TARGET_SAYS_LEAVING,
+                target=self.info.target,
+            )
+            self.close()
+        if statement.wait:
+            returns_at = self._clock.monotonic() + statement.choose_return_s(
+                self._random
+            )
+            self._returns_at = max(self._returns_at, returns_at)
+            self._has_wait_ended = False
+            self._count_statement("wait")
+            events.log(
+                _log,
+                TargetEvent.TARGET_ASKS_TO_WAIT,
+                target=self.info.target,
+                wait_s=statement.wait.total_seconds(),
+                returns_in_s=round(self.held_back_s, 3),
+            )
+
+    def notice_wait_end(self) -> bool:
+        """Return True once after a time in which nothing was sent."""
+        if self._has_wait_ended or self.is_held_back:
+            return False
+        self._has_wait_ended = True
+        events.log(
+            _log, TargetEvent.TARGET_WAIT_ENDED, target=self.info.target
+        )
+        return True
+
+    def _check_held_back(self) -> None:
+        if self.is_held_back:
+            raise TargetHeldBack(
+                f"{self.info.target} wants no requests for "
+                f"{self.held_back_s:.1f} s",
+                "send it again after that time, or to another target",
+            )
+
+    def _count_statement(self, kind: str) -> None:
+        instruments.statements.add(1, {"kind": kind})
+
     @property
     def has_connections(self) -> bool:
         """Whether any connection is open or was recently."""
@@ -240,6 +331,9 @@
 
         :param path: a path that costs no work; empty to only connect.
         """
+        if self.is_held_back:
+            # It has answered, and may not be asked.
+            return True
         request = ExchangeRequest(
             attempt=AttemptId(""),
             method="GET",
@@ -388,7 +482,13 @@
 
 
 def create_target_client(
-    info: TargetInfo, settings: TargetsSettings, clock: Clock
+    info: TargetInfo,
+    settings: TargetsSettings,
+    clock: Clock,
+    rng: random.Random | None = None,
 ) -> TargetClient:
-    """Return a client for the address in ``info``."""
-    return TargetClient(info, settings, clock)
+    """Return a client for the address in ``info``.
+
+    :param rng: spreads the returns of VMs to a target that asked to wait.
+    """
+    return TargetClient(info, settings, clock, rng or random.Random())
--- a/dotterelbridge/targets/errors.py
+++ b/dotterelbridge/targets/errors.py
@@ -8,6 +8,10 @@
     """The permission to send expired before the first byte was written."""
 
 
+class TargetHeldBack(TargetConnectFailed):
+    """The target asked for no requests for a time; nothing was sent."""
+
+
 class TargetIdleTimeout(TargetExchangeFailed):
     """The response did not arrive, or not fast enough, within its limit."""
 
--- a/dotterelbridge/targets/events.py
+++ b/dotterelbridge/targets/events.py
@@ -28,3 +28,26 @@
         "Bytes arrived on an idle connection, which was closed. Report "
         "the target to its owner.",
     )
+    TARGET_SAYS_LEAVING = (
+        9004,
+        logging.INFO,
+        "A target said in an answer that it leaves; it gets no new requests "
+        "from this VM.",
+    )
+    TARGET_ASKS_TO_WAIT = (
+        9005,
+        logging.WARNING,
+        "A target answered 503 with Retry-After; it gets no requests from "
+        "this VM for so long.",
+    )
+    TARGET_WAIT_ENDED = (
+        9006,
+        logging.INFO,
+        "The time for which a target wanted no requests is over.",
+    )
+    STATEMENT_UNREADABLE = (
+        9007,
+        logging.WARNING,
+        "What a target said of itself in a header could not be read; it was "
+        "passed over. Report the target to its owner.",
+    )
--- /dev/null
+++ b/dotterelbridge/targets/instruments.py
@@ -0,0 +1,9 @@
+"""Metric instruments of the connections to targets."""
+
+from dotterelbridge import metrics
+
+statements = metrics.meter.create_counter(
+    "dotterelbridge.targets.statements",
+    description="What targets said of themselves, by kind: leaving, wait, "
+    "unreadable",
+)
--- a/dotterelbridge/targets/settings.py
+++ b/dotterelbridge/targets/settings.py
@@ -29,6 +29,8 @@
     """Maximum number of idle connections to one target."""
     request_id_header: str = "x-request-id"
     """Header with an attempt's ID, which the target's response repeats."""
+    leaving_header: str = "dotterelbridge-leaving"
+    """Header with the value 1 in the answers of a target that leaves."""
     skip_foreign_answers: bool = False
     """Whether a response with another ID is skipped, as a late second
     response of an earlier exchange; otherwise it ends the exchange."""
--- a/tests/gateway/test_plain_services.py
+++ b/tests/gateway/test_plain_services.py
@@ -39,6 +39,10 @@
 class FakeClient:
     """Knows when its idle connection is closed."""
 
+    is_leaving = False
+    is_held_back = False
+    held_back_s = 0.0
+
     def __init__(self, clock) -> None:
         self._clock = clock
         self.connections_opened = 0
@@ -53,6 +57,9 @@
             self.connections_opened += 1
         self.idle_until = self._clock.monotonic() + IDLE_LIMIT_S
 
+    def notice_wait_end(self) -> bool:
+        return False
+
 
 class EntryVm:
     """The router of one entry VM before one replica in each domain."""
--- a/tests/nodes/test_platform_engines.py
+++ b/tests/nodes/test_platform_engines.py
@@ -75,3 +75,37 @@
         await fake.stop()
 
     run_async(check)()
+
+
+def test_report_may_say_in_its_head_that_the_replica_leaves(engines):
+    async def serve(received):
+        await received.answer(REPORT, headers={"dotterelbridge-leaving": "1"})
+
+    async def check():
+        fake = FakeTarget("e1", serve)
+        await fake.start()
+        target = create_target("e1", port=fake.port)
+        control = engines.PlatformEngines(TargetsSettings(), SystemClock())
+        report = await control.fetch_report(target, TIMEOUT)
+        assert report.is_leaving
+        await fake.stop()
+
+    run_async(check)()
+
+
+def test_replica_that_asked_to_wait_gets_no_reports(engines):
+    async def refuse(received):
+        await received.answer(b"", 503, {"retry-after": "30"})
+
+    async def check():
+        fake = FakeTarget("e1", refuse)
+        await fake.start()
+        target = create_target("e1", port=fake.port)
+        control = engines.PlatformEngines(TargetsSettings(), SystemClock())
+        for _ in range(3):
+            with pytest.raises(EngineCallFailed):
+                await control.fetch_report(target, TIMEOUT)
+        assert len(fake.received) == 1
+        await fake.stop()
+
+    run_async(check)()
