--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -215,9 +215,6 @@
                 if queued.slot is not None:
                     break
                 self._check_quarantine(call)
-                self._dispatch_after_holds()
-                if queued.slot is not None:
-                    break
                 self._check_wait(queued)
             self._record_wait(queued, "placed")
             return queued.slot
--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -228,7 +228,10 @@
     @property
     def is_held_back(self) -> bool:
         """Whether the target wants no requests from this VM at present."""
-        return self._returns_at > self._clock.monotonic()
+        return (
+            not self._has_wait_ended
+            and self._returns_at > self._clock.monotonic()
+        )
 
     def record_statement(self, statement: TargetStatement) -> None:
         """Follow what a response said of the target."""
--- a/tests/gateway/test_target_statements.py
+++ b/tests/gateway/test_target_statements.py
@@ -149,7 +149,10 @@
     harness.update_target()
     hold_back(harness, "e1", 0.3)
     started_at = harness.clock.monotonic()
-    await harness.router.acquire(harness.create_call())
+    async with anyio.create_task_group() as group:
+        group.start_soon(harness.router.run)
+        await harness.router.acquire(harness.create_call())
+        group.cancel_scope.cancel()
     assert 0.3 <= harness.clock.monotonic() - started_at <= 0.5
 
 
@@ -178,6 +181,9 @@
         harness.router.release(slot, AttemptOutcome.ANSWERED)
 
     async with anyio.create_task_group() as group:
-        for rank in (3, 1, 2, 0):
-            group.start_soon(run, rank)
+        group.start_soon(harness.router.run)
+        async with anyio.create_task_group() as callers:
+            for rank in (3, 1, 2, 0):
+                callers.start_soon(run, rank)
+        group.cancel_scope.cancel()
     assert order == [0, 1, 2, 3]
