Count a crash against no other part once its cause is known

What callers would have seen: sound requests of a caller refused because the caller's other requests ended engines.

Cause: a part in the prompts of broken-off sound requests kept its crashes after the crashing part had been quarantined, and was quarantined next. Of parts that always came together both were, at the fifth crash, even if one had been answered often before.

Change: a crash under a quarantined part explains itself, whoever reports it; parts with equal evidence are told apart by two more crashes; of these, parts that were answered before are not suspected beside one that never was.

--- a/dotterelbridge/fleet/quarantine_keeper.py
+++ b/dotterelbridge/fleet/quarantine_keeper.py
@@ -66,9 +66,8 @@
         self, incarnation: Incarnation, parts: Iterable[PartId]
     ) -> None:
         """Record one VM's report of a crash."""
-        self._tracker.record_crash(
-            incarnation, [p for p in parts if self._table.find(p) is None]
-        )
+        quarantined = [entry.part for entry in self._table.snapshot.parts]
+        self._tracker.record_crash(incarnation, parts, quarantined)
 
     def record_answered(self, parts: Iterable[PartId]) -> None:
         """Record that requests with the parts were answered completely."""
@@ -95,7 +94,7 @@
         for part in self._tracker.list_suspects():
             targets = self._tracker.list_crashed_targets(part)
             if await self._change(ChangeKind.ADD, part):
-                self._tracker.record_answered([part])
+                self._tracker.record_cause(part)
                 events.log(
                     _log,
                     FleetEvent.PART_QUARANTINED,
--- a/tests/fleet/test_crash_tracker.py
+++ b/tests/fleet/test_crash_tracker.py
@@ -102,9 +102,36 @@
     crash_repeatedly(tracker, clock, 3, BAD_PART, *parts)
     assert tracker.list_suspects() == []
     crash_repeatedly(tracker, clock, 1, BAD_PART, *parts[:1], first=3)
+    assert tracker.list_suspects() == []
+    crash_repeatedly(tracker, clock, 1, BAD_PART, *parts[:1], first=4)
     assert tracker.list_suspects() == [BAD_PART, parts[0]]
 
 
+# Guards against refusing a caller that also sends the crashing requests.
+def test_of_parts_that_come_together_the_unanswered_one_is_suspected(
+    tracker, clock
+):
+    tracker.record_answered([CALLER_PART])
+    crash_repeatedly(tracker, clock, 3, CALLER_PART, BAD_PART)
+    assert tracker.list_suspects() == [BAD_PART]
+
+
+# Guards against refusing the callers whose requests were broken off.
+def test_crash_with_a_known_cause_is_no_evidence_against_others(
+    tracker, clock
+):
+    crash_repeatedly(tracker, clock, 4, BAD_PART, CALLER_PART)
+    crash_repeatedly(tracker, clock, 1, BAD_PART, first=4)
+    assert tracker.list_suspects() == [BAD_PART]
+    tracker.record_cause(BAD_PART)
+    assert tracker.list_crashed_targets(CALLER_PART) == []
+    # Reports of other VMs on the same crash, before and after.
+    tracker.record_crash(("e5", 1), [CALLER_PART], [BAD_PART])
+    tracker.record_crash(("e5", 1), [BAD_PART], [BAD_PART])
+    tracker.record_crash(("e5", 1), [CALLER_PART], [BAD_PART])
+    assert tracker.list_crashed_targets(CALLER_PART) == []
+
+
 def test_old_crashes_are_forgotten(tracker, clock):
     crash_repeatedly(tracker, clock, 2, BAD_PART)
     clock.advance(timedelta(seconds=301.0))
