Let the fake engine's listen queue hold all connections of a test

The error in the teardown is the daemon's log, which nobody read: it fills the pipe.

Ruled out: the daemon accepts all 300 callers in each of these runs.

Change, in the test's fakes only: a listen queue of 1024, and a reader of the daemon's log. The scenario and its bounds stay.

--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -209,7 +209,9 @@
         )
 
     def _may_send(self, slot: Slot) -> bool:
-        """Whether to send still, also after a pause of the process.
+        """Return whether the request may still be sent to a slot's target.
+
+        Also asked after a pause of the process.
 
         The caller was promised an answer by the deadline, and may repeat a
         request that it gave up. The target may have said that it leaves.
--- a/tests/serving/fakes.py
+++ b/tests/serving/fakes.py
@@ -43,6 +43,9 @@
 DOMAIN = FailureDomain("dublin-1")
 REGION = Region("dublin")
 BUSINESS = Business("liffeyside")
+LISTEN_BACKLOG = 1024
+"""Above the connections of any test, so that the kernel completes all of them
+while the test's event loop gets no processor time."""
 
 
 @dataclasses.dataclass
@@ -172,7 +175,7 @@
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", self.port
+            self._serve, "127.0.0.1", self.port, backlog=LISTEN_BACKLOG
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
--- a/tests/serving/test_shutdown_features.py
+++ b/tests/serving/test_shutdown_features.py
@@ -119,6 +119,8 @@
             stdout=asyncio.subprocess.PIPE,
         )
         self.port = int(await self.process.stdout.readline())
+        # A full pipe would block the daemon when it logs.
+        self.tasks.append(asyncio.create_task(self.process.stdout.read()))
 
     async def start_callers(self, count: int) -> list[Caller]:
         callers = [Caller() for _ in range(count)]
