Test statements of targets end to end, and half of the targets leaving

Cause: the statements were tested at sockets and without network, but not through the platform's protocol classes; the stand-in replica could not make them. No product code changes.

The stand-in replica says that it leaves, or refuses with Retry-After; entry and control VMs in one process, with the header's name from the settings. Five of ten targets leave at once while requests wait; a wait that ends while the process is frozen.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -18,6 +18,7 @@
 LIST_PATH = "/instances"
 _BODY_LIMIT_BYTES = 1_000_000
 _NOT_EXECUTED_HEADER = (b"x-dotterelbridge-not-executed", b"1")
+_LEAVING_HEADER = (b"server-leaving", b"1")
 _SERVER_STAMP_HEADER = b"x-dotterelbridge-server-stamp"
 _REQUEST_ID_HEADER = b"x-dotterelbridge-request-id"
 
@@ -53,6 +54,10 @@
         self.controllers: set[str] = set()
         self.served_items: list[str] = []
         self.over_committed = False
+        self.is_leaving = False
+        """Whether its answers say that it leaves."""
+        self.retry_after_s: int | None = None
+        """Refuses all requests and asks for none for this time, if set."""
         self._model_limit = model_limit
         self._event_count = event_count
 
@@ -135,7 +140,17 @@
                 sink, 421, b"", [request_id_header, _NOT_EXECUTED_HEADER]
             )
             return
+        if self.retry_after_s is not None:
+            retry_after = (b"retry-after", b"%d" % self.retry_after_s)
+            write_response(
+                sink,
+                503,
+                b"",
+                [request_id_header, _NOT_EXECUTED_HEADER, retry_after],
+            )
+            return
         self.served_items.append(requested_item)
+        leaving_headers = [_LEAVING_HEADER] if self.is_leaving else []
         sink.write(
             {
                 "type": "http.response.start",
@@ -144,6 +159,7 @@
                     request_id_header,
                     (_SERVER_STAMP_HEADER, self.name.encode()),
                     (b"content-type", b"text/event-stream"),
+                    *leaving_headers,
                 ],
             }
         )
--- a/tests/gateway/test_target_statements.py
+++ b/tests/gateway/test_target_statements.py
@@ -187,3 +187,39 @@
                 callers.start_soon(run, rank)
         group.cancel_scope.cancel()
     assert order == [0, 1, 2, 3]
+
+
+@in_virtual_time
+async def test_half_of_the_targets_leave_at_once(harness):
+    for number in range(10):
+        harness.update_target(f"e{number}", slots=1)
+    slots = [
+        await harness.router.acquire(harness.create_call()) for _ in range(10)
+    ]
+    placed = []
+
+    async def run():
+        slot = await harness.router.acquire(harness.create_call())
+        placed.append(slot.view.target)
+
+    async with anyio.create_task_group() as group:
+        for _ in range(5):
+            group.start_soon(run)
+        await anyio.sleep(0.05)
+        leaving = {f"e{number}" for number in range(5)}
+        for name in leaving:
+            client = harness.router._targets[name].client
+            client.record_statement(TargetStatement(is_leaving=True))
+        for slot in slots:
+            harness.router.release(slot, AttemptOutcome.ANSWERED)
+    assert len(placed) == 5
+    assert not leaving & set(placed)
+
+
+@in_virtual_time
+async def test_wait_ends_during_a_freeze_of_the_process(harness):
+    """Monotonic time counts the time for which a VM was suspended."""
+    harness.update_target()
+    hold_back(harness, "e1", 5)
+    await anyio.sleep(60)
+    await harness.router.acquire(harness.create_call())
--- a/tests/nodes/test_platform_path.py
+++ b/tests/nodes/test_platform_path.py
@@ -134,6 +134,7 @@
         lines += ["[serving]", "balancer_lead_s = 0"]
         lines += ["[targets]", "skip_foreign_answers = true"]
         lines += ["request_id_header = x-dotterelbridge-request-id"]
+        lines += ["leaving_header = server-leaving"]
         path = self.folder / f"{name}.ini"
         path.write_text("\n".join(lines))
         return load_node_settings(str(path)), str(path)
@@ -259,6 +260,39 @@
         assert len(deployment.replica.controllers) == 1
 
 
+async def wait_until_served(deployment) -> None:
+    await deployment.submit(create_configuration())
+    await deployment.wait_until_ready()
+    with anyio.fail_after(WAIT_TIMEOUT_S):
+        while (await deployment.send_request("m0")).status_code != 200:
+            await anyio.sleep(0.05)
+
+
+async def test_replica_that_says_it_leaves_gets_no_new_work(tmp_path):
+    async with run_deployment(tmp_path) as deployment:
+        await wait_until_served(deployment)
+        replica = deployment.replica
+        replica.is_leaving = True
+        last = await deployment.send_request("m0")
+        assert last.status_code == 200
+        served_count = len(replica.served_items)
+        for _ in range(3):
+            refused = await deployment.send_request("m0")
+            assert refused.status_code == 503
+        assert len(replica.served_items) == served_count
+
+
+async def test_refusal_tells_when_a_replica_returns(tmp_path):
+    async with run_deployment(tmp_path) as deployment:
+        await wait_until_served(deployment)
+        deployment.replica.retry_after_s = 20
+        refused = await deployment.send_request("m0")
+        assert refused.status_code == 503
+        assert 19 <= float(refused.headers["retry-after"]) <= 21
+        deployment.replica.retry_after_s = None
+        assert (await deployment.send_request("m0")).status_code == 503
+
+
 async def test_configuration_is_read_back_unchanged(tmp_path):
     async with run_deployment(tmp_path) as deployment:
         await deployment.submit(create_configuration(3))
