Say what four constants of the quarantine stand for

Read as a newcomer: two timeouts of the same name and another value, bounds and a lifetime without a line, and a docstring that leaned on a comment.

--- a/dotterelbridge/fleet/crash_tracker.py
+++ b/dotterelbridge/fleet/crash_tracker.py
@@ -12,7 +12,9 @@
 """A target and the Unix time of its start in ms."""
 
 _CRASH_LIFETIME_S = 300.0
+"""Time after which a crash is no evidence any more."""
 _MAX_TRACKED_PARTS = 4096
+"""Bound on memory: parts with crashes, and parts that were answered."""
 _MAX_SUSPECTS = 3
 """Parts with equal evidence that may be suspected at the same time."""
 _TIE_CRASHES = 2
--- a/dotterelbridge/fleet/quarantine.py
+++ b/dotterelbridge/fleet/quarantine.py
@@ -21,7 +21,9 @@
 
 STATE_MACHINE_NAME = "quarantine"
 MAX_QUARANTINED_PARTS = 64
+"""Further parts are not taken; the table goes with each change to all VMs."""
 NO_VM = VmId("")
+"""Stands for the VM of a trial where there is none."""
 
 _log = structlog.get_logger(__name__)
 
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -211,10 +211,9 @@
     def _may_send(self, slot: Slot) -> bool:
         """Return whether the request may still be sent to a slot's target.
 
-        Also asked after a pause of the process.
-
-        The caller was promised an answer by the deadline, and may repeat a
-        request that it gave up. The target may have said that it leaves.
+        Not after the caller's deadline, by which it was promised an answer,
+        as it may then repeat the request, and not to a target that has said
+        that it leaves. Either may happen during a pause of the process.
         """
         has_time_left = self.call.remaining_s(self._clock.monotonic()) > 0
         return has_time_left and slot.gateway_target.takes_new_work
--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -45,6 +45,7 @@
 
 _LEADERSHIP_TRANSFER_TIMEOUT = timedelta(seconds=2)
 _CRASH_REPORT_TIMEOUT = timedelta(milliseconds=500)
+"""Time for the leader to answer a report that this VM passes on."""
 _LOG_FOLDER_NAME = "log"
 
 
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -24,6 +24,7 @@
 from dotterelbridge.serving.listener import create_caller_listener
 
 _CRASH_REPORT_TIMEOUT = timedelta(seconds=1)
+"""Time for a control VM to answer, which may have to ask the leader."""
 _CRASH_REPORT_RETRY_DELAY = timedelta(milliseconds=200)
 _CRASH_REPORT_LIFETIME_S = 10.0
 """Time after which a report that no leader took is dropped."""
