Log the rate limit that a target names in its answers

Change: targets/statements.py reads the header (rate_limit_header in [targets]), the client keeps the latest value, logs its changes (events 9008, 9009) and counts them. Nothing routes by it yet. Limits under one request in 20 s count as that, as a target without requests can't say that its limit has ended.

--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -155,10 +155,14 @@
         self._host = f"{info.host}:{info.port}".encode()
         self._request_id_header = settings.request_id_header.encode()
         self._leaving_header = settings.leaving_header.lower().encode()
+        self._rate_limit_header = settings.rate_limit_header.lower().encode()
         self._random = rng
         self._is_closed = False
         self.is_leaving = False
         """Whether the target has said that it leaves."""
+        self.rate_limit_per_s: float | None = None
+        """Requests a second from all VMs together, as the target's latest
+        answer named them."""
         self._returns_at = -math.inf
         """Monotonic time from which the target takes requests again."""
         self._has_wait_ended = True
@@ -199,7 +203,10 @@
             await connection.read_head()
             self.record_statement(
                 read_statement(
-                    connection.status, connection.headers, self._leaving_header
+                    connection.status,
+                    connection.headers,
+                    self._leaving_header,
+                    self._rate_limit_header,
                 )
             )
             yield Exchange(connection)
@@ -266,6 +273,30 @@
                 returns_in_s=round(self.held_back_s, 3),
             )
 
+        self._record_rate_limit(statement)
+
+    def _record_rate_limit(self, statement: TargetStatement) -> None:
+        requests_per_s = statement.rate_limit_per_s
+        if requests_per_s == self.rate_limit_per_s or (
+            requests_per_s is None and statement.unreadable
+        ):
+            return
+        self.rate_limit_per_s = requests_per_s
+        if requests_per_s is None:
+            events.log(
+                _log,
+                TargetEvent.TARGET_RATE_LIMIT_ENDED,
+                target=self.info.target,
+            )
+            return
+        self._count_statement("rate_limit")
+        events.log(
+            _log,
+            TargetEvent.TARGET_NAMES_RATE_LIMIT,
+            target=self.info.target,
+            requests_per_s=requests_per_s,
+        )
+
     def notice_wait_end(self) -> bool:
         """Return True once after a time in which nothing was sent."""
         if self._has_wait_ended or self.is_held_back:
--- a/dotterelbridge/targets/events.py
+++ b/dotterelbridge/targets/events.py
@@ -51,3 +51,14 @@
         "What a target said of itself in a header could not be read; it was "
         "passed over. Report the target to its owner.",
     )
+    TARGET_NAMES_RATE_LIMIT = (
+        9008,
+        logging.WARNING,
+        "A target named in an answer how many requests a second it takes "
+        "from all VMs together.",
+    )
+    TARGET_RATE_LIMIT_ENDED = (
+        9009,
+        logging.INFO,
+        "A target that had named a rate limit answered without one.",
+    )
--- a/dotterelbridge/targets/instruments.py
+++ b/dotterelbridge/targets/instruments.py
@@ -5,5 +5,5 @@
 statements = metrics.meter.create_counter(
     "dotterelbridge.targets.statements",
     description="What targets said of themselves, by kind: leaving, wait, "
-    "unreadable",
+    "rate_limit, unreadable",
 )
--- a/dotterelbridge/targets/settings.py
+++ b/dotterelbridge/targets/settings.py
@@ -31,6 +31,9 @@
     """Header with an attempt's ID, which the target's response repeats."""
     leaving_header: str = "dotterelbridge-leaving"
     """Header with the value 1 in the answers of a target that leaves."""
+    rate_limit_header: str = "dotterelbridge-rate-limit"
+    """Header with the number of requests a second that a target takes from
+    all VMs together."""
     skip_foreign_answers: bool = False
     """Whether a response with another ID is skipped, as a late second
     response of an earlier exchange; otherwise it ends the exchange."""
--- a/tests/targets/test_statements.py
+++ b/tests/targets/test_statements.py
@@ -8,6 +8,7 @@
 from dotterelbridge.targets.errors import TargetHeldBack
 from dotterelbridge.targets.settings import TargetsSettings
 from dotterelbridge.targets.statements import MAX_WAIT
+from dotterelbridge.targets.statements import MIN_RATE_LIMIT_PER_S
 from dotterelbridge.targets.statements import TargetStatement
 from dotterelbridge.targets.statements import read_statement
 from tests.serving.fakes import run_async
@@ -15,11 +16,18 @@
 from tests.targets.test_faulty_responses import run_client
 
 LEAVING_HEADER = b"dotterelbridge-leaving"
+RATE_LIMIT_HEADER = b"dotterelbridge-rate-limit"
 SETTINGS = TargetsSettings()
 
 
 def read(status=200, *headers) -> TargetStatement:
-    return read_statement(status, headers, LEAVING_HEADER)
+    return read_statement(status, headers, LEAVING_HEADER, RATE_LIMIT_HEADER)
+
+
+def read_rate_limit(*values) -> float | None:
+    return read(
+        200, *((RATE_LIMIT_HEADER, value) for value in values)
+    ).rate_limit_per_s
 
 
 def read_wait(*values) -> timedelta | None:
@@ -78,6 +86,30 @@
     assert read(200, (b"retry-after", b"5")).wait is None
 
 
+@pytest.mark.parametrize("status", [200, 421, 500, 503])
+def test_any_answer_may_name_a_rate_limit(status):
+    statement = read(status, (RATE_LIMIT_HEADER, b"2.9"))
+    assert statement == TargetStatement(rate_limit_per_s=2.9)
+    assert read(status).rate_limit_per_s is None
+
+
+def test_lowest_of_several_rate_limits_counts():
+    assert read_rate_limit(b"7", b" 3.5 ", b"4", b"many") == 3.5
+    assert read_rate_limit(b"3", b"0") == MIN_RATE_LIMIT_PER_S
+
+
+@pytest.mark.parametrize("value", [b"", b"few", b"-1", b"nan", b"1e3", b"3/s"])
+def test_unreadable_rate_limit_is_passed_over(value):
+    statement = read(200, (RATE_LIMIT_HEADER, value))
+    assert statement == TargetStatement(unreadable=True)
+
+
+def test_rate_limit_has_bounds():
+    assert read_rate_limit(b"0") == MIN_RATE_LIMIT_PER_S
+    assert read_rate_limit(b"0.3") == 0.3
+    assert read_rate_limit(b"1000000") is None
+
+
 def answer(status, headers):
     async def handle(received):
         await received.answer(b"-", status, headers)
@@ -120,3 +152,18 @@
         await fetch(client)
         assert client.is_leaving
         assert client.count_connections() == {"busy": 0, "idle": 0}
+
+
+# Guards against a rate limit that no log or metric shows.
+@run_async
+async def test_client_keeps_the_rate_limit_of_the_latest_answer():
+    handler = answer(200, {"dotterelbridge-rate-limit": "2.9"})
+    async with run_client(handler) as (target, client):
+        await fetch(client)
+        assert client.rate_limit_per_s == 2.9
+        target.handler = answer(200, {"dotterelbridge-rate-limit": "many"})
+        await fetch(client)
+        assert client.rate_limit_per_s == 2.9
+        target.handler = answer(200, {})
+        await fetch(client)
+        assert client.rate_limit_per_s is None
