--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -19,6 +19,7 @@
 _BODY_LIMIT_BYTES = 1_000_000
 _NOT_EXECUTED_HEADER = (b"x-dotterelbridge-not-executed", b"1")
 _LEAVING_HEADER = (b"server-leaving", b"1")
+_RATE_LIMIT_HEADER = b"server-limit"
 _SERVER_STAMP_HEADER = b"x-dotterelbridge-server-stamp"
 _REQUEST_ID_HEADER = b"x-dotterelbridge-request-id"
 
@@ -56,6 +57,8 @@
         self.over_committed = False
         self.is_leaving = False
         """Whether its answers say that it leaves."""
+        self.rate_limit_per_s: float | None = None
+        """Requests a second that its answers ask for, if set."""
         self.retry_after_s: int | None = None
         """Refuses all requests and asks for none for this time, if set."""
         self._model_limit = model_limit
@@ -150,7 +153,6 @@
             )
             return
         self.served_items.append(requested_item)
-        leaving_headers = [_LEAVING_HEADER] if self.is_leaving else []
         sink.write(
             {
                 "type": "http.response.start",
@@ -159,7 +161,7 @@
                     request_id_header,
                     (_SERVER_STAMP_HEADER, self.name.encode()),
                     (b"content-type", b"text/event-stream"),
-                    *leaving_headers,
+                    *self._list_statements(),
                 ],
             }
         )
@@ -175,6 +177,13 @@
             {"type": "http.response.body", "body": b"", "more_body": False}
         )
 
+    def _list_statements(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers in which the replica speaks of itself."""
+        headers = [_LEAVING_HEADER] if self.is_leaving else []
+        if self.rate_limit_per_s is not None:
+            headers.append((_RATE_LIMIT_HEADER, b"%g" % self.rate_limit_per_s))
+        return headers
+
 
 class StandinInstanceList:
     """The platform's instance list, with one entry per page."""
--- a/tests/nodes/test_platform_path.py
+++ b/tests/nodes/test_platform_path.py
@@ -135,6 +135,7 @@
         lines += ["[targets]", "skip_foreign_answers = true"]
         lines += ["request_id_header = x-dotterelbridge-request-id"]
         lines += ["leaving_header = server-leaving"]
+        lines += ["rate_limit_header = server-limit"]
         path = self.folder / f"{name}.ini"
         path.write_text("\n".join(lines))
         return load_node_settings(str(path)), str(path)
@@ -221,13 +222,16 @@
 
 
 @contextlib.asynccontextmanager
-async def run_deployment(folder):
+async def run_deployment(folder, entry_addresses=(ENTRY_ADDRESS,)):
     deployment = Deployment(folder)
     nodes = [
         deployment.create_control(n, a)
         for n, a in enumerate(CONTROL_ADDRESSES)
     ]
-    nodes.append(deployment.create_entry())
+    nodes += [
+        deployment.create_entry(f"f{n + 1}", address)
+        for n, address in enumerate(entry_addresses)
+    ]
     async with anyio.create_task_group() as group:
         group.start_soon(deployment.replica_listener.run)
         group.start_soon(deployment.list_listener.run)
@@ -293,6 +297,42 @@
         assert (await deployment.send_request("m0")).status_code == 503
 
 
+# Guards against entry VMs that keep to a named limit each by itself.
+async def test_rate_limit_of_a_replica_holds_for_all_entry_vms(tmp_path):
+    requests_per_s = 1.0
+    contact_s = 4.0
+    window_s = 4.0
+    allowed = 1.5 * requests_per_s * window_s + 5
+    entry_addresses = (ENTRY_ADDRESS, "127.0.0.5", "127.0.0.6")
+    arrivals = []
+    refused = []
+    async with run_deployment(tmp_path, entry_addresses) as deployment:
+        await wait_until_served(deployment)
+        deployment.replica.rate_limit_per_s = requests_per_s
+        clock = deployment.clock
+        ends_at = clock.monotonic() + contact_s + window_s + 1
+
+        async def call_repeatedly(address) -> None:
+            while clock.monotonic() < ends_at:
+                started_at = clock.monotonic()
+                response = await deployment.send_request("m0", address)
+                if response.status_code == 200:
+                    arrivals.append(started_at)
+                else:
+                    refused.append(response)
+                    await anyio.sleep(0.1)
+
+        async with anyio.create_task_group() as callers:
+            for address in entry_addresses * 2:
+                callers.start_soon(call_repeatedly, address)
+    start = arrivals[0] + contact_s
+    late = [at for at in arrivals if start <= at < start + window_s]
+    assert len(late) <= allowed
+    assert late
+    assert {r.status_code for r in refused} == {503}
+    assert all(float(r.headers["retry-after"]) > 0 for r in refused)
+
+
 async def test_configuration_is_read_back_unchanged(tmp_path):
     async with run_deployment(tmp_path) as deployment:
         await deployment.submit(create_configuration(3))
