--- a/dotterelbridge/fleet/crash_tracker.py
+++ b/dotterelbridge/fleet/crash_tracker.py
@@ -5,12 +5,10 @@
 
 from dotterelbridge.clock import Clock
 from dotterelbridge.fleet.settings import FleetSettings
+from dotterelbridge.ids import Incarnation
 from dotterelbridge.ids import PartId
 from dotterelbridge.ids import TargetId
 
-Incarnation = tuple[TargetId, int]
-"""A target and the Unix time of its start in ms."""
-
 _CRASH_LIFETIME_S = 300.0
 """Time after which a crash is no evidence any more."""
 _MAX_TRACKED_PARTS = 4096
--- a/dotterelbridge/fleet/quarantine_keeper.py
+++ b/dotterelbridge/fleet/quarantine_keeper.py
@@ -13,7 +13,6 @@
 from dotterelbridge.errors import CommitUnknown
 from dotterelbridge.errors import NotCommitted
 from dotterelbridge.fleet.crash_tracker import CrashTracker
-from dotterelbridge.fleet.crash_tracker import Incarnation
 from dotterelbridge.fleet.events import FleetEvent
 from dotterelbridge.fleet.quarantine import NO_VM
 from dotterelbridge.fleet.quarantine import STATE_MACHINE_NAME
@@ -22,6 +21,7 @@
 from dotterelbridge.fleet.quarantine import QuarantineTable
 from dotterelbridge.fleet.quarantine import encode_change
 from dotterelbridge.fleet.settings import FleetSettings
+from dotterelbridge.ids import Incarnation
 from dotterelbridge.ids import PartId
 from dotterelbridge.ids import VmId
 from dotterelbridge.replication.log import ReplicatedLog
--- a/dotterelbridge/gateway/crash_watch.py
+++ b/dotterelbridge/gateway/crash_watch.py
@@ -11,8 +11,8 @@
 from dotterelbridge.fleet.messages import CrashReport
 from dotterelbridge.fleet.records import FleetTarget
 from dotterelbridge.gateway.events import GatewayEvent
+from dotterelbridge.ids import Incarnation
 from dotterelbridge.ids import PartId
-from dotterelbridge.ids import TargetId
 
 _log = structlog.get_logger(__name__)
 
@@ -23,8 +23,6 @@
 _SOUND_AFTER_S = 1.0
 """Time after its first event from which a stream is not suspected."""
 
-_Incarnation = tuple[TargetId, int]
-
 
 class _ClosedAttempt(msgspec.Struct, frozen=True):
     """An attempt whose connection the target closed before its answer."""
@@ -39,8 +37,8 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._closed_attempts: dict[_Incarnation, list[_ClosedAttempt]] = {}
-        self._crashed_at: dict[_Incarnation, float] = {}
+        self._closed_attempts: dict[Incarnation, list[_ClosedAttempt]] = {}
+        self._crashed_at: dict[Incarnation, float] = {}
         self._answered_parts: set[PartId] = set()
         self._reports: list[CrashReport] = []
         self._has_reports = anyio.Event()
@@ -97,7 +95,7 @@
             await self._has_reports.wait()
         return self._reports.pop(0)
 
-    def _report(self, incarnation: _Incarnation) -> None:
+    def _report(self, incarnation: Incarnation) -> None:
         attempts = self._closed_attempts.pop(incarnation)
         parts = {part for attempt in attempts for part in attempt.parts}
         target, born = incarnation
--- a/dotterelbridge/ids.py
+++ b/dotterelbridge/ids.py
@@ -14,6 +14,8 @@
 Region = NewType("Region", str)
 Business = NewType("Business", str)
 TargetId = NewType("TargetId", str)
+Incarnation = tuple[TargetId, int]
+"""A target and the Unix time of its start in ms."""
 ItemName = NewType("ItemName", str)
 """Name of a model, adapter or service on the sheet."""
 
