Keep requests within named rate limits on the product's own listener

What targets saw: behind the own listener the same as behind the gateway: 125 to 137 requests in 4 s where 22 are allowed.

Cause: the same; the own listener has its own router and no feed.

Change: routing/router.py asks the same limiter. Permits come from the leader of the log, directly or by way of a voter; the leader sends limits to all VMs when one changes and once a second while there are any. What waits for a permit keeps its place in the queue and is refused once no permit can be usable before its deadline. The choice of the target that has a permit first is one function for both routers.

A loop found on the way, in both: a permit denied with a wait beyond the issuer's horizon was ordered again at once, without end on the leader itself. After a denial the same target is asked 50 ms later at the earliest.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -42,6 +42,7 @@
 from dotterelbridge.membership.view import TargetInfo
 from dotterelbridge.membership.view import TargetKind
 from dotterelbridge.membership.view import TargetView
+from dotterelbridge.permits.limiter import create_lone_rate_limiter
 from dotterelbridge.routing.router import create_router
 from dotterelbridge.routing.settings import RoutingSettings
 from dotterelbridge.serving.callers import create_caller_app
@@ -295,6 +296,7 @@
         TargetsSettings(),
         FailureDomain("domain"),
         Region("region"),
+        create_lone_rate_limiter(clock, rng),
     )
     app = create_caller_app(router, None, clock, serving, routing, rng)
     listener = create_caller_listener(app, serving, clock)
--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -19,6 +19,7 @@
 from dotterelbridge.dump import DumpRegistry
 from dotterelbridge.events import CoreEvent
 from dotterelbridge.ids import TargetId
+from dotterelbridge.ids import Term
 from dotterelbridge.logs import RecentEvents
 from dotterelbridge.membership.platform import create_platform_list
 from dotterelbridge.membership.service import create_membership
@@ -28,6 +29,10 @@
 from dotterelbridge.peers.settings import PeersSettings
 from dotterelbridge.peers.websocket_network import choose_peers_to_dial
 from dotterelbridge.peers.websocket_network import create_peer_network
+from dotterelbridge.permits.broadcaster import RateLimitBroadcaster
+from dotterelbridge.permits.leader_channel import LeaderChannel
+from dotterelbridge.permits.limiter import create_rate_limiter
+from dotterelbridge.permits.service import PermitService
 from dotterelbridge.placement.operators import create_placement_routes
 from dotterelbridge.placement.service import create_placement
 from dotterelbridge.placement.settings import PlacementSettings
@@ -83,6 +88,7 @@
         self._create_sheet_store()
         self._create_claims()
         self._create_membership()
+        self._create_permits()
         self._create_serving()
         self._create_placement()
         self._create_operator_listener()
@@ -230,6 +236,53 @@
             and info.failure_domain == own_domain
         }
 
+    def _create_permits(self) -> None:
+        settings = self._settings
+        voters = settings.list_voters()
+        self._permit_service = PermitService(
+            self._network,
+            self._clock,
+            self._rng,
+            self._get_led_term,
+            self._replicated_log.get_leader,
+            self._find_connected_share,
+        )
+        broadcaster = RateLimitBroadcaster(
+            self._network,
+            self._clock,
+            self._get_led_term,
+            self._replicated_log.get_leader,
+        )
+        channel = LeaderChannel(
+            self._network,
+            self._permit_service,
+            broadcaster,
+            self._replicated_log.get_leader,
+            voters,
+            self._rng,
+        )
+        vm_count = len(settings.list_vms())
+        self._limiter = create_rate_limiter(
+            channel, lambda: vm_count, self._clock, self._rng
+        )
+        broadcaster.subscribe(self._limiter.apply_shared)
+        self._run_functions += [self._permit_service.run, broadcaster.run]
+        self._dump_registry.add("rate_limits", self._limiter)
+
+    def _get_led_term(self) -> Term | None:
+        """Return the term that this VM leads, or None."""
+        if not self._has_log_storage:
+            return None
+        if not self._replicated_log.has_leader_lease():
+            return None
+        return self._replicated_log.term
+
+    def _find_connected_share(self, vm_count: int) -> float:
+        """Return the part of all VMs that this VM is connected to."""
+        peers = self._network.list_peers()
+        connected = sum(self._network.is_connected(peer) for peer in peers)
+        return (1 + connected) / max(1 + len(peers), vm_count)
+
     def _create_serving(self) -> None:
         settings = self._settings
         own = settings.get_own_vm()
@@ -244,6 +297,7 @@
             settings.get_section(TargetsSettings),
             own.failure_domain,
             own.region,
+            self._limiter,
         )
         self._add_component("routing", self._router)
         self._caller_app = create_caller_app(
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -680,56 +680,36 @@
 
         :raises NoTargetAvailable: no permit will be usable in time.
         """
+        call = queued.call
         limited = [
-            target
-            for target in self._list_free_targets(queued.call)
+            target.incarnation
+            for target in self._list_free_targets(call)
             if self._limiter.find_limit(target.incarnation) is not None
         ]
         if not limited:
             return False
         if queued.permit is not None and queued.permit.is_open(now):
             return True
-        max_wait_s = self._find_permit_wait_s(queued, now)
-        waits_s = {
-            target: self._limiter.find_next_place_s(target.incarnation)
-            for target in limited
-        }
-        best = min(limited, key=lambda t: (waits_s[t], self._random.random()))
-        if waits_s[best] <= max_wait_s and self._limiter.can_order_permits:
-            queued.permit = self._limiter.order_permit(
-                best.incarnation,
-                timedelta(seconds=max_wait_s),
-                queued.call.is_interactive,
-            )
+        waited_s = now - call.started_at
+        max_wait_s = max(0.0, self._find_wait_limit_s(call) - waited_s)
+        queued.permit = self._limiter.order_permit(
+            limited, timedelta(seconds=max_wait_s), call.is_interactive
+        )
+        if queued.permit is not None:
             return True
-        if len(limited) < sum(
-            1 for _ in self._list_eligible_targets(queued.call)
-        ):
+        if len(limited) < sum(1 for _ in self._list_eligible_targets(call)):
             return False
-        call = queued.call
-        limit_s = self._find_wait_limit_s(call) - (now - call.started_at)
-        if waits_s[best] <= limit_s:
+        next_place_s = self._limiter.find_next_place_s(limited)
+        if next_place_s <= max_wait_s:
             return True
         raise NoTargetAvailable(
             UnavailableReason.RATE_LIMITED,
             "every target that could take the request has reached the rate "
             "limit that it named",
             "send it again after the time in Retry-After",
-            timedelta(seconds=waits_s[best]),
+            timedelta(seconds=next_place_s),
         )
 
-    def _find_permit_wait_s(self, queued: _QueuedRequest, now: float) -> float:
-        """Return how long a request waits for a permit that is ordered now.
-
-        Only interactive requests queue at the issuer; the others get permits
-        for which none of them waits.
-        """
-        call = queued.call
-        if not call.is_interactive:
-            return 0.0
-        waited_s = now - call.started_at
-        return max(0.0, self._find_wait_limit_s(call) - waited_s)
-
     def _find_wait_limit_s(self, call: GatewayCall) -> float:
         """Return for how long a request may wait for a slot."""
         total_s = call.first_byte_deadline_at - call.started_at
--- a/dotterelbridge/permits/limiter.py
+++ b/dotterelbridge/permits/limiter.py
@@ -1,6 +1,8 @@
 """Keeps a VM's requests within the rate limits that targets have named."""
 
 from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
 from datetime import timedelta
 import math
@@ -13,6 +15,9 @@
 from dotterelbridge.dump import Dumpable
 from dotterelbridge.ids import Incarnation
 from dotterelbridge.permits.issuer import PermitIssuer
+from dotterelbridge.permits.messages import PermitReply
+from dotterelbridge.permits.messages import PermitRequest
+from dotterelbridge.permits.messages import PermitVerdict
 from dotterelbridge.permits.messages import RateLimitNotice
 from dotterelbridge.permits.pool import Permit
 from dotterelbridge.permits.pool import PermitChannel
@@ -64,6 +69,7 @@
         :param count_vms: returns the number of VMs that send requests.
         """
         self._channel = channel
+        self._random = rng
         self._clock = clock
         self._count_vms = count_vms
         own_issuer = PermitIssuer(clock, rng, lambda vms: 1 / max(1, vms))
@@ -247,21 +253,38 @@
         if permit is not None:
             self._pool.spend(permit)
 
-    @property
-    def can_order_permits(self) -> bool:
-        """Whether an order may be answered now."""
-        return self._pool.can_order
-
     def order_permit(
         self,
-        incarnation: Incarnation,
+        incarnations: Collection[Incarnation],
         max_wait: timedelta,
         is_interactive: bool,
-    ) -> Permit:
-        """Order a permit for a request that waits for it."""
+    ) -> Permit | None:
+        """Order a permit for the target that is likely to have one first.
+
+        Interactive requests queue at the issuer; others get only permits for
+        which none of these waits.
+
+        :param max_wait: longest time until the permit may become usable.
+        :returns: None if no permit is likely in time, or none could be
+            ordered now.
+        """
+        if not is_interactive:
+            max_wait = timedelta()
+        soonest = min(
+            incarnations,
+            key=lambda i: (
+                self._pool.find_next_place_s(i),
+                self._random.random(),
+            ),
+        )
+        next_place_s = self._pool.find_next_place_s(soonest)
+        if next_place_s > max_wait.total_seconds():
+            return None
+        if not self._pool.can_order(soonest):
+            return None
         return self._pool.order(
-            incarnation,
-            self.find_limit(incarnation),
+            soonest,
+            self.find_limit(soonest),
             max_wait,
             self._count_vms(),
             is_interactive,
@@ -269,16 +292,12 @@
 
     def prefetch_permit(self, incarnation: Incarnation) -> None:
         """Order a permit for a later request, unless one is on its way."""
-        if (
-            self.can_order_permits
-            and not self._pool.has_open(incarnation)
-            and not self.find_next_place_s(incarnation)
-        ):
-            self.order_permit(incarnation, timedelta(), is_interactive=False)
+        if not self._pool.has_open(incarnation):
+            self.order_permit([incarnation], timedelta(), is_interactive=False)
 
-    def find_next_place_s(self, incarnation: Incarnation) -> float:
-        """Return the seconds until a permit may be had; 0 if unknown."""
-        return self._pool.find_next_place_s(incarnation)
+    def find_next_place_s(self, incarnations: Iterable[Incarnation]) -> float:
+        """Return the seconds until one has a permit; 0 if unknown."""
+        return min(self._pool.find_next_place_s(i) for i in incarnations)
 
     def dump(self) -> dict[str, Any]:
         return {
@@ -305,3 +324,20 @@
     :param count_vms: returns the number of VMs that send requests.
     """
     return RateLimiter(channel, count_vms, clock, rng)
+
+
+def create_lone_rate_limiter(clock: Clock, rng: random.Random) -> RateLimiter:
+    """Return the limiter of a VM that shares targets with no other VM."""
+    return RateLimiter(_NoChannel(), lambda: 1, clock, rng)
+
+
+class _NoChannel(PermitChannel):
+    """Leaves a VM to its own issuer."""
+
+    is_cut_off = True
+
+    async def request(self, request: PermitRequest) -> PermitReply:
+        return PermitReply(verdict=PermitVerdict.UNAVAILABLE)
+
+    def send_notice(self, notice: RateLimitNotice) -> None:
+        pass
--- a/dotterelbridge/permits/messages.py
+++ b/dotterelbridge/permits/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from dotterelbridge.ids import TargetId
+from dotterelbridge.ids import Term
 from dotterelbridge.peers.messages import Message
 from dotterelbridge.peers.messages import register_message
 
@@ -31,6 +32,15 @@
     """Time since the request was sent that the target answered so."""
 
 
+@register_message("permits.limits")
+class RateLimitList(Message, frozen=True, kw_only=True, array_like=True):
+    """Tells a VM all limits in force, from the leader of the log."""
+
+    term: Term
+    """Term in which the sender leads."""
+    limits: tuple[RateLimit, ...]
+
+
 class PermitVerdict(enum.Enum):
     """What an issuer decided."""
 
--- a/dotterelbridge/permits/pool.py
+++ b/dotterelbridge/permits/pool.py
@@ -34,6 +34,8 @@
 shorter time a new leader is elected."""
 _RETRY_S = 0.1
 """Time until a permit is ordered again after an order without a reply."""
+_DENIAL_PAUSE_S = 0.05
+"""Time until a permit is ordered again after a denial."""
 _MS_PER_S = 1000
 
 
@@ -133,11 +135,14 @@
         self._failing_since: float | None = None
         """Monotonic time from which no order was answered."""
         self._retry_at = -math.inf
+        self._denied_at: dict[Incarnation, float] = {}
+        """Monotonic time of the latest denial."""
 
-    @property
-    def can_order(self) -> bool:
-        """Whether an order may be answered now."""
-        return self._clock.monotonic() >= self._retry_at
+    def can_order(self, incarnation: Incarnation) -> bool:
+        """Whether an order may have another answer than the latest one."""
+        denied_at = self._denied_at.get(incarnation, -math.inf)
+        now = self._clock.monotonic()
+        return now >= max(self._retry_at, denied_at + _DENIAL_PAUSE_S)
 
     def order(
         self,
@@ -195,6 +200,7 @@
         """Drop the permits for a target without a limit."""
         self._permits.pop(incarnation, None)
         self._next_place_at.pop(incarnation, None)
+        self._denied_at.pop(incarnation, None)
 
     def count_open(self) -> int:
         """Return the number of permits that are ordered or held."""
@@ -234,6 +240,7 @@
             permit.state = PermitState.DENIED
             if reply.verdict is PermitVerdict.DENIED:
                 self._next_place_at[permit.incarnation] = now + wait_s
+                self._denied_at[permit.incarnation] = now
             else:
                 delay_s = self._random.uniform(_RETRY_S / 2, _RETRY_S)
                 self._retry_at = now + delay_s
--- a/dotterelbridge/permits/service.py
+++ b/dotterelbridge/permits/service.py
@@ -59,6 +59,11 @@
             self._check_leads()
             await self._clock.sleep(_CHECK_INTERVAL)
 
+    @property
+    def leads(self) -> bool:
+        """Whether this VM issues permits."""
+        return self._get_led_term() is not None
+
     async def request(self, request: PermitRequest) -> PermitReply:
         """Return the decision on a request.
 
--- a/dotterelbridge/routing/errors.py
+++ b/dotterelbridge/routing/errors.py
@@ -36,5 +36,9 @@
     """No target had the item loaded before the deadline."""
 
 
+class RateLimited(RoutingRefused):
+    """Every target has reached the rate limit that it named."""
+
+
 class RetriesExhausted(RoutingRefused):
     """The retry budget or the limit on attempts is exhausted."""
--- a/dotterelbridge/routing/queue.py
+++ b/dotterelbridge/routing/queue.py
@@ -17,6 +17,7 @@
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import Priority
 from dotterelbridge.ids import TargetId
+from dotterelbridge.permits.pool import Permit
 from dotterelbridge.routing.call import Call
 from dotterelbridge.routing.target import Slot
 
@@ -44,11 +45,19 @@
         self.avoided_targets = avoided_targets
         self.enqueued_at = now
         self.slot: Slot | None = None
+        self.permit: Permit | None = None
+        """Ordered for this request, if only targets with a rate limit can
+        take it; a request before it in the queue may use it."""
         self.error: Exception | None = None
         self.is_removed = False
         self.asked_preemption = False
         self._resolved = anyio.Event()
 
+    @property
+    def is_interactive(self) -> bool:
+        """Whether somebody waits for the response."""
+        return self.call.priority is not Priority.BACKGROUND
+
     @property
     def order_key(self) -> tuple[int, float]:
         """Sort key in the queue: priority, then earliest deadline."""
--- a/dotterelbridge/routing/router.py
+++ b/dotterelbridge/routing/router.py
@@ -20,6 +20,7 @@
 from dotterelbridge.membership.view import MembershipView
 from dotterelbridge.membership.view import TargetKind
 from dotterelbridge.membership.view import TargetView
+from dotterelbridge.permits.limiter import RateLimiter
 from dotterelbridge.placement.demand import DemandSource
 from dotterelbridge.placement.demand import ItemDemand
 from dotterelbridge.routing import metrics
@@ -32,6 +33,7 @@
 from dotterelbridge.routing.errors import DeadlineUnreachable
 from dotterelbridge.routing.errors import ItemNotLoaded
 from dotterelbridge.routing.errors import QueueFull
+from dotterelbridge.routing.errors import RateLimited
 from dotterelbridge.routing.errors import RetriesExhausted
 from dotterelbridge.routing.errors import RoutingRefused
 from dotterelbridge.routing.events import RoutingEvent
@@ -43,12 +45,15 @@
 from dotterelbridge.routing.target import Outcome
 from dotterelbridge.routing.target import Slot
 from dotterelbridge.routing.target import Target
+from dotterelbridge.routing.target import get_incarnation
 from dotterelbridge.sheet.rows import SheetRevision
 from dotterelbridge.sheet.rows import SheetRow
 from dotterelbridge.sheet.source import SheetSource
 from dotterelbridge.targets.cache_index import CacheIndex
+from dotterelbridge.targets.client import TargetClient
 from dotterelbridge.targets.client import create_target_client
 from dotterelbridge.targets.settings import TargetsSettings
+from dotterelbridge.targets.statements import TargetStatement
 
 _log = structlog.get_logger(__name__)
 _DEFAULT_SLOT_HOLD_S = 1.0
@@ -71,8 +76,10 @@
         targets_settings: TargetsSettings,
         failure_domain: FailureDomain,
         region: Region,
+        limiter: RateLimiter,
     ) -> None:
         self._membership = membership
+        self._limiter = limiter
         self._clock = clock
         self._settings = settings
         self._random = rng
@@ -114,6 +121,7 @@
         sheet.subscribe(self._apply_sheet)
         self._apply_membership()
         membership.subscribe(self._apply_membership)
+        limiter.subscribe(self._handle_permits_changed)
 
     # Sheet.
 
@@ -204,6 +212,7 @@
         try:
             self._dispatch((call.item,))
             if waiter.slot is None:
+                self._order_permit(waiter, now)
                 self._preempt_for_waiter(waiter)
             return await waiter.wait()
         except BaseException:
@@ -269,6 +278,7 @@
         interval = timedelta(milliseconds=self._settings.sweep_interval_ms)
         ticks = 0
         async with anyio.create_task_group() as group:
+            group.start_soon(self._limiter.run)
             if self._settings.chooser == "estimate":
                 group.start_soon(self._cache_event_poller.run)
             while True:
@@ -279,6 +289,7 @@
                     self._record_waiting()
                 self._dispatch_after_holds()
                 self.expire_waiters()
+                self._order_permits()
                 for target in self.start_due_probes():
                     group.start_soon(self.probe, target)
 
@@ -288,6 +299,57 @@
             if target.client.notice_wait_end():
                 self._dispatch_target(target)
 
+    def _handle_permits_changed(self) -> None:
+        """Assign slots of targets with a rate limit, or refuse waiters."""
+        self._dispatch_all()
+        self._order_permits()
+
+    def _order_permits(self) -> None:
+        """Order permits for waiters that need one, the first ones first."""
+        if not self._limiter.count_limited():
+            return
+        now = self._clock.monotonic()
+        for waiter in sorted(
+            self._queue.list_waiters(), key=lambda waiter: waiter.order_key
+        ):
+            if waiter.slot is None:
+                self._order_permit(waiter, now)
+
+    def _order_permit(self, waiter: Waiter, now: float) -> None:
+        """Order a permit if all targets for a request have a rate limit.
+
+        Refuses the request if no permit will be usable in time.
+        """
+        if waiter.permit is not None and waiter.permit.is_open(now):
+            return
+        targets = self._list_free_targets(waiter, now)
+        limited = [
+            target.incarnation
+            for target in targets
+            if self._limiter.find_limit(target.incarnation) is not None
+        ]
+        if not limited or len(limited) < len(targets):
+            return
+        max_wait_s = max(0.0, waiter.deadline_at - now)
+        next_place_s = self._limiter.find_next_place_s(limited)
+        if next_place_s > max_wait_s:
+            self._queue.remove(waiter)
+            waiter.refuse(_create_limit_error(next_place_s))
+            self.demand.record_missed(waiter.call.item)
+            return
+        waiter.permit = self._limiter.order_permit(
+            limited, timedelta(seconds=max_wait_s), waiter.is_interactive
+        )
+
+    def _list_free_targets(self, waiter: Waiter, now: float) -> list[Target]:
+        """Return the targets that have a free slot for a request."""
+        for model, candidates in self._list_candidates(waiter.call):
+            usable = self._filter_usable(candidates, model, now)
+            free = [target for target in usable if target.has_free_slot]
+            if free:
+                return free
+        return []
+
     def _record_waiting(self) -> None:
         for priority in Priority:
             metrics.record_waiting(
@@ -403,9 +465,7 @@
         if target is None:
             target = Target(
                 view,
-                create_target_client(
-                    view.info, self._targets_settings, self._clock
-                ),
+                self._create_client(view),
                 self._find_distance(view),
                 self._settings,
                 self._random,
@@ -414,11 +474,30 @@
         target.update_view(view)
         self._index_target(target, _list_models(view))
 
+    def _create_client(self, view: TargetView) -> TargetClient:
+        incarnation = get_incarnation(view)
+
+        def record_answer(
+            status: int, statement: TargetStatement, sent_at: float
+        ) -> None:
+            self._limiter.record_answer(
+                incarnation, status, statement, sent_at
+            )
+
+        return create_target_client(
+            view.info,
+            self._targets_settings,
+            self._clock,
+            self._random,
+            record_answer,
+        )
+
     def _remove_target(self, name: TargetId) -> None:
         target = self._targets.pop(name)
         self._index_target(target, frozenset())
         self.cache.remove_target(name)
         target.client.close()
+        self._limiter.forget(target.incarnation)
 
     def _index_target(self, target: Target, models: frozenset[str]) -> None:
         name = target.view.info.target
@@ -487,6 +566,9 @@
             target = self._choose_target(waiter, usable, now)
             if target is None:
                 return None
+            self._limiter.record_request(
+                target.incarnation, waiter.is_interactive
+            )
             self._preempt_if_overloaded(waiter, target, now)
             slot = target.acquire_slot(waiter.call, model, now)
             waiter.call.attempts += 1
@@ -527,7 +609,25 @@
             for target in free
             if target.view.info.target not in waiter.avoided_targets
         ]
-        return self._choose_by_distance(waiter, preferred or free, now)
+        return self._choose_allowed(waiter, preferred or free, now)
+
+    def _choose_allowed(
+        self, waiter: Waiter, targets: list[Target], now: float
+    ) -> Target | None:
+        """Choose a target whose rate limit, if any, allows a request."""
+        allowed = [
+            target
+            for target in targets
+            if self._limiter.allows_request(
+                target.incarnation, waiter.is_interactive
+            )
+        ]
+        target = self._choose_by_distance(waiter, targets, now)
+        if target in allowed or not allowed:
+            return target if allowed else None
+        # Orders a permit for a later request; this one does not wait.
+        self._limiter.prefetch_permit(target.incarnation)
+        return self._choose_by_distance(waiter, allowed, now)
 
     def _waits_for_free_batch(self, waiter: Waiter, now: float) -> bool:
         """Whether a request waits here rather than in an engine's queue.
@@ -700,6 +800,15 @@
         )
 
 
+def _create_limit_error(wait_s: float) -> RateLimited:
+    return RateLimited(
+        "every target that could take the request has reached the rate limit "
+        "that it named",
+        "send it again after the time in Retry-After",
+        timedelta(seconds=wait_s),
+    )
+
+
 def _get_item_name(model: str) -> ItemName:
     return ItemName(model.partition("@")[0])
 
@@ -739,6 +848,7 @@
     targets_settings: TargetsSettings,
     failure_domain: FailureDomain,
     region: Region,
+    limiter: RateLimiter,
 ) -> Router:
     """Return the router of a VM in the given failure domain and region."""
     return Router(
@@ -750,4 +860,5 @@
         targets_settings,
         failure_domain,
         region,
+        limiter,
     )
--- a/dotterelbridge/routing/target.py
+++ b/dotterelbridge/routing/target.py
@@ -7,6 +7,7 @@
 import random
 
 from dotterelbridge import invariants
+from dotterelbridge.ids import Incarnation
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import Priority
 from dotterelbridge.membership.view import TargetView
@@ -90,6 +91,11 @@
         self._capacity: int | None = None
         """Batch size of the engine; None until it was seen full."""
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The target's name; the time of its start is not known here."""
+        return get_incarnation(self.view)
+
     @property
     def in_flight(self) -> int:
         """Number of this VM's requests in flight at the target."""
@@ -242,6 +248,11 @@
         return chosen
 
 
+def get_incarnation(view: TargetView) -> Incarnation:
+    """Return the key by which VMs share what a target has said of itself."""
+    return view.info.target, 0
+
+
 class Slot:
     """Capacity for one attempt, reserved at a target."""
 
--- a/tests/permits/test_limiter.py
+++ b/tests/permits/test_limiter.py
@@ -145,7 +145,7 @@
 
 async def grant_permit(limiter, clock) -> None:
     limiter.apply_shared({TARGET: 1.0})
-    limiter.order_permit(TARGET, timedelta(seconds=1), is_interactive=True)
+    limiter.order_permit([TARGET], timedelta(seconds=1), is_interactive=True)
     await clock.sleep(timedelta(seconds=0.01))
 
 
--- a/tests/permits/test_pool.py
+++ b/tests/permits/test_pool.py
@@ -65,9 +65,9 @@
         permit = order(pool)
         await anyio.sleep(TIMEOUT_S + 0.001)
         assert permit.state is PermitState.DENIED
-        assert not pool.can_order
+        assert not pool.can_order(TARGET)
         await anyio.sleep(0.1)
-        assert pool.can_order
+        assert pool.can_order(TARGET)
 
     run_pool(check)
 
--- a/tests/rate_limit_fleet.py
+++ b/tests/rate_limit_fleet.py
@@ -26,6 +26,8 @@
 from dotterelbridge.ids import TargetId
 from dotterelbridge.ids import Term
 from dotterelbridge.ids import VmId
+from dotterelbridge.permits.broadcaster import RateLimitBroadcaster
+from dotterelbridge.permits.leader_channel import LeaderChannel
 from dotterelbridge.permits.limiter import create_rate_limiter
 from dotterelbridge.permits.service import PermitService
 from dotterelbridge.routing.call import Call
@@ -271,9 +273,42 @@
 class ListenerVm(SimulatedVm):
     """A VM that serves the product's own interface by a sheet."""
 
-    def __init__(self, number: int, seed: int) -> None:
+    def __init__(
+        self, network: StandinNetwork, number: int, seed: int
+    ) -> None:
         super().__init__()
         self._clock = LoopClock()
+        rng = random.Random(seed)
+        endpoint = network.join(name_entry_vm(number))
+        voters = [name_entry_vm(n) for n in range(DOMAIN_COUNT)]
+        self.led_term: Term | None = None
+        self.leader: VmId | None = None
+        self._service = PermitService(
+            endpoint,
+            self._clock,
+            rng,
+            lambda: self.led_term,
+            lambda: self.leader,
+            lambda vm_count: 1.0,
+        )
+        self._broadcaster = RateLimitBroadcaster(
+            endpoint,
+            self._clock,
+            lambda: self.led_term,
+            lambda: self.leader,
+        )
+        channel = LeaderChannel(
+            endpoint,
+            self._service,
+            self._broadcaster,
+            lambda: self.leader,
+            voters,
+            rng,
+        )
+        self.limiter = create_rate_limiter(
+            channel, lambda: len(network.vms), self._clock, rng
+        )
+        self._broadcaster.subscribe(self.limiter.apply_shared)
         self.membership = FakeMembership()
         self._row = model_row(deadline_ms=2400)
         self.router = create_router(
@@ -285,10 +320,14 @@
             TargetsSettings(),
             DOMAIN,
             REGION,
+            self.limiter,
         )
 
     async def run(self) -> None:
-        await self.router.run()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._service.run)
+            group.start_soon(self._broadcaster.run)
+            group.start_soon(self.router.run)
 
     def create_call(self, priority=Priority.NORMAL):
         now = self._clock.monotonic()
@@ -519,7 +558,27 @@
 
     def __init__(self, vm_count: int, seed: int = 1) -> None:
         super().__init__(vm_count, seed)
-        self.vms = [ListenerVm(n, seed + n) for n in range(vm_count)]
+        names = [name_entry_vm(n) for n in range(vm_count)]
+        self.network = create_standin_network(names, seed)
+        self.network.conditions.delay_max_s = REGION_DELAY_S
+        self.vms = [
+            ListenerVm(self.network, n, seed + n) for n in range(vm_count)
+        ]
+        self._term = 0
+        self.elect(0)
+
+    def elect(self, index: int) -> None:
+        """Make a voter the leader, which the other voters know."""
+        self._term += 1
+        for number, vm in enumerate(self.vms[:DOMAIN_COUNT]):
+            vm.led_term = Term(self._term) if number == index else None
+            vm.leader = name_entry_vm(index)
+
+    def depose(self) -> None:
+        """Leave all VMs without a leader."""
+        for vm in self.vms:
+            vm.led_term = None
+            vm.leader = None
 
     def publish_target(self, name: str) -> None:
         for vm in self.vms:
--- a/tests/routing/fakes.py
+++ b/tests/routing/fakes.py
@@ -8,6 +8,7 @@
 from dotterelbridge.clock import ManualClock
 from dotterelbridge.ids import Priority
 from dotterelbridge.ids import RequestId
+from dotterelbridge.permits.limiter import create_lone_rate_limiter
 from dotterelbridge.routing.call import Call
 from dotterelbridge.routing.errors import RoutingRefused
 from dotterelbridge.routing.router import create_router
@@ -41,6 +42,7 @@
             TargetsSettings(),
             DOMAIN,
             REGION,
+            create_lone_rate_limiter(self.clock, self.rng),
         )
         self._calls = 0
 
--- a/tests/serving/fakes.py
+++ b/tests/serving/fakes.py
@@ -30,6 +30,7 @@
 from dotterelbridge.membership.view import TargetInfo
 from dotterelbridge.membership.view import TargetKind
 from dotterelbridge.membership.view import TargetView
+from dotterelbridge.permits.limiter import create_lone_rate_limiter
 from dotterelbridge.routing.router import create_router
 from dotterelbridge.routing.settings import RoutingSettings
 from dotterelbridge.serving.callers import create_caller_app
@@ -414,6 +415,7 @@
         targets or TargetsSettings(),
         DOMAIN,
         REGION,
+        create_lone_rate_limiter(clock, rng),
     )
     claims = FakeClaims()
     app = create_caller_app(router, claims, clock, serving, routing, rng)
--- a/tests/serving/shutdown_process.py
+++ b/tests/serving/shutdown_process.py
@@ -10,6 +10,7 @@
 import anyio
 
 from dotterelbridge.clock import SystemClock
+from dotterelbridge.permits.limiter import create_lone_rate_limiter
 from dotterelbridge.routing.router import create_router
 from dotterelbridge.routing.settings import RoutingSettings
 from dotterelbridge.serving.callers import create_caller_app
@@ -42,6 +43,7 @@
         TargetsSettings(),
         DOMAIN,
         REGION,
+        create_lone_rate_limiter(clock, rng),
     )
     membership.set(engine_view("e1", engine_port))
     app = create_caller_app(router, FakeClaims(), clock, serving, routing, rng)
--- a/tests/test_rate_limits_load.py
+++ b/tests/test_rate_limits_load.py
@@ -17,7 +17,7 @@
 from tests.rate_limit_fleet import ListenerFleet
 from tests.rate_limit_fleet import find_allowed
 
-DURATION_S = 18.0
+DURATION_S = 14.0
 ENDS_AT_S = SETTLE_S + DURATION_S
 NAMED_AT_S = 4.0
 EVENT_AT_S = 10.0
@@ -179,20 +179,26 @@
     assert arrivals_while_cut
 
 
-@pytest.mark.parametrize("vm_count", [8, 194])
-def test_sum_stays_within_the_limit_when_leaders_change(vm_count):
-    fleet, target = create(GatewayFleet, vm_count)
+@pytest.mark.parametrize(
+    ("create_fleet", "vm_count"),
+    [(GatewayFleet, 8), (GatewayFleet, 194), (ListenerFleet, 8)],
+)
+def test_sum_stays_within_the_limit_when_leaders_change(
+    create_fleet, vm_count
+):
+    fleet, target = create(create_fleet, vm_count)
     actions = [
         (EVENT_AT_S, fleet.depose),
         (EVENT_AT_S + 0.2, lambda: fleet.elect(1)),
         (EVENT_AT_S + 3, lambda: fleet.elect(2)),
         (EVENT_AT_S + 6, lambda: fleet.elect(0)),
     ]
-    play(fleet, target, 5.0, actions=actions)
+    play(fleet, target, 5.0, duration_s=18.0, actions=actions)
 
 
-def test_sum_stays_within_the_limit_without_a_leader():
-    fleet, target = create(GatewayFleet, 8)
+@pytest.mark.parametrize("create_fleet", [GatewayFleet, ListenerFleet])
+def test_sum_stays_within_the_limit_without_a_leader(create_fleet):
+    fleet, target = create(create_fleet, 8)
     play(fleet, target, 5.0, actions=[(EVENT_AT_S, fleet.depose)])
     assert target.count_arrivals(EVENT_AT_S + 2, ENDS_AT_S)
 
@@ -230,8 +236,9 @@
 
 
 # Guards against a limit that stays in force after the target's need is over.
-def test_target_gets_its_load_back_when_its_limit_ends():
-    fleet, target = create(GatewayFleet, 8)
+@pytest.mark.parametrize("create_fleet", [GatewayFleet, ListenerFleet])
+def test_target_gets_its_load_back_when_its_limit_ends(create_fleet):
+    fleet, target = create(create_fleet, 8)
     target.name_limit(NAMED_AT_S, 2.9)
     target.name_limit(EVENT_AT_S, None)
 
