Log a digest of the request of a failed attempt

Cause: whether the requests under which replicas end one after the other are the same one is in no log: the id is new each time.

Change: attempt_failed has a digest of method, host, target and body. It is computed for failed attempts only.

--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -395,6 +395,7 @@
             may_have_run=not not_run,
             follows=will_retry,
             shared_parts=call.request.shared_parts,
+            digest=call.request.compute_digest(),
             **self._describe_response(),
         )
         if not will_retry:
--- a/dotterelbridge/gateway/request.py
+++ b/dotterelbridge/gateway/request.py
@@ -4,6 +4,7 @@
 
 import anyio
 import msgspec
+import xxhash
 
 from dotterelbridge.gateway.headers import HeaderNames
 from dotterelbridge.ids import PartId
@@ -50,6 +51,17 @@
         """
         return tuple(part.part_id for part in self.prompt_parts[:-1])
 
+    def compute_digest(self) -> str:
+        """Return a hash of method, host, target and body.
+
+        Equal for requests that a caller has sent again, under a new ID.
+        """
+        digest = xxhash.xxh3_64()
+        for field in (self.method, self.host, self.target):
+            digest.update(field.encode("latin-1", "replace") + b"\0")
+        digest.update(self.body)
+        return digest.hexdigest()
+
 
 async def read_gateway_request(
     scope,
