--- a/tests/nodes/test_crashing_prompts.py
+++ b/tests/nodes/test_crashing_prompts.py
@@ -23,6 +23,8 @@
 REPLICA_COUNT = 3
 SHARED_PART = "a0:100"
 CRASHING_PART = "bad0:20"
+CRASHING_BODY = b"this body ends each replica"
+SOUND_PARTS = f"{SHARED_PART},ok:20"
 RESTART_S = 0.5
 REQUEST_INTERVAL_S = 0.25
 CRASHES_BEFORE_LIMIT = 5
@@ -38,7 +40,10 @@
 class CrashingReplica:
     """Ends when it begins to answer a request with the crashing part."""
 
-    def __init__(self, number: int, deployment: Deployment, restart) -> None:
+    def __init__(
+        self, number: int, deployment: Deployment, service: str, restart
+    ) -> None:
+        self._service = service
         self._names = (f"i-{number}{n:03}" for n in itertools.count())
         self._deployment = deployment
         self._restart = restart
@@ -53,7 +58,7 @@
         await self._target.start()
         self._entry = {
             "id": self.name,
-            "service": "llm",
+            "service": self._service,
             "address": f"127.0.0.1:{self._target.port}",
             "zone": "a",
             "state": "ready",
@@ -88,10 +93,16 @@
                 "x-dotterelbridge-request-id"
             ],
         }
-        await received.start_stream(headers)
         parts = received.headers.get("x-dotterelbridge-prompt-prefix", "")
-        if CRASHING_PART in parts:
-            await received.send_chunk(b"id: 0\nda")
+        is_crashing = CRASHING_PART in parts or received.body == CRASHING_BODY
+        if received.path.startswith("/s/") and not is_crashing:
+            await received.answer(b"{}", headers=headers)
+            return
+        if not received.path.startswith("/s/"):
+            await received.start_stream(headers)
+        if is_crashing:
+            if not received.path.startswith("/s/"):
+                await received.send_chunk(b"id: 0\nda")
             self.crash_count += 1
             await self.stop()
             self._restart(self)
@@ -103,12 +114,15 @@
 class Harness:
     """Sends requests of both kinds to the two entry VMs in turn."""
 
-    def __init__(self, folder, tasks) -> None:
+    def __init__(self, folder, tasks, service="llm") -> None:
         self.deployment = Deployment(folder)
+        self._path = "/q/x" if service == "llm" else "/s/x"
         self._tasks = tasks
         self._numbers = itertools.count()
         self.replicas = [
-            CrashingReplica(n, self.deployment, self._schedule_restart)
+            CrashingReplica(
+                n, self.deployment, service, self._schedule_restart
+            )
             for n in range(REPLICA_COUNT)
         ]
 
@@ -127,29 +141,53 @@
         self._tasks.start_soon(deployment.list_listener.run)
         for node in nodes:
             self._tasks.start_soon(node.run_components)
-        await deployment.submit(create_configuration())
+        configuration = create_configuration()
+        configuration["routes"].append(
+            configuration["routes"][0]
+            | {
+                "name": "r2",
+                "path_prefix": "/s/",
+                "kind": "safe",
+                "timeout_ms": 5000,
+                "max_attempts": 2,
+                "service": "jobs",
+                "sticky": False,
+            }
+        )
+        configuration["services"].append({"name": "jobs", "max_conns": 100})
+        await deployment.submit(configuration)
         with anyio.fail_after(WAIT_TIMEOUT_S):
             for address in ENTRY_ADDRESSES:
-                while await self.send_sound(address) != 200:
+                while await self.send_sound(address, self._path) != 200:
                     await anyio.sleep(0.05)
 
     @property
     def crash_count(self) -> int:
         return sum(replica.crash_count for replica in self.replicas)
 
-    async def send_sound(self, address) -> int:
-        return await self._send(address, f"{SHARED_PART},ok:20")
+    async def send_sound(self, address, path="/q/x") -> int:
+        number = next(self._numbers)
+        parts = f"{SOUND_PARTS},own{number}:50"
+        return await self._send(address, path, parts, b"%d" % number)
 
     async def send_crashing(self, address) -> int:
-        return await self._send(address, f"{SHARED_PART},{CRASHING_PART}")
-
-    async def _send(self, address, parts: str) -> int:
         number = next(self._numbers)
+        parts = f"{SHARED_PART},{CRASHING_PART},own{number}:50"
+        return await self._send(address, "/q/x", parts, b"%d" % number)
+
+    async def send_same(self, address, path) -> int:
+        """Send the one request whose body ends each replica."""
+        parts = f"{SOUND_PARTS},same:50"
+        return await self._send(address, path, parts, CRASHING_BODY)
+
+    async def _send(self, address, path, parts: str, body: bytes) -> int:
         response = await self.deployment.send_request(
             "m0",
             address,
-            x_dotterelbridge_request_id=f"r{number}",
-            x_dotterelbridge_prompt_prefix=f"{parts},own{number}:50",
+            path,
+            body,
+            x_dotterelbridge_request_id=f"r{next(self._numbers)}",
+            x_dotterelbridge_prompt_prefix=parts,
             host=HOST,
         )
         return response.status_code
--- a/tests/nodes/test_platform_path.py
+++ b/tests/nodes/test_platform_path.py
@@ -192,7 +192,7 @@
                     await anyio.sleep(0.05)
 
     async def send_request(
-        self, model, address=ENTRY_ADDRESS, **headers
+        self, model, address=ENTRY_ADDRESS, path="/q/x", body=b"", **headers
     ) -> httpx.Response:
         """Send a request to an entry VM.
 
@@ -207,7 +207,9 @@
         values |= {k.replace("_", "-"): v for k, v in headers.items()}
         async with httpx.AsyncClient(timeout=20) as client:
             return await client.post(
-                f"http://{address}:{self.caller_port}/q/x", headers=values
+                f"http://{address}:{self.caller_port}{path}",
+                headers=values,
+                content=body,
             )
 
     async def wait_until_ready(self) -> None:
