Move the quarantine into a package of its own

Change: modules, messages, events and settings move to dotterelbridge/quarantine/; wire names, event numbers and options stay. The settings page reads inherited options too. No change of behaviour.

--- a/dotterelbridge/fleet/events.py
+++ b/dotterelbridge/fleet/events.py
@@ -88,36 +88,6 @@
         logging.WARNING,
         "No engine has room for an item that requests wait for.",
     )
-    QUARANTINE_IN_FORCE = (
-        5540,
-        logging.INFO,
-        "The quarantined prompt parts changed on this VM; requests with one "
-        "of them are refused.",
-    )
-    PART_QUARANTINED = (
-        5541,
-        logging.WARNING,
-        "Targets crashed one after the other under requests with one part "
-        "in their prompts; the part is quarantined. The line names the "
-        "targets.",
-    )
-    PART_TRIAL_STARTED = (
-        5542,
-        logging.INFO,
-        "One VM may send one request with a quarantined prompt part.",
-    )
-    PART_RELEASED = (
-        5543,
-        logging.INFO,
-        "A request with a quarantined prompt part was answered completely; "
-        "the part is released.",
-    )
-    QUARANTINE_NOT_CHANGED = (
-        5544,
-        logging.WARNING,
-        "A change of the quarantine could not be committed to the log; it "
-        "is proposed again.",
-    )
     PLANNED = (
         5537,
         logging.INFO,
--- a/dotterelbridge/fleet/feed.py
+++ b/dotterelbridge/fleet/feed.py
@@ -21,10 +21,10 @@
 from dotterelbridge.fleet.fleet_state import FleetState
 from dotterelbridge.fleet.messages import FleetPoll
 from dotterelbridge.fleet.messages import FleetUpdate
-from dotterelbridge.fleet.quarantine import Quarantine
 from dotterelbridge.fleet.settings import FleetSettings
 from dotterelbridge.ids import VmId
 from dotterelbridge.peers.network import PeerNetwork
+from dotterelbridge.quarantine.quarantine import Quarantine
 from dotterelbridge.routes.active_routes import ActiveRoutes
 from dotterelbridge.sheet.feed import LogContact
 
--- a/dotterelbridge/fleet/messages.py
+++ b/dotterelbridge/fleet/messages.py
@@ -2,7 +2,6 @@
 
 import msgspec
 
-from dotterelbridge.fleet.quarantine import QuarantineSnapshot
 from dotterelbridge.fleet.records import FleetTarget
 from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.fleet.records import PendingLoad
@@ -12,6 +11,7 @@
 from dotterelbridge.peers.messages import Message
 from dotterelbridge.peers.messages import register_message
 from dotterelbridge.permits.messages import RateLimit
+from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
 from dotterelbridge.routes.document import PackedRoutes
 
 
@@ -78,22 +78,3 @@
     answered_parts: tuple[PartId, ...] = ()
     """Shared prompt parts of requests that were answered completely since
     the previous report."""
-
-
-@register_message("fleet.crash")
-class CrashReport(Message, frozen=True, kw_only=True, array_like=True):
-    """Reports that a target crashed while it began to answer requests."""
-
-    target: TargetId
-    born: int
-    """Unix time of the target's start in ms."""
-    parts: tuple[PartId, ...]
-    """Shared prompt parts of these requests, as far as the sender knows."""
-
-
-@register_message("fleet.crash_recorded")
-class CrashRecorded(Message, frozen=True, kw_only=True, array_like=True):
-    """Answers a CrashReport."""
-
-    is_recorded: bool
-    """Whether the leader of the log has the report."""
--- a/dotterelbridge/fleet/settings.py
+++ b/dotterelbridge/fleet/settings.py
@@ -4,13 +4,13 @@
 
 from msgspec import Meta
 
-from dotterelbridge.settings_schema import Section
+from dotterelbridge.quarantine.settings import QuarantineSettings
 
 _Milliseconds = Annotated[int, Meta(ge=1, le=600_000)]
 _Count = Annotated[int, Meta(ge=1)]
 
 
-class FleetSettings(Section, frozen=True, kw_only=True):
+class FleetSettings(QuarantineSettings, frozen=True, kw_only=True):
     """Section ``[fleet]``."""
 
     poll_hold_ms: _Milliseconds = 500
@@ -69,19 +69,5 @@
     in which the entry VMs stop sending requests: one crossing of the
     slowest link to the control VMs, one of a request in transit, and a
     margin."""
-    quarantine_crashes: _Count = 3
-    """Crashes of targets under one part of a prompt, without a complete
-    answer in between, after which requests with the part are refused."""
-    quarantine_spread_ms: _Milliseconds = 1000
-    """Shortest time between the first and the last of these crashes: two
-    demand reports, which tell of complete answers. Targets that crash
-    together have a common cause elsewhere."""
-    quarantine_settle_ms: _Milliseconds = 600
-    """Time after the decisive crash in which reports of complete answers
-    may still clear a part: a demand report and its way to the leader."""
-    quarantine_s: Annotated[float, Meta(gt=0)] = 300.0
-    """Time after which one request with a quarantined part is sent as a
-    trial; doubled after each trial. Also the time after which callers of
-    refused requests may ask again."""
     store_burst_s: Annotated[float, Meta(gt=0)] = 5.0
     """Window over which loads from the weight store are counted."""
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -19,14 +19,12 @@
 from dotterelbridge.dump import Dumpable
 from dotterelbridge.fleet.fleet_state import FleetState
 from dotterelbridge.fleet.messages import ItemDemand
-from dotterelbridge.fleet.quarantine import Quarantine
 from dotterelbridge.fleet.records import FleetTarget
 from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.gateway import instruments
 from dotterelbridge.gateway.balance import choose_candidate
 from dotterelbridge.gateway.budget import RetryBudget
 from dotterelbridge.gateway.call import GatewayCall
-from dotterelbridge.gateway.crash_watch import CrashWatch
 from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.errors import UnavailableReason
 from dotterelbridge.gateway.events import GatewayEvent
@@ -41,6 +39,8 @@
 from dotterelbridge.ids import TargetId
 from dotterelbridge.permits.limiter import RateLimiter
 from dotterelbridge.permits.pool import Permit
+from dotterelbridge.quarantine.crash_watch import CrashWatch
+from dotterelbridge.quarantine.quarantine import Quarantine
 from dotterelbridge.targets.settings import TargetsSettings
 
 _log = structlog.get_logger(__name__)
--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -17,14 +17,7 @@
 from dotterelbridge.fleet.feed import FleetFollower
 from dotterelbridge.fleet.listing import ListingReader
 from dotterelbridge.fleet.listing import TargetListing
-from dotterelbridge.fleet.messages import CrashRecorded
-from dotterelbridge.fleet.messages import CrashReport
 from dotterelbridge.fleet.messages import DemandReport
-from dotterelbridge.fleet.quarantine import (
-    STATE_MACHINE_NAME as QUARANTINE_STATE_MACHINE,
-)
-from dotterelbridge.fleet.quarantine import QuarantineTable
-from dotterelbridge.fleet.quarantine_keeper import QuarantineKeeper
 from dotterelbridge.fleet.rate_limit_recorder import RateLimitRecorder
 from dotterelbridge.ids import Term
 from dotterelbridge.ids import VmId
@@ -34,6 +27,13 @@
 from dotterelbridge.nodes.probes import AuxiliaryListener
 from dotterelbridge.nodes.settings import NodeSettings
 from dotterelbridge.permits.service import PermitService
+from dotterelbridge.quarantine.keeper import QuarantineKeeper
+from dotterelbridge.quarantine.messages import CrashRecorded
+from dotterelbridge.quarantine.messages import CrashReport
+from dotterelbridge.quarantine.quarantine import (
+    STATE_MACHINE_NAME as QUARANTINE_STATE_MACHINE,
+)
+from dotterelbridge.quarantine.quarantine import QuarantineTable
 from dotterelbridge.replication.file_storage import create_file_storage
 from dotterelbridge.replication.member import LogMember
 from dotterelbridge.replication.member import create_log_member
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -8,8 +8,6 @@
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import PeerError
 from dotterelbridge.fleet.feed import FleetFollower
-from dotterelbridge.fleet.messages import CrashRecorded
-from dotterelbridge.fleet.messages import CrashReport
 from dotterelbridge.fleet.messages import DemandReport
 from dotterelbridge.fleet.permit_channel import SourceChannel
 from dotterelbridge.gateway.app import create_gateway_app
@@ -22,6 +20,8 @@
 from dotterelbridge.nodes.probes import ReadinessApp
 from dotterelbridge.nodes.settings import NodeSettings
 from dotterelbridge.permits.limiter import create_rate_limiter
+from dotterelbridge.quarantine.messages import CrashRecorded
+from dotterelbridge.quarantine.messages import CrashReport
 from dotterelbridge.routes.document import RoutesFormat
 from dotterelbridge.serving.listener import create_caller_listener
 
--- a/dotterelbridge/nodes/node.py
+++ b/dotterelbridge/nodes/node.py
@@ -17,13 +17,13 @@
 from dotterelbridge.dump import DumpRegistry
 from dotterelbridge.events import CoreEvent
 from dotterelbridge.fleet.fleet_state import FleetState
-from dotterelbridge.fleet.quarantine import Quarantine
 from dotterelbridge.loop_lag import LoopMonitor
 from dotterelbridge.nodes.directory import ControlVmDirectory
 from dotterelbridge.nodes.probes import create_metrics_listeners
 from dotterelbridge.nodes.settings import NodeSettings
 from dotterelbridge.nodes.settings import load_node_settings
 from dotterelbridge.peers.websocket_network import create_peer_network
+from dotterelbridge.quarantine.quarantine import Quarantine
 from dotterelbridge.routes.active_routes import ActiveRoutes
 from dotterelbridge.routes.document import RoutesFormat
 
--- /dev/null
+++ b/dotterelbridge/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests under which targets crash are sent no more, by any VM."""
--- a/dotterelbridge/fleet/crash_tracker.py
+++ b/dotterelbridge/quarantine/crash_tracker.py
@@ -4,10 +4,10 @@
 from collections.abc import Iterable
 
 from dotterelbridge.clock import Clock
-from dotterelbridge.fleet.settings import FleetSettings
 from dotterelbridge.ids import Incarnation
 from dotterelbridge.ids import PartId
 from dotterelbridge.ids import TargetId
+from dotterelbridge.quarantine.settings import QuarantineSettings
 
 _CRASH_LIFETIME_S = 300.0
 """Time after which a crash is no evidence any more."""
@@ -27,7 +27,7 @@
     the other, without a complete answer to any request with it in between.
     """
 
-    def __init__(self, settings: FleetSettings, clock: Clock) -> None:
+    def __init__(self, settings: QuarantineSettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
         self._crashes: dict[PartId, dict[Incarnation, float]] = {}
--- a/dotterelbridge/gateway/crash_watch.py
+++ b/dotterelbridge/quarantine/crash_watch.py
@@ -8,11 +8,11 @@
 
 from dotterelbridge import events
 from dotterelbridge.clock import Clock
-from dotterelbridge.fleet.messages import CrashReport
 from dotterelbridge.fleet.records import FleetTarget
 from dotterelbridge.gateway.events import GatewayEvent
 from dotterelbridge.ids import Incarnation
 from dotterelbridge.ids import PartId
+from dotterelbridge.quarantine.messages import CrashReport
 
 _log = structlog.get_logger(__name__)
 
--- /dev/null
+++ b/dotterelbridge/quarantine/events.py
@@ -0,0 +1,40 @@
+"""Numbered log events of the quarantine."""
+
+import logging
+
+from dotterelbridge.events import Event
+
+
+class QuarantineEvent(Event):
+    """Events 5540 to 5549."""
+
+    QUARANTINE_IN_FORCE = (
+        5540,
+        logging.INFO,
+        "The quarantined prompt parts changed on this VM; requests with one "
+        "of them are refused.",
+    )
+    PART_QUARANTINED = (
+        5541,
+        logging.WARNING,
+        "Targets crashed one after the other under requests with one part "
+        "in their prompts; the part is quarantined. The line names the "
+        "targets.",
+    )
+    PART_TRIAL_STARTED = (
+        5542,
+        logging.INFO,
+        "One VM may send one request with a quarantined prompt part.",
+    )
+    PART_RELEASED = (
+        5543,
+        logging.INFO,
+        "A request with a quarantined prompt part was answered completely; "
+        "the part is released.",
+    )
+    QUARANTINE_NOT_CHANGED = (
+        5544,
+        logging.WARNING,
+        "A change of the quarantine could not be committed to the log; it "
+        "is proposed again.",
+    )
--- a/dotterelbridge/fleet/quarantine_keeper.py
+++ b/dotterelbridge/quarantine/keeper.py
@@ -12,18 +12,18 @@
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import CommitUnknown
 from dotterelbridge.errors import NotCommitted
-from dotterelbridge.fleet.crash_tracker import CrashTracker
-from dotterelbridge.fleet.events import FleetEvent
-from dotterelbridge.fleet.quarantine import NO_VM
-from dotterelbridge.fleet.quarantine import STATE_MACHINE_NAME
-from dotterelbridge.fleet.quarantine import ChangeKind
-from dotterelbridge.fleet.quarantine import QuarantinedPart
-from dotterelbridge.fleet.quarantine import QuarantineTable
-from dotterelbridge.fleet.quarantine import encode_change
-from dotterelbridge.fleet.settings import FleetSettings
 from dotterelbridge.ids import Incarnation
 from dotterelbridge.ids import PartId
 from dotterelbridge.ids import VmId
+from dotterelbridge.quarantine.crash_tracker import CrashTracker
+from dotterelbridge.quarantine.events import QuarantineEvent
+from dotterelbridge.quarantine.quarantine import NO_VM
+from dotterelbridge.quarantine.quarantine import STATE_MACHINE_NAME
+from dotterelbridge.quarantine.quarantine import ChangeKind
+from dotterelbridge.quarantine.quarantine import QuarantinedPart
+from dotterelbridge.quarantine.quarantine import QuarantineTable
+from dotterelbridge.quarantine.quarantine import encode_change
+from dotterelbridge.quarantine.settings import QuarantineSettings
 from dotterelbridge.replication.log import ReplicatedLog
 
 _log = structlog.get_logger(__name__)
@@ -43,7 +43,7 @@
         self,
         log: ReplicatedLog,
         table: QuarantineTable,
-        settings: FleetSettings,
+        settings: QuarantineSettings,
         clock: Clock,
         rng: random.Random,
         is_leader: Callable[[], bool],
@@ -97,7 +97,7 @@
                 self._tracker.record_cause(part)
                 events.log(
                     _log,
-                    FleetEvent.PART_QUARANTINED,
+                    QuarantineEvent.PART_QUARANTINED,
                     part=part,
                     targets=targets,
                 )
@@ -106,7 +106,7 @@
         for part in sorted(self._cleared):
             if await self._change(ChangeKind.RELEASE, part):
                 self._cleared.discard(part)
-                events.log(_log, FleetEvent.PART_RELEASED, part=part)
+                events.log(_log, QuarantineEvent.PART_RELEASED, part=part)
 
     async def _start_due_trials(self) -> None:
         now = self._clock.monotonic()
@@ -124,7 +124,7 @@
             if await self._change(ChangeKind.TRIAL, entry.part, trial_vm):
                 events.log(
                     _log,
-                    FleetEvent.PART_TRIAL_STARTED,
+                    QuarantineEvent.PART_TRIAL_STARTED,
                     part=entry.part,
                     trial=entry.trial + 1,
                     vm=trial_vm,
@@ -143,7 +143,7 @@
         except (NotCommitted, CommitUnknown) as error:
             events.log(
                 _log,
-                FleetEvent.QUARANTINE_NOT_CHANGED,
+                QuarantineEvent.QUARANTINE_NOT_CHANGED,
                 part=part,
                 change=kind.value,
                 error=str(error),
--- /dev/null
+++ b/dotterelbridge/quarantine/messages.py
@@ -0,0 +1,25 @@
+"""Messages about crashes of targets."""
+
+from dotterelbridge.ids import PartId
+from dotterelbridge.ids import TargetId
+from dotterelbridge.peers.messages import Message
+from dotterelbridge.peers.messages import register_message
+
+
+@register_message("fleet.crash")
+class CrashReport(Message, frozen=True, kw_only=True, array_like=True):
+    """Reports that a target crashed while it began to answer requests."""
+
+    target: TargetId
+    born: int
+    """Unix time of the target's start in ms."""
+    parts: tuple[PartId, ...]
+    """Shared prompt parts of these requests, as far as the sender knows."""
+
+
+@register_message("fleet.crash_recorded")
+class CrashRecorded(Message, frozen=True, kw_only=True, array_like=True):
+    """Answers a CrashReport."""
+
+    is_recorded: bool
+    """Whether the leader of the log has the report."""
--- a/dotterelbridge/fleet/quarantine.py
+++ b/dotterelbridge/quarantine/quarantine.py
@@ -13,10 +13,10 @@
 import structlog
 
 from dotterelbridge import events
-from dotterelbridge.fleet.events import FleetEvent
 from dotterelbridge.ids import LogIndex
 from dotterelbridge.ids import PartId
 from dotterelbridge.ids import VmId
+from dotterelbridge.quarantine.events import QuarantineEvent
 from dotterelbridge.replication.log import StateMachine
 
 STATE_MACHINE_NAME = "quarantine"
@@ -164,7 +164,7 @@
                     self._open_trials.add(entry.part)
         events.log(
             _log,
-            FleetEvent.QUARANTINE_IN_FORCE,
+            QuarantineEvent.QUARANTINE_IN_FORCE,
             version=snapshot.version,
             parts=sorted(self._parts),
         )
--- a/dotterelbridge/settings_reference.py
+++ b/dotterelbridge/settings_reference.py
@@ -109,8 +109,17 @@
 def _read_meanings(section_type: type[Section]) -> dict[str, str]:
     """Return the docstrings below the fields, by field name.
 
-    They are not kept at run time, so this parses the source of the type.
+    They are not kept at run time, so this parses the source of the type and
+    of the section types that it derives from.
     """
+    meanings = {}
+    for base in reversed(section_type.__mro__):
+        if issubclass(base, Section) and base is not Section:
+            meanings |= _parse_meanings(base)
+    return meanings
+
+
+def _parse_meanings(section_type: type[Section]) -> dict[str, str]:
     source = textwrap.dedent(inspect.getsource(section_type))
     body = ast.parse(source).body[0].body
     meanings = {}
--- a/tests/fleet/support.py
+++ b/tests/fleet/support.py
@@ -4,9 +4,6 @@
 
 from dotterelbridge.fleet.engine import EngineReport
 from dotterelbridge.fleet.engine_state import EngineState
-from dotterelbridge.fleet.quarantine import Quarantine
-from dotterelbridge.fleet.quarantine import QuarantinedPart
-from dotterelbridge.fleet.quarantine import QuarantineSnapshot
 from dotterelbridge.fleet.records import FleetTarget
 from dotterelbridge.fleet.records import HeldModel
 from dotterelbridge.fleet.records import ItemKey
@@ -15,6 +12,9 @@
 from dotterelbridge.ids import FailureDomain
 from dotterelbridge.ids import TargetId
 from dotterelbridge.ids import VmId
+from dotterelbridge.quarantine.quarantine import Quarantine
+from dotterelbridge.quarantine.quarantine import QuarantinedPart
+from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
 from tests.routes.support import LLM
 from tests.routes.support import create_engine
 
--- a/tests/fleet/test_feed.py
+++ b/tests/fleet/test_feed.py
@@ -9,11 +9,11 @@
 from dotterelbridge.fleet.feed import FleetFeed
 from dotterelbridge.fleet.feed import FleetFollower
 from dotterelbridge.fleet.fleet_state import FleetState
-from dotterelbridge.fleet.quarantine import QuarantinedPart
-from dotterelbridge.fleet.quarantine import QuarantineSnapshot
 from dotterelbridge.fleet.records import HeldModel
 from dotterelbridge.fleet.records import TargetLoad
 from dotterelbridge.fleet.settings import FleetSettings
+from dotterelbridge.quarantine.quarantine import QuarantinedPart
+from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
 from dotterelbridge.routes.active_routes import create_active_routes
 from dotterelbridge.routes.document import create_native_format
 from dotterelbridge.routes.document import pack_routes
--- a/tests/gateway/test_quarantined_parts.py
+++ b/tests/gateway/test_quarantined_parts.py
@@ -4,14 +4,14 @@
 import pytest
 
 from dotterelbridge.clock import ManualClock
-from dotterelbridge.fleet.quarantine import QuarantinedPart
-from dotterelbridge.fleet.quarantine import QuarantineSnapshot
 from dotterelbridge.fleet.records import TargetPhase
-from dotterelbridge.gateway.crash_watch import CrashWatch
 from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.errors import UnavailableReason
 from dotterelbridge.gateway.request import PromptPart
 from dotterelbridge.gateway.router import AttemptOutcome
+from dotterelbridge.quarantine.crash_watch import CrashWatch
+from dotterelbridge.quarantine.quarantine import QuarantinedPart
+from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
 from tests.fleet.support import RETRY_AFTER
 from tests.fleet.support import create_target
 from tests.gateway.support import SIGNED_HEADERS
--- a/tests/fleet/test_crash_tracker.py
+++ b/tests/quarantine/test_crash_tracker.py
@@ -5,8 +5,8 @@
 import pytest
 
 from dotterelbridge.clock import ManualClock
-from dotterelbridge.fleet.crash_tracker import CrashTracker
 from dotterelbridge.fleet.settings import FleetSettings
+from dotterelbridge.quarantine.crash_tracker import CrashTracker
 
 SETTINGS = FleetSettings()
 FIRST_PART = "a0"
--- a/tests/fleet/test_crashing_prompts_load.py
+++ b/tests/quarantine/test_crashing_prompts_load.py
@@ -16,10 +16,10 @@
 import pytest
 
 from dotterelbridge.clock import ManualClock
-from dotterelbridge.fleet.crash_tracker import CrashTracker
 from dotterelbridge.fleet.records import TargetPhase
 from dotterelbridge.fleet.settings import FleetSettings
-from dotterelbridge.gateway.crash_watch import CrashWatch
+from dotterelbridge.quarantine.crash_tracker import CrashTracker
+from dotterelbridge.quarantine.crash_watch import CrashWatch
 from tests.fleet.support import create_target
 
 BAD_PART = "bad0"
--- a/tests/fleet/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -1,11 +1,11 @@
 """The quarantine: its table on the log, and what is in force on a VM."""
 
-from dotterelbridge.fleet.quarantine import MAX_QUARANTINED_PARTS
-from dotterelbridge.fleet.quarantine import ChangeKind
-from dotterelbridge.fleet.quarantine import QuarantinedPart
-from dotterelbridge.fleet.quarantine import QuarantineSnapshot
-from dotterelbridge.fleet.quarantine import QuarantineTable
-from dotterelbridge.fleet.quarantine import encode_change
+from dotterelbridge.quarantine.quarantine import MAX_QUARANTINED_PARTS
+from dotterelbridge.quarantine.quarantine import ChangeKind
+from dotterelbridge.quarantine.quarantine import QuarantinedPart
+from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
+from dotterelbridge.quarantine.quarantine import QuarantineTable
+from dotterelbridge.quarantine.quarantine import encode_change
 from tests.fleet.support import create_quarantine
 
 
--- a/tests/fleet/test_quarantine_keeper.py
+++ b/tests/quarantine/test_quarantine_keeper.py
@@ -7,9 +7,9 @@
 import anyio
 
 from dotterelbridge.errors import NotCommitted
-from dotterelbridge.fleet.quarantine import QuarantineTable
-from dotterelbridge.fleet.quarantine_keeper import QuarantineKeeper
 from dotterelbridge.fleet.settings import FleetSettings
+from dotterelbridge.quarantine.keeper import QuarantineKeeper
+from dotterelbridge.quarantine.quarantine import QuarantineTable
 from standins.virtual_time import LoopClock
 from standins.virtual_time import run_in_virtual_time
 
