Call what crashing requests have in common a trait

Cause: evidence on crashes is kept for parts of prompts; the same request sent again, and a caller, are to be suspected in the same way.

Change: PartId becomes TraitId in the quarantine and in reports of answers; log lines name trait and traits in place of part and parts, with the event numbers as before. No change of behaviour.

--- a/dotterelbridge/fleet/messages.py
+++ b/dotterelbridge/fleet/messages.py
@@ -5,8 +5,8 @@
 from dotterelbridge.fleet.records import FleetTarget
 from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.fleet.records import PendingLoad
-from dotterelbridge.ids import PartId
 from dotterelbridge.ids import TargetId
+from dotterelbridge.ids import TraitId
 from dotterelbridge.ids import VmId
 from dotterelbridge.peers.messages import Message
 from dotterelbridge.peers.messages import register_message
@@ -75,6 +75,6 @@
 
     entry_vm: VmId
     items: tuple[ItemDemand, ...]
-    answered_parts: tuple[PartId, ...] = ()
-    """Shared prompt parts of requests that were answered completely since
-    the previous report."""
+    answered_traits: tuple[TraitId, ...] = ()
+    """Traits of requests that were answered completely since the previous
+    report."""
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -371,7 +371,7 @@
             "waiting": len(self._queue),
             "quarantine": {
                 "version": self._quarantine.version,
-                "parts": [e.part for e in self._quarantine.snapshot.parts],
+                "traits": [e.trait for e in self._quarantine.snapshot.traits],
             },
             "targets": {
                 name: {
--- a/dotterelbridge/ids.py
+++ b/dotterelbridge/ids.py
@@ -33,6 +33,10 @@
 PartId = NewType("PartId", str)
 """Part of a prompt that several requests may share."""
 
+TraitId = NewType("TraitId", str)
+"""Something that requests have in common under which targets crash: a part
+of a prompt, the same request sent again, or the caller."""
+
 Revision = NewType("Revision", int)
 """Sequence number of an accepted sheet, in the order of acceptance."""
 
--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -265,7 +265,7 @@
         if any(demand.waiting for demand in report.items):
             self._fleet_feed.record_waiting(sender)
         if self._replicated_log.has_leader_lease():
-            self._quarantine_keeper.record_answered(report.answered_parts)
+            self._quarantine_keeper.record_answered(report.answered_traits)
             if self._demand_tracker.add_report(report):
                 self._fleet_controller.request_plan()
             return
@@ -279,7 +279,7 @@
         """Record a report on the leader, or pass it on to the leader."""
         if self._replicated_log.has_leader_lease():
             self._quarantine_keeper.record_crash(
-                (report.target, report.born), report.parts
+                (report.target, report.born), report.traits
             )
             return CrashRecorded(is_recorded=True)
         leader = self._replicated_log.get_leader()
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -177,14 +177,14 @@
             self._router.missing_item_event = anyio.Event()
             items = self._router.read_demand()
             source = self._fleet_follower.source
-            answered_parts = self._router.crash_watch.read_answered_parts()
-            if source is not None and (items or answered_parts):
+            answered_traits = self._router.crash_watch.read_answered_traits()
+            if source is not None and (items or answered_traits):
                 self._network.send(
                     source,
                     DemandReport(
                         entry_vm=self._network.own_id,
                         items=items,
-                        answered_parts=answered_parts,
+                        answered_traits=answered_traits,
                     ),
                 )
             await self._clock.sleep(min_interval)
--- a/dotterelbridge/nodes/node.py
+++ b/dotterelbridge/nodes/node.py
@@ -78,7 +78,7 @@
         )
         metrics.register_gauge(
             "dotterelbridge.fleet.quarantined_parts",
-            self._quarantine.count_parts,
+            self._quarantine.count_traits,
             "Prompt parts with which requests are refused",
         )
         metrics.register_gauge(
--- a/dotterelbridge/quarantine/crash_watch.py
+++ b/dotterelbridge/quarantine/crash_watch.py
@@ -11,7 +11,7 @@
 from dotterelbridge.fleet.records import FleetTarget
 from dotterelbridge.gateway.events import GatewayEvent
 from dotterelbridge.ids import Incarnation
-from dotterelbridge.ids import PartId
+from dotterelbridge.ids import TraitId
 from dotterelbridge.quarantine.messages import CrashReport
 
 _log = structlog.get_logger(__name__)
@@ -29,33 +29,33 @@
 
     closed_at: float
     """Monotonic time in seconds."""
-    parts: tuple[PartId, ...]
+    traits: tuple[TraitId, ...]
 
 
 class CrashWatch:
-    """Collects reports of crashes, and parts that were answered."""
+    """Collects reports of crashes, and traits that were answered."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._closed_attempts: dict[Incarnation, list[_ClosedAttempt]] = {}
         self._crashed_at: dict[Incarnation, float] = {}
-        self._answered_parts: set[PartId] = set()
+        self._answered_traits: set[TraitId] = set()
         self._reports: list[CrashReport] = []
         self._has_reports = anyio.Event()
 
-    def record_answered(self, parts: Iterable[PartId]) -> None:
-        """Record a complete answer to a request with these shared parts."""
-        self._answered_parts.update(parts)
+    def record_answered(self, traits: Iterable[TraitId]) -> None:
+        """Record a complete answer to a request with these traits."""
+        self._answered_traits.update(traits)
 
     def record_closed_attempt(
         self,
         target: FleetTarget,
-        parts: tuple[PartId, ...],
+        traits: tuple[TraitId, ...],
         first_event_at: float | None,
     ) -> None:
         """Record that a target ended a connection instead of its answer.
 
-        :param parts: shared parts of the request's prompt.
+        :param traits: traits of the request.
         :param first_event_at: monotonic time of the stream's first event.
         """
         now = self._clock.monotonic()
@@ -63,12 +63,12 @@
             first_event_at is not None
             and now - first_event_at > _SOUND_AFTER_S
         ):
-            self.record_answered(parts)
+            self.record_answered(traits)
             return
         self._remove_old(now)
         incarnation = (target.target, target.born)
         attempts = self._closed_attempts.setdefault(incarnation, [])
-        attempts.append(_ClosedAttempt(now, parts))
+        attempts.append(_ClosedAttempt(now, traits))
         if incarnation in self._crashed_at:
             self._report(incarnation)
 
@@ -83,10 +83,10 @@
             self._crashed_at[incarnation] = now
             self._report(incarnation)
 
-    def read_answered_parts(self) -> tuple[PartId, ...]:
-        """Return the parts answered since the previous call."""
-        parts, self._answered_parts = self._answered_parts, set()
-        return tuple(sorted(parts))
+    def read_answered_traits(self) -> tuple[TraitId, ...]:
+        """Return the traits answered since the previous call."""
+        traits, self._answered_traits = self._answered_traits, set()
+        return tuple(sorted(traits))
 
     async def wait_for_report(self) -> CrashReport:
         """Return the oldest report that was not returned before."""
@@ -97,7 +97,7 @@
 
     def _report(self, incarnation: Incarnation) -> None:
         attempts = self._closed_attempts.pop(incarnation)
-        parts = {part for attempt in attempts for part in attempt.parts}
+        traits = {trait for attempt in attempts for trait in attempt.traits}
         target, born = incarnation
         events.log(
             _log,
@@ -105,11 +105,11 @@
             target=target,
             born=born,
             attempts=len(attempts),
-            parts=sorted(parts),
+            traits=sorted(traits),
         )
-        if parts:
+        if traits:
             report = CrashReport(
-                target=target, born=born, parts=tuple(sorted(parts))
+                target=target, born=born, traits=tuple(sorted(traits))
             )
             self._reports.append(report)
             self._has_reports.set()
--- a/dotterelbridge/quarantine/events.py
+++ b/dotterelbridge/quarantine/events.py
@@ -11,26 +11,26 @@
     QUARANTINE_IN_FORCE = (
         5540,
         logging.INFO,
-        "The quarantined prompt parts changed on this VM; requests with one "
+        "The quarantined traits changed on this VM; requests with one "
         "of them are refused.",
     )
-    PART_QUARANTINED = (
+    TRAIT_QUARANTINED = (
         5541,
         logging.WARNING,
-        "Targets crashed one after the other under requests with one part "
-        "in their prompts; the part is quarantined. The line names the "
+        "Targets crashed one after the other under requests with one trait "
+        "in common; the trait is quarantined. The line names the "
         "targets.",
     )
-    PART_TRIAL_STARTED = (
+    TRAIT_TRIAL_STARTED = (
         5542,
         logging.INFO,
-        "One VM may send one request with a quarantined prompt part.",
+        "One VM may send one request with a quarantined trait.",
     )
-    PART_RELEASED = (
+    TRAIT_RELEASED = (
         5543,
         logging.INFO,
-        "A request with a quarantined prompt part was answered completely; "
-        "the part is released.",
+        "A request with a quarantined trait was answered completely; "
+        "the trait is released.",
     )
     QUARANTINE_NOT_CHANGED = (
         5544,
--- a/dotterelbridge/quarantine/keeper.py
+++ b/dotterelbridge/quarantine/keeper.py
@@ -1,4 +1,4 @@
-"""Quarantines prompt parts, and tries and releases them, on the leader."""
+"""Quarantines traits, and tries and releases them, on the leader."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -13,14 +13,14 @@
 from dotterelbridge.errors import CommitUnknown
 from dotterelbridge.errors import NotCommitted
 from dotterelbridge.ids import Incarnation
-from dotterelbridge.ids import PartId
+from dotterelbridge.ids import TraitId
 from dotterelbridge.ids import VmId
 from dotterelbridge.quarantine.crash_tracker import CrashTracker
 from dotterelbridge.quarantine.events import QuarantineEvent
 from dotterelbridge.quarantine.quarantine import NO_VM
 from dotterelbridge.quarantine.quarantine import STATE_MACHINE_NAME
 from dotterelbridge.quarantine.quarantine import ChangeKind
-from dotterelbridge.quarantine.quarantine import QuarantinedPart
+from dotterelbridge.quarantine.quarantine import QuarantinedTrait
 from dotterelbridge.quarantine.quarantine import QuarantineTable
 from dotterelbridge.quarantine.quarantine import encode_change
 from dotterelbridge.quarantine.settings import QuarantineSettings
@@ -57,32 +57,32 @@
         self._is_leader = is_leader
         self._list_entry_vms = list_entry_vms
         self._tracker = CrashTracker(settings, clock)
-        self._quarantined_at: dict[QuarantinedPart, float] = {}
+        self._quarantined_at: dict[QuarantinedTrait, float] = {}
         """Monotonic times at which entries were first seen by this leader."""
-        self._cleared: set[PartId] = set()
-        """Quarantined parts of which a trial succeeded."""
+        self._cleared: set[TraitId] = set()
+        """Quarantined traits of which a trial succeeded."""
 
     def record_crash(
-        self, incarnation: Incarnation, parts: Iterable[PartId]
+        self, incarnation: Incarnation, traits: Iterable[TraitId]
     ) -> None:
         """Record one VM's report of a crash."""
-        quarantined = [entry.part for entry in self._table.snapshot.parts]
-        self._tracker.record_crash(incarnation, parts, quarantined)
+        quarantined = [entry.trait for entry in self._table.snapshot.traits]
+        self._tracker.record_crash(incarnation, traits, quarantined)
 
-    def record_answered(self, parts: Iterable[PartId]) -> None:
-        """Record that requests with the parts were answered completely."""
-        for part in parts:
-            entry = self._table.find(part)
+    def record_answered(self, traits: Iterable[TraitId]) -> None:
+        """Record that requests with the traits were answered completely."""
+        for trait in traits:
+            entry = self._table.find(trait)
             if entry is not None and entry.trial:
-                self._cleared.add(part)
-        self._tracker.record_answered(parts)
+                self._cleared.add(trait)
+        self._tracker.record_answered(traits)
 
     async def run(self) -> None:
         """Change the quarantine whenever this VM leads, until cancelled."""
         while True:
             await self._clock.sleep(_CHECK_INTERVAL)
             if self._is_leader():
-                await self._release_parts()
+                await self._release_traits()
                 await self._quarantine_suspects()
                 await self._start_due_trials()
             else:
@@ -91,26 +91,26 @@
                 self._cleared.clear()
 
     async def _quarantine_suspects(self) -> None:
-        for part in self._tracker.list_suspects():
-            targets = self._tracker.list_crashed_targets(part)
-            if await self._change(ChangeKind.ADD, part):
-                self._tracker.record_cause(part)
+        for trait in self._tracker.list_suspects():
+            targets = self._tracker.list_crashed_targets(trait)
+            if await self._change(ChangeKind.ADD, trait):
+                self._tracker.record_cause(trait)
                 events.log(
                     _log,
-                    QuarantineEvent.PART_QUARANTINED,
-                    part=part,
+                    QuarantineEvent.TRAIT_QUARANTINED,
+                    trait=trait,
                     targets=targets,
                 )
 
-    async def _release_parts(self) -> None:
-        for part in sorted(self._cleared):
-            if await self._change(ChangeKind.RELEASE, part):
-                self._cleared.discard(part)
-                events.log(_log, QuarantineEvent.PART_RELEASED, part=part)
+    async def _release_traits(self) -> None:
+        for trait in sorted(self._cleared):
+            if await self._change(ChangeKind.RELEASE, trait):
+                self._cleared.discard(trait)
+                events.log(_log, QuarantineEvent.TRAIT_RELEASED, trait=trait)
 
     async def _start_due_trials(self) -> None:
         now = self._clock.monotonic()
-        entries = self._table.snapshot.parts
+        entries = self._table.snapshot.traits
         self._quarantined_at = {
             entry: self._quarantined_at.get(entry, now) for entry in entries
         }
@@ -121,30 +121,30 @@
             if now - quarantined_at < wait_s or not entry_vms:
                 continue
             trial_vm = self._random.choice(entry_vms)
-            if await self._change(ChangeKind.TRIAL, entry.part, trial_vm):
+            if await self._change(ChangeKind.TRIAL, entry.trait, trial_vm):
                 events.log(
                     _log,
-                    QuarantineEvent.PART_TRIAL_STARTED,
-                    part=entry.part,
+                    QuarantineEvent.TRAIT_TRIAL_STARTED,
+                    trait=entry.trait,
                     trial=entry.trial + 1,
                     vm=trial_vm,
                 )
 
     async def _change(
-        self, kind: ChangeKind, part: PartId, trial_vm: VmId = NO_VM
+        self, kind: ChangeKind, trait: TraitId, trial_vm: VmId = NO_VM
     ) -> bool:
         """Commit a change; return whether it is certainly committed."""
         try:
             await self._log.propose(
                 STATE_MACHINE_NAME,
-                encode_change(kind, part, trial_vm),
+                encode_change(kind, trait, trial_vm),
                 _COMMIT_TIMEOUT,
             )
         except (NotCommitted, CommitUnknown) as error:
             events.log(
                 _log,
                 QuarantineEvent.QUARANTINE_NOT_CHANGED,
-                part=part,
+                trait=trait,
                 change=kind.value,
                 error=str(error),
             )
--- a/dotterelbridge/quarantine/messages.py
+++ b/dotterelbridge/quarantine/messages.py
@@ -1,7 +1,7 @@
 """Messages about crashes of targets."""
 
-from dotterelbridge.ids import PartId
 from dotterelbridge.ids import TargetId
+from dotterelbridge.ids import TraitId
 from dotterelbridge.peers.messages import Message
 from dotterelbridge.peers.messages import register_message
 
@@ -13,8 +13,8 @@
     target: TargetId
     born: int
     """Unix time of the target's start in ms."""
-    parts: tuple[PartId, ...]
-    """Shared prompt parts of these requests, as far as the sender knows."""
+    traits: tuple[TraitId, ...]
+    """Traits of these requests, as far as the sender knows."""
 
 
 @register_message("fleet.crash_recorded")
--- a/dotterelbridge/quarantine/quarantine.py
+++ b/dotterelbridge/quarantine/quarantine.py
@@ -1,4 +1,4 @@
-"""Prompt parts that no target gets because targets crash under them.
+"""Traits that no target gets because targets crash under them.
 
 The quarantine is a state machine of the replicated log, so that it survives
 restarts and changes of the leader; the feed distributes it to all VMs.
@@ -14,34 +14,34 @@
 
 from dotterelbridge import events
 from dotterelbridge.ids import LogIndex
-from dotterelbridge.ids import PartId
+from dotterelbridge.ids import TraitId
 from dotterelbridge.ids import VmId
 from dotterelbridge.quarantine.events import QuarantineEvent
 from dotterelbridge.replication.log import StateMachine
 
 STATE_MACHINE_NAME = "quarantine"
-MAX_QUARANTINED_PARTS = 64
-"""Further parts are not taken; the table goes with each change to all VMs."""
+MAX_QUARANTINED_TRAITS = 64
+"""Further traits are not taken; the table goes with each change to all VMs."""
 NO_VM = VmId("")
 """Stands for the VM of a trial where there is none."""
 
 _log = structlog.get_logger(__name__)
 
 
-class QuarantinedPart(msgspec.Struct, frozen=True, array_like=True):
-    """A part, and the VM that may send one request with it as a trial."""
+class QuarantinedTrait(msgspec.Struct, frozen=True, array_like=True):
+    """A trait, and the VM that may send one request with it as a trial."""
 
-    part: PartId
+    trait: TraitId
     trial: int = 0
     """Number of the latest trial; 0 before the first."""
     trial_vm: VmId = NO_VM
 
 
 class QuarantineSnapshot(msgspec.Struct, frozen=True, array_like=True):
-    """All quarantined parts, as of a version."""
+    """All quarantined traits, as of a version."""
 
     version: int = 0
-    parts: tuple[QuarantinedPart, ...] = ()
+    traits: tuple[QuarantinedTrait, ...] = ()
 
 
 class ChangeKind(enum.Enum):
@@ -53,15 +53,15 @@
 
 
 class QuarantineChange(msgspec.Struct, frozen=True, array_like=True):
-    """Command that adds a part, starts a trial of it, or releases it."""
+    """Command that adds a trait, starts a trial of it, or releases it."""
 
     kind: ChangeKind
-    part: PartId
+    trait: TraitId
     trial_vm: VmId = NO_VM
 
 
 class QuarantineTable(StateMachine):
-    """Holds the quarantined parts; its version rises with each change."""
+    """Holds the quarantined traits; its version rises with each change."""
 
     def __init__(self) -> None:
         self.snapshot = QuarantineSnapshot()
@@ -73,31 +73,31 @@
         """Register a callback that gets each version."""
         self._subscribers.append(callback)
 
-    def find(self, part: PartId) -> QuarantinedPart | None:
-        """Return the entry of a part, if it is quarantined."""
-        for entry in self.snapshot.parts:
-            if entry.part == part:
+    def find(self, trait: TraitId) -> QuarantinedTrait | None:
+        """Return the entry of a trait, if it is quarantined."""
+        for entry in self.snapshot.traits:
+            if entry.trait == trait:
                 return entry
         return None
 
     def apply(self, index: LogIndex, command: bytes) -> bytes:
         """Apply a change, unless it is void; return the version."""
         change = msgspec.msgpack.decode(command, type=QuarantineChange)
-        entries = {entry.part: entry for entry in self.snapshot.parts}
-        known = entries.get(change.part)
+        entries = {entry.trait: entry for entry in self.snapshot.traits}
+        known = entries.get(change.trait)
         match change.kind:
             case ChangeKind.ADD if known is None:
-                if len(entries) < MAX_QUARANTINED_PARTS:
-                    entries[change.part] = QuarantinedPart(change.part)
+                if len(entries) < MAX_QUARANTINED_TRAITS:
+                    entries[change.trait] = QuarantinedTrait(change.trait)
             case ChangeKind.TRIAL if known is not None:
-                entries[change.part] = QuarantinedPart(
-                    change.part, known.trial + 1, change.trial_vm
+                entries[change.trait] = QuarantinedTrait(
+                    change.trait, known.trial + 1, change.trial_vm
                 )
             case ChangeKind.RELEASE:
-                entries.pop(change.part, None)
-        parts = tuple(entries.values())
-        if parts != self.snapshot.parts:
-            self._store(QuarantineSnapshot(self.snapshot.version + 1, parts))
+                entries.pop(change.trait, None)
+        traits = tuple(entries.values())
+        if traits != self.snapshot.traits:
+            self._store(QuarantineSnapshot(self.snapshot.version + 1, traits))
         return msgspec.msgpack.encode(self.snapshot.version)
 
     def take_snapshot(self) -> bytes:
@@ -113,10 +113,10 @@
 
 
 def encode_change(
-    kind: ChangeKind, part: PartId, trial_vm: VmId = NO_VM
+    kind: ChangeKind, trait: TraitId, trial_vm: VmId = NO_VM
 ) -> bytes:
     """Return the log command of a change."""
-    return msgspec.msgpack.encode(QuarantineChange(kind, part, trial_vm))
+    return msgspec.msgpack.encode(QuarantineChange(kind, trait, trial_vm))
 
 
 class Quarantine:
@@ -130,8 +130,8 @@
         self.snapshot = QuarantineSnapshot()
         self.retry_after = retry_after
         self._own_vm = own_vm
-        self._parts: frozenset[PartId] = frozenset()
-        self._open_trials: set[PartId] = set()
+        self._traits: frozenset[TraitId] = frozenset()
+        self._open_trials: set[TraitId] = set()
         self._subscribers: list[Callable[[], None]] = []
 
     @property
@@ -139,9 +139,9 @@
         """Version in force; 0 before the first."""
         return self.snapshot.version
 
-    def count_parts(self) -> int:
-        """Return the number of quarantined parts."""
-        return len(self._parts)
+    def count_traits(self) -> int:
+        """Return the number of quarantined traits."""
+        return len(self._traits)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` after each change."""
@@ -153,33 +153,33 @@
             return
         # This VM may have used the trials that were open when it started.
         is_first = self.version == 0
-        known = set(self.snapshot.parts)
+        known = set(self.snapshot.traits)
         self.snapshot = snapshot
-        self._parts = frozenset(entry.part for entry in snapshot.parts)
-        self._open_trials &= self._parts
-        for entry in snapshot.parts:
+        self._traits = frozenset(entry.trait for entry in snapshot.traits)
+        self._open_trials &= self._traits
+        for entry in snapshot.traits:
             if entry not in known and not is_first:
-                self._open_trials.discard(entry.part)
+                self._open_trials.discard(entry.trait)
                 if entry.trial_vm == self._own_vm:
-                    self._open_trials.add(entry.part)
+                    self._open_trials.add(entry.trait)
         events.log(
             _log,
             QuarantineEvent.QUARANTINE_IN_FORCE,
             version=snapshot.version,
-            parts=sorted(self._parts),
+            traits=sorted(self._traits),
         )
         for callback in self._subscribers:
             callback()
 
-    def find_blocked(self, parts: Iterable[PartId]) -> set[PartId]:
-        """Return those of the parts that are quarantined."""
-        return self._parts.intersection(parts) if self._parts else set()
+    def find_blocked(self, traits: Iterable[TraitId]) -> set[TraitId]:
+        """Return those of the traits that are quarantined."""
+        return self._traits.intersection(traits) if self._traits else set()
 
-    def take_trial(self, blocked: set[PartId]) -> bool:
-        """Return whether one request with these parts may be sent.
+    def take_trial(self, blocked: set[TraitId]) -> bool:
+        """Return whether one request with these traits may be sent.
 
-        True is returned once for each trial, and only for a single part, so
-        that its outcome is that part's.
+        True is returned once for each trial, and only for a single trait, so
+        that its outcome is that trait's.
         """
         if len(blocked) != 1 or not blocked <= self._open_trials:
             return False
--- a/dotterelbridge/quarantine/settings.py
+++ b/dotterelbridge/quarantine/settings.py
@@ -14,16 +14,16 @@
     """Section ``[quarantine]``; nodes have these options in ``[fleet]``."""
 
     quarantine_crashes: _Count = 3
-    """Crashes of targets under one part of a prompt, without a complete
-    answer in between, after which requests with the part are refused."""
+    """Crashes of targets under requests with one trait, without a complete
+    answer in between, after which requests with the trait are refused."""
     quarantine_spread_ms: _Milliseconds = 1000
     """Shortest time between the first and the last of these crashes: two
     demand reports, which tell of complete answers. Targets that crash
     together have a common cause elsewhere."""
     quarantine_settle_ms: _Milliseconds = 600
     """Time after the decisive crash in which reports of complete answers
-    may still clear a part: a demand report and its way to the leader."""
+    may still clear a trait: a demand report and its way to the leader."""
     quarantine_s: Annotated[float, Meta(gt=0)] = 300.0
-    """Time after which one request with a quarantined part is sent as a
+    """Time after which one request with a quarantined trait is sent as a
     trial; doubled after each trial. Also the time after which callers of
     refused requests may ask again."""
--- a/tests/fleet/support.py
+++ b/tests/fleet/support.py
@@ -13,7 +13,7 @@
 from dotterelbridge.ids import TargetId
 from dotterelbridge.ids import VmId
 from dotterelbridge.quarantine.quarantine import Quarantine
-from dotterelbridge.quarantine.quarantine import QuarantinedPart
+from dotterelbridge.quarantine.quarantine import QuarantinedTrait
 from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
 from tests.routes.support import LLM
 from tests.routes.support import create_engine
@@ -42,7 +42,7 @@
     """Return the quarantine of a VM, with parts in force from the start."""
     quarantine = Quarantine(VmId(vm), RETRY_AFTER)
     if parts:
-        entries = tuple(QuarantinedPart(part) for part in parts)
+        entries = tuple(QuarantinedTrait(part) for part in parts)
         quarantine.activate(QuarantineSnapshot(1, entries))
     return quarantine
 
--- a/tests/fleet/test_feed.py
+++ b/tests/fleet/test_feed.py
@@ -12,7 +12,7 @@
 from dotterelbridge.fleet.records import HeldModel
 from dotterelbridge.fleet.records import TargetLoad
 from dotterelbridge.fleet.settings import FleetSettings
-from dotterelbridge.quarantine.quarantine import QuarantinedPart
+from dotterelbridge.quarantine.quarantine import QuarantinedTrait
 from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
 from dotterelbridge.routes.active_routes import create_active_routes
 from dotterelbridge.routes.document import create_native_format
@@ -58,7 +58,7 @@
 
 
 def quarantine_part(quarantine, part, version) -> None:
-    entries = (QuarantinedPart(part),)
+    entries = (QuarantinedTrait(part),)
     quarantine.activate(QuarantineSnapshot(version, entries))
 
 
--- a/tests/gateway/test_quarantined_parts.py
+++ b/tests/gateway/test_quarantined_parts.py
@@ -10,7 +10,7 @@
 from dotterelbridge.gateway.request import PromptPart
 from dotterelbridge.gateway.router import AttemptOutcome
 from dotterelbridge.quarantine.crash_watch import CrashWatch
-from dotterelbridge.quarantine.quarantine import QuarantinedPart
+from dotterelbridge.quarantine.quarantine import QuarantinedTrait
 from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
 from tests.fleet.support import RETRY_AFTER
 from tests.fleet.support import create_target
@@ -31,7 +31,7 @@
 
 
 def quarantine(harness, version=1, trial=0, vm="") -> None:
-    entry = QuarantinedPart("bad0", trial, vm)
+    entry = QuarantinedTrait("bad0", trial, vm)
     harness.quarantine.activate(QuarantineSnapshot(version, (entry,)))
 
 
@@ -93,7 +93,7 @@
 async def test_request_with_two_quarantined_parts_is_no_trial(harness):
     harness.update_target(slots=8)
     quarantine(harness)
-    entries = (QuarantinedPart("bad0", 1, "f1"), QuarantinedPart("bad1"))
+    entries = (QuarantinedTrait("bad0", 1, "f1"), QuarantinedTrait("bad1"))
     harness.quarantine.activate(QuarantineSnapshot(2, entries))
     await expect_refusal(
         harness, create_call(harness, ("bad0", "bad1", "own1"))
@@ -138,7 +138,7 @@
         )
         with anyio.fail_after(10):
             report = await gateway.router.crash_watch.wait_for_report()
-    assert (report.target, report.born, report.parts) == ("e1", 1, ("p1",))
+    assert (report.target, report.born, report.traits) == ("e1", 1, ("p1",))
 
 
 # Guards against evidence from broken answers of targets that live on.
@@ -175,13 +175,13 @@
         )
         watch = gateway.router.crash_watch
         await wait_until(lambda: gateway.app.in_flight == 0)
-        assert watch.read_answered_parts() == ("a", "b")
-        assert watch.read_answered_parts() == ()
+        assert watch.read_answered_traits() == ("a", "b")
+        assert watch.read_answered_traits() == ()
 
 
 def read_reports(watch) -> list[tuple[str, ...]]:
     """Return the parts of all reports so far."""
-    return [report.parts for report in watch._reports]
+    return [report.traits for report in watch._reports]
 
 
 def test_streams_that_ran_on_are_not_suspected():
@@ -193,7 +193,7 @@
     watch.record_closed_attempt(target, ("waiting",), None)
     watch.record_crash(target)
     assert read_reports(watch) == [("begun", "waiting")]
-    assert watch.read_answered_parts() == ("running",)
+    assert watch.read_answered_traits() == ("running",)
 
 
 def test_attempts_that_end_after_the_failed_probe_are_reported_too():
--- a/tests/quarantine/test_crash_tracker.py
+++ b/tests/quarantine/test_crash_tracker.py
@@ -1,4 +1,4 @@
-"""Which prompt parts are suspected of crashing targets."""
+"""Which prompt traits are suspected of crashing targets."""
 
 from datetime import timedelta
 
@@ -24,14 +24,14 @@
     return CrashTracker(SETTINGS, clock)
 
 
-def crash(tracker, number, *parts) -> None:
-    tracker.record_crash((f"e{number}", 1), parts)
+def crash(tracker, number, *traits) -> None:
+    tracker.record_crash((f"e{number}", 1), traits)
 
 
-def crash_repeatedly(tracker, clock, count, *parts, first=0) -> None:
+def crash_repeatedly(tracker, clock, count, *traits, first=0) -> None:
     """Crash one target a second and wait for reports of answers."""
     for number in range(first, first + count):
-        crash(tracker, number, *parts)
+        crash(tracker, number, *traits)
         clock.advance(timedelta(seconds=1.0))
 
 
@@ -98,13 +98,13 @@
 def test_parts_that_cannot_be_told_apart_wait_for_another_crash(
     tracker, clock
 ):
-    parts = [f"p{number}" for number in range(10)]
-    crash_repeatedly(tracker, clock, 3, BAD_PART, *parts)
+    traits = [f"p{number}" for number in range(10)]
+    crash_repeatedly(tracker, clock, 3, BAD_PART, *traits)
     assert tracker.list_suspects() == []
-    crash_repeatedly(tracker, clock, 1, BAD_PART, *parts[:1], first=3)
+    crash_repeatedly(tracker, clock, 1, BAD_PART, *traits[:1], first=3)
     assert tracker.list_suspects() == []
-    crash_repeatedly(tracker, clock, 1, BAD_PART, *parts[:1], first=4)
-    assert tracker.list_suspects() == [BAD_PART, parts[0]]
+    crash_repeatedly(tracker, clock, 1, BAD_PART, *traits[:1], first=4)
+    assert tracker.list_suspects() == [BAD_PART, traits[0]]
 
 
 # Guards against refusing a caller that also sends the crashing requests.
--- a/tests/quarantine/test_crashing_prompts_load.py
+++ b/tests/quarantine/test_crashing_prompts_load.py
@@ -1,8 +1,8 @@
 """Load: one kind of request ends engines, beside busy and rare callers.
 
 A simulation of requests, engines, entry VMs and the leader's tracker, without
-network. Requests have a part of their route, a part of their caller (few are
-busy, many are rare) and a part of their own. The requests that end engines
+network. Requests have a trait of their route, a trait of their caller (few are
+busy, many are rare) and a trait of their own. The requests that end engines
 share route and caller with sound ones and come at any VM. An engine that ends
 breaks off all that it runs, and is back some seconds later.
 """
@@ -37,9 +37,9 @@
 
 
 class Request:
-    def __init__(self, vm, parts, is_crashing) -> None:
+    def __init__(self, vm, traits, is_crashing) -> None:
         self.vm = vm
-        self.parts = parts
+        self.traits = traits
         self.is_crashing = is_crashing
         self.first_event_at = None
 
@@ -59,7 +59,7 @@
 
 
 class Simulation:
-    """Runs events in their order of time; a part may become quarantined."""
+    """Runs events in their order of time; a trait may become quarantined."""
 
     def __init__(self, seed, vm_count, engine_count, requests_per_s):
         self.clock = ManualClock()
@@ -110,16 +110,16 @@
         )
         self._send(("a0", "c3", BAD_PART), is_crashing=True)
 
-    def _send(self, parts, is_crashing) -> None:
+    def _send(self, traits, is_crashing) -> None:
         engines = [engine for engine in self.engines if engine.is_up]
-        if self.quarantined.keys() & set(parts):
+        if self.quarantined.keys() & set(traits):
             self.refused["crashing" if is_crashing else "sound"] += 1
             return
         if not engines:
             return
         vm = self.random.choice(self.watches)
         engine = self.random.choice(engines)
-        request = Request(vm, parts, is_crashing)
+        request = Request(vm, traits, is_crashing)
         engine.running.add(request)
         if is_crashing:
             self.sent_crashing_at.append(self.now)
@@ -139,7 +139,7 @@
     def _finish(self, engine, request) -> None:
         if request in engine.running:
             engine.running.remove(request)
-            request.vm.record_answered(request.parts)
+            request.vm.record_answered(request.traits)
 
     def _crash(self, engine, request) -> None:
         if request not in engine.running:
@@ -149,7 +149,7 @@
         watches = []
         for broken in engine.running:
             broken.vm.record_closed_attempt(
-                view, broken.parts, broken.first_event_at
+                view, broken.traits, broken.first_event_at
             )
             watches.append(broken.vm)
         engine.running.clear()
@@ -168,7 +168,7 @@
     def _report_answers(self) -> None:
         self._schedule(REPORT_INTERVAL_S, self._report_answers)
         for watch in self.watches:
-            self.tracker.record_answered(watch.read_answered_parts())
+            self.tracker.record_answered(watch.read_answered_traits())
 
     def _check(self) -> None:
         self._schedule(CHECK_INTERVAL_S, self._check)
@@ -177,12 +177,12 @@
                 report = watch._reports.pop(0)
                 self.tracker.record_crash(
                     (report.target, report.born),
-                    report.parts,
+                    report.traits,
                     self.quarantined,
                 )
-        for part in self.tracker.list_suspects():
-            self.quarantined.setdefault(part, self.now)
-            self.tracker.record_cause(part)
+        for trait in self.tracker.list_suspects():
+            self.quarantined.setdefault(trait, self.now)
+            self.tracker.record_cause(trait)
 
     def count_sent_too_late(self) -> int:
         if len(self.crashed_at) < CRASHES_BEFORE_LIMIT:
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -1,30 +1,30 @@
 """The quarantine: its table on the log, and what is in force on a VM."""
 
-from dotterelbridge.quarantine.quarantine import MAX_QUARANTINED_PARTS
+from dotterelbridge.quarantine.quarantine import MAX_QUARANTINED_TRAITS
 from dotterelbridge.quarantine.quarantine import ChangeKind
-from dotterelbridge.quarantine.quarantine import QuarantinedPart
+from dotterelbridge.quarantine.quarantine import QuarantinedTrait
 from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
 from dotterelbridge.quarantine.quarantine import QuarantineTable
 from dotterelbridge.quarantine.quarantine import encode_change
 from tests.fleet.support import create_quarantine
 
 
-def apply(table, kind, part, vm="") -> None:
-    table.apply(1, encode_change(kind, part, vm))
+def apply(table, kind, trait, vm="") -> None:
+    table.apply(1, encode_change(kind, trait, vm))
 
 
-def list_parts(table) -> list[str]:
-    return [entry.part for entry in table.snapshot.parts]
+def list_traits(table) -> list[str]:
+    return [entry.trait for entry in table.snapshot.traits]
 
 
 def test_changes_are_applied_once():
     table = QuarantineTable()
     for _ in range(2):
         apply(table, ChangeKind.ADD, "p1")
-    assert (list_parts(table), table.snapshot.version) == (["p1"], 1)
+    assert (list_traits(table), table.snapshot.version) == (["p1"], 1)
     for _ in range(2):
         apply(table, ChangeKind.RELEASE, "p1")
-    assert (list_parts(table), table.snapshot.version) == ([], 2)
+    assert (list_traits(table), table.snapshot.version) == ([], 2)
 
 
 def test_trial_of_a_released_part_is_void():
@@ -35,9 +35,9 @@
 
 def test_number_of_parts_is_bounded():
     table = QuarantineTable()
-    for number in range(MAX_QUARANTINED_PARTS + 5):
+    for number in range(MAX_QUARANTINED_TRAITS + 5):
         apply(table, ChangeKind.ADD, f"p{number}")
-    assert len(list_parts(table)) == MAX_QUARANTINED_PARTS
+    assert len(list_traits(table)) == MAX_QUARANTINED_TRAITS
 
 
 def test_snapshot_restores_parts_and_version():
@@ -59,7 +59,7 @@
 
 
 def start_trial(quarantine, version, trial, vm) -> None:
-    entry = QuarantinedPart("p1", trial, vm)
+    entry = QuarantinedTrait("p1", trial, vm)
     quarantine.activate(QuarantineSnapshot(version, (entry,)))
 
 
@@ -70,15 +70,15 @@
     assert not other.take_trial({"p1"})
     assert own.take_trial({"p1"})
     assert not own.take_trial({"p1"})
-    # A change of another part does not start the trial again.
-    entries = (QuarantinedPart("p1", 1, "f1"), QuarantinedPart("p2"))
+    # A change of another trait does not start the trial again.
+    entries = (QuarantinedTrait("p1", 1, "f1"), QuarantinedTrait("p2"))
     own.activate(QuarantineSnapshot(3, entries))
     assert not own.take_trial({"p1"})
     start_trial(own, 4, 2, "f1")
     assert own.take_trial({"p1"})
 
 
-def test_vm_that_starts_during_a_trial_takes_no_part():
+def test_vm_that_starts_during_a_trial_takes_no_trait():
     quarantine = create_quarantine("f1")
     start_trial(quarantine, 5, 1, "f1")
     assert not quarantine.take_trial({"p1"})
--- a/tests/quarantine/test_quarantine_keeper.py
+++ b/tests/quarantine/test_quarantine_keeper.py
@@ -1,4 +1,4 @@
-"""The leader quarantines parts, tries them again and releases them."""
+"""The leader quarantines traits, tries them again and releases them."""
 
 from datetime import timedelta
 import itertools
@@ -51,18 +51,18 @@
         )
         tasks.start_soon(self.keeper.run)
 
-    async def crash_targets(self, count, *parts) -> None:
+    async def crash_targets(self, count, *traits) -> None:
         for number in range(count):
-            self.keeper.record_crash((f"e{number}", 1), parts)
+            self.keeper.record_crash((f"e{number}", 1), traits)
             await anyio.sleep(1.0)
 
     @property
     def entries(self):
-        return self.table.snapshot.parts
+        return self.table.snapshot.traits
 
     @property
-    def parts(self) -> list[str]:
-        return [entry.part for entry in self.entries]
+    def traits(self) -> list[str]:
+        return [entry.trait for entry in self.entries]
 
 
 def in_virtual_time(test):
@@ -82,23 +82,23 @@
 @in_virtual_time
 async def test_part_is_quarantined_after_three_crashes(harness):
     await harness.crash_targets(2, "bad0")
-    assert harness.parts == []
+    assert harness.traits == []
     await harness.crash_targets(3, "bad0")
-    assert harness.parts == ["bad0"]
+    assert harness.traits == ["bad0"]
 
 
 @in_virtual_time
 async def test_change_that_is_not_committed_is_proposed_again(harness):
     harness.log.failures_left = 3
     await harness.crash_targets(4, "bad0")
-    assert harness.parts == ["bad0"]
+    assert harness.traits == ["bad0"]
 
 
 @in_virtual_time
 async def test_only_the_leader_decides(harness):
     harness.is_leader = False
     await harness.crash_targets(4, "bad0")
-    assert harness.parts == []
+    assert harness.traits == []
 
 
 @in_virtual_time
@@ -120,8 +120,8 @@
     await harness.crash_targets(4, "bad0")
     harness.keeper.record_answered(["bad0"])
     await anyio.sleep(1.0)
-    assert harness.parts == ["bad0"]
+    assert harness.traits == ["bad0"]
     await anyio.sleep(60.0)
     harness.keeper.record_answered(["bad0"])
     await anyio.sleep(1.0)
-    assert harness.parts == []
+    assert harness.traits == []
