Quarantine a request, or a caller, under which targets crash

Cause: crashes were related to shared prompt parts only. A request without parts was not even reported, and one whose parts sound requests share was cleared by their answers. The class of fault is one: what requests have in common is not the one thing that evidence is kept for.

Change: entry VMs report, for each request that a crashed target was beginning to answer, a digest of method, host, path, query and body, its prompt parts and its caller, and when it was closed. The leader counts all three kinds, suspects the most specific one that explains the crashes, and waits for another crash where two kinds that don't come together tie. The same request counts without a spread over a second, since our retries and a caller's copies can end all replicas of a service in 0.3 s; crashes within 50 ms count once. VMs report answers to what the leader watches, and don't suspect a request that they saw answered in the last minute. A request that has ended two targets isn't repeated by us.

--- a/dotterelbridge/fleet/feed.py
+++ b/dotterelbridge/fleet/feed.py
@@ -230,6 +230,7 @@
             if has_newer_quarantine
             else None,
             rate_limits=self._fleet_state.list_rate_limits(),
+            watched_traits=tuple(self._fleet_state.watched_traits),
         )
 
 
--- a/dotterelbridge/fleet/fleet_state.py
+++ b/dotterelbridge/fleet/fleet_state.py
@@ -19,6 +19,7 @@
 from dotterelbridge.fleet.records import TargetPhase
 from dotterelbridge.ids import Incarnation
 from dotterelbridge.ids import TargetId
+from dotterelbridge.ids import TraitId
 from dotterelbridge.permits.messages import RateLimit
 
 _log = structlog.get_logger(__name__)
@@ -62,6 +63,8 @@
         self._clock = clock
         self.rate_limits: dict[Incarnation, float] = {}
         """Requests per second that targets take from all VMs together."""
+        self.watched_traits: frozenset[TraitId] = frozenset()
+        """Traits of which VMs report complete answers."""
         self._pending_loads: dict[ItemKey, float] = {}
         self._changed_revisions: dict[TargetId, int] = {}
         """The revision in which each target last changed."""
@@ -88,12 +91,14 @@
         removed: Iterable[TargetId] = (),
         pending_loads: dict[ItemKey, float] | None = None,
         rate_limits: dict[Incarnation, float] | None = None,
+        watched_traits: frozenset[TraitId] | None = None,
     ) -> None:
         """Apply changes.
 
         :param pending_loads: monotonic time at which each load ends; None
             keeps the known ones.
         :param rate_limits: all limits in force; None keeps the known ones.
+        :param watched_traits: all of them; None keeps the known ones.
         """
         before = self.revision
         for target in changed:
@@ -106,6 +111,9 @@
         if rate_limits is not None and rate_limits != self.rate_limits:
             self.rate_limits = rate_limits
             self._increase_revision(ChangeKind.URGENT)
+        if watched_traits not in (None, self.watched_traits):
+            self.watched_traits = watched_traits
+            self._increase_revision(ChangeKind.URGENT)
         if self.revision != before:
             self._notify_subscribers()
 
@@ -150,6 +158,7 @@
         }
         if not is_attached:
             rate_limits = self.rate_limits | rate_limits
+        self.update(watched_traits=frozenset(update.watched_traits))
         if update.is_snapshot:
             self.replace(update.changed, pending_loads, rate_limits)
         else:
--- a/dotterelbridge/fleet/messages.py
+++ b/dotterelbridge/fleet/messages.py
@@ -57,6 +57,8 @@
     """A version newer than that of the polling VM, if any."""
     rate_limits: tuple[RateLimit, ...] = ()
     """Every limit in force that a target has named."""
+    watched_traits: tuple[TraitId, ...] = ()
+    """Traits of which VMs report complete answers."""
 
 
 class ItemDemand(msgspec.Struct, frozen=True, array_like=True):
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -366,6 +366,7 @@
         not_run = isinstance(error, (TargetConnectFailed, RequestNotRun))
         is_repeatable = not_run or (
             call.route.is_repeatable
+            and not self._router.is_suspected(call)
             and len(call.possibly_ran_at) < max(1, call.route.attempts)
             and (not call.has_response_started or call.route.is_resumable)
         )
@@ -394,8 +395,7 @@
             error=error.problem,
             may_have_run=not not_run,
             follows=will_retry,
-            shared_parts=call.request.shared_parts,
-            digest=call.request.compute_digest(),
+            traits=call.traits,
             **self._describe_response(),
         )
         if not will_retry:
--- a/dotterelbridge/gateway/call.py
+++ b/dotterelbridge/gateway/call.py
@@ -5,6 +5,9 @@
 from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.gateway.request import GatewayRequest
 from dotterelbridge.ids import TargetId
+from dotterelbridge.ids import TraitId
+from dotterelbridge.quarantine.traits import create_caller_trait
+from dotterelbridge.quarantine.traits import create_request_trait
 from dotterelbridge.routes.model import Repeatability
 from dotterelbridge.routes.model import Route
 from dotterelbridge.routes.model import Service
@@ -40,7 +43,20 @@
     has_response_started: bool = False
     """Whether part of a streamed response was sent to the caller."""
     is_trial: bool = False
-    """Whether it tries a prompt part that is quarantined."""
+    """Whether it tries a trait that is quarantined."""
+    _traits: tuple[TraitId, ...] = ()
+
+    @property
+    def traits(self) -> tuple[TraitId, ...]:
+        """What it has in common with other requests."""
+        if not self._traits:
+            request = self.request
+            self._traits = (
+                create_request_trait(request.compute_digest()),
+                *(TraitId(part) for part in request.shared_parts),
+                create_caller_trait(request.host),
+            )
+        return self._traits
 
     @property
     def is_stream(self) -> bool:
--- a/dotterelbridge/gateway/errors.py
+++ b/dotterelbridge/gateway/errors.py
@@ -25,7 +25,7 @@
     """Every target that could take the request has named a rate limit, which
     other requests use up."""
     QUARANTINED = "quarantined"
-    """Targets crash under a part of the request's prompt."""
+    """Targets crash under such requests."""
 
 
 class NoTargetAvailable(RequestRefused):
--- a/dotterelbridge/gateway/events.py
+++ b/dotterelbridge/gateway/events.py
@@ -68,13 +68,6 @@
         "A request was not retried because this VM's share of the retry "
         "budget of its service is used up.",
     )
-    TARGET_CRASHED = (
-        8513,
-        logging.WARNING,
-        "A target closed its connections and cannot be reached, or started "
-        "again, without having left; the line names the shared prompt parts "
-        "of the requests that it was beginning to answer.",
-    )
     TARGET_SLOW = (
         8511,
         logging.WARNING,
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -37,10 +37,13 @@
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import Region
 from dotterelbridge.ids import TargetId
+from dotterelbridge.ids import TraitId
 from dotterelbridge.permits.limiter import RateLimiter
 from dotterelbridge.permits.pool import Permit
 from dotterelbridge.quarantine.crash_watch import CrashWatch
 from dotterelbridge.quarantine.quarantine import Quarantine
+from dotterelbridge.quarantine.traits import TraitKind
+from dotterelbridge.quarantine.traits import get_kind
 from dotterelbridge.targets.settings import TargetsSettings
 
 _log = structlog.get_logger(__name__)
@@ -243,13 +246,13 @@
             self._queue.remove(queued)
 
     def _check_quarantine(self, call: GatewayCall) -> None:
-        """Check that targets do not crash under the request's prompt.
+        """Check that targets do not crash under such requests.
 
         A trial is a single attempt.
 
-        :raises NoTargetAvailable: a part of the prompt is quarantined.
+        :raises NoTargetAvailable: a trait of the request is quarantined.
         """
-        blocked = self._quarantine.find_blocked(call.request.shared_parts)
+        blocked = self._find_blocked(call)
         if not blocked or (call.is_trial and not call.attempts):
             return
         if not call.attempts and self._quarantine.take_trial(blocked):
@@ -257,17 +260,34 @@
             return
         raise NoTargetAvailable(
             UnavailableReason.QUARANTINED,
-            "targets crashed under a part of the prompt: "
+            "targets crashed one after the other under such requests: "
             + ", ".join(sorted(blocked)),
-            "send it without this part",
-            self._quarantine.retry_after,
+            "send a request that does not have this in common with them",
+            self._quarantine.find_retry_after(blocked),
         )
 
+    def _find_blocked(self, call: GatewayCall) -> set[TraitId]:
+        """Return the traits of a request that are quarantined."""
+        if not self._quarantine.count_traits():
+            return set()
+        return self._quarantine.find_blocked(call.traits)
+
     def _may_be_sent(self, call: GatewayCall) -> bool:
-        return call.is_trial or not self._quarantine.find_blocked(
-            call.request.shared_parts
+        return call.is_trial or not self._find_blocked(call)
+
+    def is_suspected(self, call: GatewayCall) -> bool:
+        """Whether several targets may have crashed under this request."""
+        watched = self._fleet_state.watched_traits
+        return any(
+            trait in watched and get_kind(trait) is TraitKind.REQUEST
+            for trait in (call.traits if watched else ())
         )
 
+    def _record_answered_traits(self, call: GatewayCall) -> None:
+        """Note a complete answer, for the traits that it clears."""
+        watched = self._fleet_state.watched_traits | self._find_blocked(call)
+        self.crash_watch.record_answered(call.traits, watched)
+
     def _record_wait(self, queued: _QueuedRequest, outcome: str) -> None:
         instruments.waits.record(
             self._clock.monotonic() - queued.queued_at,
@@ -302,7 +322,7 @@
         if outcome is AttemptOutcome.ANSWERED:
             target.ejection.record_success()
             target.record_response(slot.acquired_at, now)
-            self.crash_watch.record_answered(slot.call.request.shared_parts)
+            self._record_answered_traits(slot.call)
             if slot.call.item is not None:
                 target.record_held_item(slot.call.item)
         elif outcome is AttemptOutcome.SERVER_ERROR:
@@ -316,8 +336,8 @@
         elif outcome in _FAILURES:
             if outcome is AttemptOutcome.CLOSED:
                 self.crash_watch.record_closed_attempt(
-                    target.view,
-                    slot.call.request.shared_parts,
+                    target.incarnation,
+                    slot.call.traits,
                     slot.first_event_at,
                 )
             ejected_s = target.ejection.record_failure(now)
@@ -407,7 +427,7 @@
         )
         target.ejection.finish_probe(answered, self._clock.monotonic())
         if not answered and target.takes_new_work:
-            self.crash_watch.record_crash(target.view)
+            self.crash_watch.record_crash(target.incarnation)
         self._dispatch()
 
     def _update_targets(self) -> None:
@@ -416,7 +436,7 @@
             target = self._fleet_state.targets.get(name)
             if target is None or target.born != known.view.born:
                 if known.takes_new_work:
-                    self.crash_watch.record_crash(known.view)
+                    self.crash_watch.record_crash(known.incarnation)
                 self._targets.pop(name).client.close()
                 self._limiter.forget(known.incarnation)
         for name, target in self._fleet_state.targets.items():
--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -241,6 +241,7 @@
             self._rng,
             self._replicated_log.has_leader_lease,
             self._demand_tracker.list_entry_vms,
+            lambda traits: self._fleet_state.update(watched_traits=traits),
         )
         self._network.register_handler(CrashReport, self._handle_crash_report)
 
@@ -278,9 +279,7 @@
     ) -> CrashRecorded:
         """Record a report on the leader, or pass it on to the leader."""
         if self._replicated_log.has_leader_lease():
-            self._quarantine_keeper.record_crash(
-                (report.target, report.born), report.traits
-            )
+            self._quarantine_keeper.record_crash(report)
             return CrashRecorded(is_recorded=True)
         leader = self._replicated_log.get_leader()
         if leader is None or leader in (sender, self._own_vm.vm):
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -20,8 +20,8 @@
 from dotterelbridge.nodes.probes import ReadinessApp
 from dotterelbridge.nodes.settings import NodeSettings
 from dotterelbridge.permits.limiter import create_rate_limiter
+from dotterelbridge.quarantine.crash_watch import Crash
 from dotterelbridge.quarantine.messages import CrashRecorded
-from dotterelbridge.quarantine.messages import CrashReport
 from dotterelbridge.routes.document import RoutesFormat
 from dotterelbridge.serving.listener import create_caller_listener
 
@@ -192,13 +192,14 @@
     async def _report_crashes(self) -> None:
         """Send reports of crashed targets, each until the leader has it."""
         while True:
-            report = await self._router.crash_watch.wait_for_report()
+            crash = await self._router.crash_watch.wait_for_crash()
             with anyio.move_on_after(_CRASH_REPORT_LIFETIME_S):
-                while not await self._send_crash_report(report):
+                while not await self._send_crash_report(crash):
                     await self._clock.sleep(_CRASH_REPORT_RETRY_DELAY)
 
-    async def _send_crash_report(self, report: CrashReport) -> bool:
-        """Return whether the leader of the log has recorded the report."""
+    async def _send_crash_report(self, crash: Crash) -> bool:
+        """Return whether the leader of the log has recorded the crash."""
+        report = crash.create_report(self._clock.monotonic())
         source = self._fleet_follower.source
         if source is None:
             return False
--- a/dotterelbridge/quarantine/crash_tracker.py
+++ b/dotterelbridge/quarantine/crash_tracker.py
@@ -1,37 +1,62 @@
-"""Finds the traits that the crashes of targets have in common."""
+"""Finds the traits that the requests have in common under which targets crash.
 
-from collections import Counter
+Crashes are counted for each trait since its last complete answer.
+"""
+
+from collections.abc import Collection
 from collections.abc import Iterable
 
+import msgspec
+
 from dotterelbridge.clock import Clock
 from dotterelbridge.ids import Incarnation
 from dotterelbridge.ids import TargetId
 from dotterelbridge.ids import TraitId
 from dotterelbridge.quarantine.settings import QuarantineSettings
+from dotterelbridge.quarantine.traits import TraitKind
+from dotterelbridge.quarantine.traits import get_kind
 
 _CRASH_LIFETIME_S = 300.0
 """Time after which a crash is no evidence any more."""
 _MAX_TRACKED_TRAITS = 4096
 """Bound on memory: traits with crashes, and traits that were answered."""
+_MAX_WATCHED_TRAITS = 256
+"""Bound on what is sent to all VMs."""
 _MAX_SUSPECTS = 3
 """Traits with equal evidence that may be suspected at the same time."""
 _TIE_CRASHES = 2
 """Further crashes that have to tell traits with equal evidence apart."""
+_SAME_MOMENT_S = 0.05
+"""Crashes that follow each other faster count as one for the same request:
+they have a common cause, such as a rack without power. Reports from two VMs
+tell the time of a crash to about this accuracy."""
 _MS_PER_S = 1000
 
 
+class _Crash(msgspec.Struct):
+    """A crash that may be due to a trait."""
+
+    crashed_at: float
+    """Monotonic time in seconds."""
+    reported_at: float
+    """Monotonic time of the first report."""
+
+
 class CrashTracker:
-    """Counts crashes for each trait since its last complete answer.
+    """Suspects a trait once enough targets have crashed under it.
 
-    A trait is suspected once enough targets have crashed under it, one after
-    the other, without a complete answer to any request with it in between.
+    They crashed one after the other, without a complete answer to any request
+    with the trait in between. Of traits with equal evidence the most specific
+    is suspected; a caller only for crashes that nothing else explains.
     """
 
     def __init__(self, settings: QuarantineSettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
-        self._crashes: dict[TraitId, dict[Incarnation, float]] = {}
-        """Monotonic times of the crashes, in their order."""
+        self._crashes: dict[TraitId, dict[Incarnation, _Crash]] = {}
+        """The crashes under each trait, in the order of their reports."""
+        self._companions: dict[TraitId, frozenset[TraitId]] = {}
+        """All traits of a single request."""
         self._explained: dict[Incarnation, float] = {}
         """Monotonic times of crashes whose cause is known."""
         self._answered_traits: dict[TraitId, None] = {}
@@ -40,33 +65,46 @@
     def record_crash(
         self,
         incarnation: Incarnation,
-        traits: Iterable[TraitId],
+        attempts: Iterable[Collection[TraitId]],
         known_causes: Iterable[TraitId] = (),
+        age_s: float = 0.0,
     ) -> None:
-        """Record that a target crashed while it began to answer the traits.
+        """Record that a target crashed while it began to answer requests.
 
-        Several VMs report traits of the same crash.
+        Several VMs report requests of the same crash.
 
+        :param attempts: the traits of each of these requests.
         :param known_causes: traits that explain a crash, so that it is no
             evidence against others.
+        :param age_s: time since the crash, as the sender knows it.
         """
         now = self._clock.monotonic()
-        traits = set(traits)
+        attempts = list(attempts)
+        traits = {trait for attempt in attempts for trait in attempt}
         if traits.intersection(known_causes):
             self._explain_crash(incarnation)
         if incarnation in self._explained:
             return
+        crashed_at = now - age_s
         for trait in sorted(traits):
             crashes = self._crashes.pop(trait, {})
-            crashes.setdefault(incarnation, now)
+            crash = crashes.setdefault(incarnation, _Crash(crashed_at, now))
+            crash.crashed_at = min(crash.crashed_at, crashed_at)
             self._crashes[trait] = crashes
+        for attempt in attempts:
+            for trait in attempt:
+                if get_kind(trait) is TraitKind.REQUEST:
+                    self._companions[trait] = frozenset(attempt)
         while len(self._crashes) > _MAX_TRACKED_TRAITS:
-            del self._crashes[next(iter(self._crashes))]
+            oldest = next(iter(self._crashes))
+            del self._crashes[oldest]
+            self._companions.pop(oldest, None)
 
     def record_answered(self, traits: Iterable[TraitId]) -> None:
         """Record that requests with the traits were answered completely."""
         for trait in traits:
             self._crashes.pop(trait, None)
+            self._companions.pop(trait, None)
             self._answered_traits.pop(trait, None)
             self._answered_traits[trait] = None
         while len(self._answered_traits) > _MAX_TRACKED_TRAITS:
@@ -77,68 +115,162 @@
         for incarnation in self._crashes.pop(trait, {}):
             self._explain_crash(incarnation)
 
+    def list_watched(self) -> frozenset[TraitId]:
+        """Return the traits of which VMs report complete answers.
+
+        They report the answers to all prompt parts anyway. Single requests
+        are too many; those are watched that lack one crash.
+        """
+        self._remove_expired(self._clock.monotonic())
+        watched = [
+            trait
+            for trait, crashes in self._crashes.items()
+            if self._is_watched(trait, len(crashes))
+        ]
+        return frozenset(watched[-_MAX_WATCHED_TRAITS:])
+
     def list_suspects(self) -> list[TraitId]:
         """Return the traits under which targets crash, mostly a single one.
 
-        Crashes at the same moment have a common cause elsewhere; answers
-        that VMs have not reported yet may still clear a trait.
+        Answers that VMs have not reported yet may still clear a trait.
         """
         now = self._clock.monotonic()
         self._remove_expired(now)
-        counts = Counter(
-            {
-                trait: len(crashes)
-                for trait, crashes in self._crashes.items()
-                if self._is_suspect(list(crashes.values()), now)
-            }
-        )
-        if not counts:
-            return []
-        highest = max(counts.values())
-        suspects = [
-            trait for trait, count in counts.items() if count == highest
+        counts = {
+            trait: len(crashes)
+            for trait, crashes in self._crashes.items()
+            if self._is_suspect(trait, crashes, now)
+        }
+        return self._choose_suspects(counts)
+
+    def list_crashed_targets(self, trait: TraitId) -> list[TargetId]:
+        """Return the targets that crashed under a trait."""
+        return [target for target, _ in self._crashes.get(trait, ())]
+
+    def _is_watched(self, trait: TraitId, count: int) -> bool:
+        match get_kind(trait):
+            case TraitKind.REQUEST:
+                return count >= self._settings.quarantine_crashes - 1
+            case TraitKind.CALLER:
+                return True
+        return False
+
+    def _choose_suspects(self, counts: dict[TraitId, int]) -> list[TraitId]:
+        """Return the traits with the strongest evidence.
+
+        :param counts: crashes under each trait that has enough of them.
+        """
+        specific = [
+            trait
+            for trait, count in counts.items()
+            if get_kind(trait) is not TraitKind.CALLER
+            and not self._has_rival(trait, count)
+        ]
+        callers = [
+            trait
+            for trait in counts
+            if get_kind(trait) is TraitKind.CALLER
+            and self._is_caller_suspect(trait, counts)
         ]
+        candidates = specific or callers
+        if not candidates:
+            return []
+        highest = max(counts[trait] for trait in candidates)
+        suspects = [t for t in candidates if counts[t] == highest]
+        kind = min((get_kind(t) for t in suspects), key=lambda k: k.value)
+        suspects = [t for t in suspects if get_kind(t) is kind]
         # Of traits that always come together, those that were answered before
         # are less likely to be the cause.
         never_answered = [
-            p for p in suspects if p not in self._answered_traits
+            t for t in suspects if t not in self._answered_traits
         ]
         suspects = never_answered or suspects
+        if len(suspects) == 1:
+            return suspects
+        if len(suspects) > _MAX_SUSPECTS:
+            return []
         tie_limit = self._settings.quarantine_crashes + _TIE_CRASHES
-        if len(suspects) == 1 or (
-            len(suspects) <= _MAX_SUSPECTS and highest >= tie_limit
-        ):
+        if kind is TraitKind.REQUEST or highest >= tie_limit:
             return suspects
         return []
 
-    def list_crashed_targets(self, trait: TraitId) -> list[TargetId]:
-        """Return the targets that crashed under a trait."""
-        return [target for target, _ in self._crashes.get(trait, ())]
+    def _is_caller_suspect(
+        self, caller: TraitId, suspects: Iterable[TraitId]
+    ) -> bool:
+        """Whether a caller has crashes beyond those of a single request."""
+        explained = {
+            incarnation
+            for trait in suspects
+            if caller in self._companions.get(trait, ())
+            for incarnation in self._crashes[trait]
+        }
+        unexplained = self._crashes[caller].keys() - explained
+        return len(unexplained) >= self._settings.quarantine_caller_crashes
+
+    def _has_rival(self, trait: TraitId, count: int) -> bool:
+        """Whether a trait of another kind explains the crashes as well.
+
+        Further crashes then tell the two apart, except where one trait comes
+        with the other: a request has its parts and its caller.
+        """
+        if count < self._settings.quarantine_crashes + _TIE_CRASHES:
+            count -= 1
+        kind = get_kind(trait)
+        companions = self._companions.get(trait, frozenset())
+        return any(
+            len(crashes) > count
+            and other not in companions
+            and get_kind(other) is not kind
+            for other, crashes in self._crashes.items()
+        )
 
     def _explain_crash(self, incarnation: Incarnation) -> None:
         self._explained[incarnation] = self._clock.monotonic()
         for crashes in self._crashes.values():
             crashes.pop(incarnation, None)
 
-    def _is_suspect(self, crashed_at: list[float], now: float) -> bool:
+    def _is_suspect(
+        self,
+        trait: TraitId,
+        crashes: dict[Incarnation, _Crash],
+        now: float,
+    ) -> bool:
+        """Whether there is enough evidence, and time for answers to arrive."""
         settings = self._settings
-        if len(crashed_at) < settings.quarantine_crashes:
+        kind = get_kind(trait)
+        needed = settings.quarantine_crashes
+        if kind is TraitKind.CALLER:
+            needed = settings.quarantine_caller_crashes
+        if len(crashes) < needed:
             return False
-        spread_ms = (crashed_at[-1] - crashed_at[0]) * _MS_PER_S
-        decisive_at = crashed_at[settings.quarantine_crashes - 1]
-        settled_ms = (now - decisive_at) * _MS_PER_S
-        return (
-            spread_ms >= settings.quarantine_spread_ms
-            and settled_ms >= settings.quarantine_settle_ms
-        )
+        reported_at = sorted(c.reported_at for c in crashes.values())
+        settled_ms = (now - reported_at[needed - 1]) * _MS_PER_S
+        if settled_ms < settings.quarantine_settle_ms:
+            return False
+        if kind is TraitKind.REQUEST:
+            return _count_moments(crashes.values()) >= needed
+        spread_ms = (reported_at[-1] - reported_at[0]) * _MS_PER_S
+        return spread_ms >= settings.quarantine_spread_ms
 
     def _remove_expired(self, now: float) -> None:
         for incarnation, explained_at in list(self._explained.items()):
             if now - explained_at > _CRASH_LIFETIME_S:
                 del self._explained[incarnation]
         for trait, crashes in list(self._crashes.items()):
-            for incarnation, crashed_at in list(crashes.items()):
-                if now - crashed_at > _CRASH_LIFETIME_S:
+            for incarnation, crash in list(crashes.items()):
+                if now - crash.reported_at > _CRASH_LIFETIME_S:
                     del crashes[incarnation]
             if not crashes:
                 del self._crashes[trait]
+                self._companions.pop(trait, None)
+
+
+def _count_moments(crashes: Iterable[_Crash]) -> int:
+    """Return the number of crashes that did not happen together."""
+    count = 0
+    previous_at = None
+    for crashed_at in sorted(crash.crashed_at for crash in crashes):
+        if previous_at is None or crashed_at - previous_at > _SAME_MOMENT_S:
+            count += 1
+        previous_at = crashed_at
+    return count
--- a/dotterelbridge/quarantine/crash_watch.py
+++ b/dotterelbridge/quarantine/crash_watch.py
@@ -1,6 +1,8 @@
 """Notes which requests a target was beginning to answer when it crashed."""
 
+from collections.abc import Container
 from collections.abc import Iterable
+import math
 
 import anyio
 import msgspec
@@ -8,11 +10,12 @@
 
 from dotterelbridge import events
 from dotterelbridge.clock import Clock
-from dotterelbridge.fleet.records import FleetTarget
-from dotterelbridge.gateway.events import GatewayEvent
 from dotterelbridge.ids import Incarnation
 from dotterelbridge.ids import TraitId
+from dotterelbridge.quarantine.events import QuarantineEvent
 from dotterelbridge.quarantine.messages import CrashReport
+from dotterelbridge.quarantine.traits import TraitKind
+from dotterelbridge.quarantine.traits import get_kind
 
 _log = structlog.get_logger(__name__)
 
@@ -22,6 +25,10 @@
 1 s."""
 _SOUND_AFTER_S = 1.0
 """Time after its first event from which a stream is not suspected."""
+_ANSWER_LIFETIME_S = 60.0
+"""Time for which a request that was answered is not suspected."""
+_MAX_ANSWERED_REQUESTS = 4096
+_MS_PER_S = 1000
 
 
 class _ClosedAttempt(msgspec.Struct, frozen=True):
@@ -32,6 +39,32 @@
     traits: tuple[TraitId, ...]
 
 
+class Crash(msgspec.Struct, frozen=True):
+    """A crash of a target, as one VM saw it."""
+
+    incarnation: Incarnation
+    attempts: tuple[tuple[TraitId, ...], ...]
+    """Traits of each request that the target was beginning to answer."""
+    closed_at: float
+    """Monotonic time in seconds of the first connection that it closed."""
+
+    @property
+    def traits(self) -> list[TraitId]:
+        """Traits of any of these requests."""
+        return sorted({t for traits in self.attempts for t in traits})
+
+    def create_report(self, now: float) -> CrashReport:
+        """Return the message that reports it, if it is sent now."""
+        target, born = self.incarnation
+        return CrashReport(
+            target=target,
+            born=born,
+            traits=tuple(self.traits),
+            closed_ms_ago=int((now - self.closed_at) * _MS_PER_S),
+            attempts=self.attempts,
+        )
+
+
 class CrashWatch:
     """Collects reports of crashes, and traits that were answered."""
 
@@ -40,16 +73,38 @@
         self._closed_attempts: dict[Incarnation, list[_ClosedAttempt]] = {}
         self._crashed_at: dict[Incarnation, float] = {}
         self._answered_traits: set[TraitId] = set()
-        self._reports: list[CrashReport] = []
-        self._has_reports = anyio.Event()
+        self._answered_requests: dict[TraitId, float] = {}
+        """Monotonic times of complete answers to single requests, the latest
+        last. Such a request is not the cause of a crash soon after."""
+        self._crashes: list[Crash] = []
+        self._has_crashes = anyio.Event()
+
+    def record_answered(
+        self, traits: Iterable[TraitId], watched: Container[TraitId] = ()
+    ) -> None:
+        """Record a complete answer to a request with these traits.
 
-    def record_answered(self, traits: Iterable[TraitId]) -> None:
-        """Record a complete answer to a request with these traits."""
-        self._answered_traits.update(traits)
+        :param watched: traits other than prompt parts of which complete
+            answers are reported.
+        """
+        for trait in traits:
+            kind = get_kind(trait)
+            if kind is TraitKind.PART or trait in watched:
+                self._answered_traits.add(trait)
+            if kind is TraitKind.REQUEST:
+                self._answered_requests.pop(trait, None)
+                self._answered_requests[trait] = self._clock.monotonic()
+        while len(self._answered_requests) > _MAX_ANSWERED_REQUESTS:
+            del self._answered_requests[next(iter(self._answered_requests))]
+
+    def _was_answered(self, trait: TraitId, now: float) -> bool:
+        """Whether this VM got a complete answer to the same request lately."""
+        answered_at = self._answered_requests.get(trait, -math.inf)
+        return now - answered_at < _ANSWER_LIFETIME_S
 
     def record_closed_attempt(
         self,
-        target: FleetTarget,
+        incarnation: Incarnation,
         traits: tuple[TraitId, ...],
         first_event_at: float | None,
     ) -> None:
@@ -63,22 +118,24 @@
             first_event_at is not None
             and now - first_event_at > _SOUND_AFTER_S
         ):
-            self.record_answered(traits)
+            self._answered_traits.update(
+                t for t in traits if get_kind(t) is TraitKind.PART
+            )
             return
         self._remove_old(now)
-        incarnation = (target.target, target.born)
         attempts = self._closed_attempts.setdefault(incarnation, [])
-        attempts.append(_ClosedAttempt(now, traits))
+        attempts.append(
+            _ClosedAttempt(
+                now, tuple(t for t in traits if not self._was_answered(t, now))
+            )
+        )
         if incarnation in self._crashed_at:
             self._report(incarnation)
 
-    def record_crash(self, target: FleetTarget) -> None:
+    def record_crash(self, incarnation: Incarnation) -> None:
         """Record that a target ended without a notice, if it did so now."""
-        if not target.takes_new_work:
-            return
         now = self._clock.monotonic()
         self._remove_old(now)
-        incarnation = (target.target, target.born)
         if incarnation in self._closed_attempts:
             self._crashed_at[incarnation] = now
             self._report(incarnation)
@@ -88,31 +145,32 @@
         traits, self._answered_traits = self._answered_traits, set()
         return tuple(sorted(traits))
 
-    async def wait_for_report(self) -> CrashReport:
-        """Return the oldest report that was not returned before."""
-        while not self._reports:
-            self._has_reports = anyio.Event()
-            await self._has_reports.wait()
-        return self._reports.pop(0)
+    async def wait_for_crash(self) -> Crash:
+        """Return the oldest crash that was not returned before."""
+        while not self._crashes:
+            self._has_crashes = anyio.Event()
+            await self._has_crashes.wait()
+        return self._crashes.pop(0)
 
     def _report(self, incarnation: Incarnation) -> None:
         attempts = self._closed_attempts.pop(incarnation)
-        traits = {trait for attempt in attempts for trait in attempt.traits}
+        crash = Crash(
+            incarnation,
+            tuple(attempt.traits for attempt in attempts if attempt.traits),
+            min(attempt.closed_at for attempt in attempts),
+        )
         target, born = incarnation
         events.log(
             _log,
-            GatewayEvent.TARGET_CRASHED,
+            QuarantineEvent.TARGET_CRASHED,
             target=target,
             born=born,
             attempts=len(attempts),
-            traits=sorted(traits),
+            traits=crash.traits,
         )
-        if traits:
-            report = CrashReport(
-                target=target, born=born, traits=tuple(sorted(traits))
-            )
-            self._reports.append(report)
-            self._has_reports.set()
+        if crash.attempts:
+            self._crashes.append(crash)
+            self._has_crashes.set()
 
     def _remove_old(self, now: float) -> None:
         oldest = now - _CRASH_WINDOW_S
--- a/dotterelbridge/quarantine/events.py
+++ b/dotterelbridge/quarantine/events.py
@@ -6,7 +6,7 @@
 
 
 class QuarantineEvent(Event):
-    """Events 5540 to 5549."""
+    """Events 5540 to 5549, and 8513."""
 
     QUARANTINE_IN_FORCE = (
         5540,
@@ -38,3 +38,10 @@
         "A change of the quarantine could not be committed to the log; it "
         "is proposed again.",
     )
+    TARGET_CRASHED = (
+        8513,
+        logging.WARNING,
+        "A target closed its connections and cannot be reached, or started "
+        "again, without having left; the line names the traits of the "
+        "requests that it was beginning to answer.",
+    )
--- a/dotterelbridge/quarantine/keeper.py
+++ b/dotterelbridge/quarantine/keeper.py
@@ -12,11 +12,11 @@
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import CommitUnknown
 from dotterelbridge.errors import NotCommitted
-from dotterelbridge.ids import Incarnation
 from dotterelbridge.ids import TraitId
 from dotterelbridge.ids import VmId
 from dotterelbridge.quarantine.crash_tracker import CrashTracker
 from dotterelbridge.quarantine.events import QuarantineEvent
+from dotterelbridge.quarantine.messages import CrashReport
 from dotterelbridge.quarantine.quarantine import NO_VM
 from dotterelbridge.quarantine.quarantine import STATE_MACHINE_NAME
 from dotterelbridge.quarantine.quarantine import ChangeKind
@@ -24,6 +24,8 @@
 from dotterelbridge.quarantine.quarantine import QuarantineTable
 from dotterelbridge.quarantine.quarantine import encode_change
 from dotterelbridge.quarantine.settings import QuarantineSettings
+from dotterelbridge.quarantine.traits import TraitKind
+from dotterelbridge.quarantine.traits import get_kind
 from dotterelbridge.replication.log import ReplicatedLog
 
 _log = structlog.get_logger(__name__)
@@ -31,6 +33,7 @@
 _CHECK_INTERVAL = timedelta(milliseconds=100)
 _COMMIT_TIMEOUT = timedelta(seconds=1)
 _MAX_DOUBLING_COUNT = 8
+_MS_PER_S = 1000
 
 
 class QuarantineKeeper:
@@ -48,7 +51,13 @@
         rng: random.Random,
         is_leader: Callable[[], bool],
         list_entry_vms: Callable[[], Sequence[VmId]],
+        publish_watched: Callable[[frozenset[TraitId]], None],
     ) -> None:
+        """Create the keeper of a VM.
+
+        :param publish_watched: tells all VMs of which traits they report
+            complete answers.
+        """
         self._log = log
         self._table = table
         self._settings = settings
@@ -56,18 +65,23 @@
         self._random = rng
         self._is_leader = is_leader
         self._list_entry_vms = list_entry_vms
+        self._publish_watched = publish_watched
         self._tracker = CrashTracker(settings, clock)
         self._quarantined_at: dict[QuarantinedTrait, float] = {}
         """Monotonic times at which entries were first seen by this leader."""
         self._cleared: set[TraitId] = set()
         """Quarantined traits of which a trial succeeded."""
 
-    def record_crash(
-        self, incarnation: Incarnation, traits: Iterable[TraitId]
-    ) -> None:
+    def record_crash(self, report: CrashReport) -> None:
         """Record one VM's report of a crash."""
         quarantined = [entry.trait for entry in self._table.snapshot.traits]
-        self._tracker.record_crash(incarnation, traits, quarantined)
+        self._tracker.record_crash(
+            (report.target, report.born),
+            report.attempts or (report.traits,),
+            quarantined,
+            report.closed_ms_ago / _MS_PER_S,
+        )
+        self._publish_watched(self._tracker.list_watched())
 
     def record_answered(self, traits: Iterable[TraitId]) -> None:
         """Record that requests with the traits were answered completely."""
@@ -85,6 +99,7 @@
                 await self._release_traits()
                 await self._quarantine_suspects()
                 await self._start_due_trials()
+                self._publish_watched(self._tracker.list_watched())
             else:
                 self._tracker = CrashTracker(self._settings, self._clock)
                 self._quarantined_at.clear()
@@ -117,7 +132,7 @@
         entry_vms = self._list_entry_vms()
         for entry, quarantined_at in self._quarantined_at.copy().items():
             doubling_count = min(entry.trial, _MAX_DOUBLING_COUNT)
-            wait_s = self._settings.quarantine_s * 2**doubling_count
+            wait_s = self._find_first_wait_s(entry) * 2**doubling_count
             if now - quarantined_at < wait_s or not entry_vms:
                 continue
             trial_vm = self._random.choice(entry_vms)
@@ -130,6 +145,11 @@
                     vm=trial_vm,
                 )
 
+    def _find_first_wait_s(self, entry: QuarantinedTrait) -> float:
+        if get_kind(entry.trait) is TraitKind.REQUEST:
+            return self._settings.quarantine_request_s
+        return self._settings.quarantine_s
+
     async def _change(
         self, kind: ChangeKind, trait: TraitId, trial_vm: VmId = NO_VM
     ) -> bool:
--- a/dotterelbridge/quarantine/messages.py
+++ b/dotterelbridge/quarantine/messages.py
@@ -15,6 +15,10 @@
     """Unix time of the target's start in ms."""
     traits: tuple[TraitId, ...]
     """Traits of these requests, as far as the sender knows."""
+    closed_ms_ago: int = 0
+    """Time since the target closed the first of their connections."""
+    attempts: tuple[tuple[TraitId, ...], ...] = ()
+    """The traits of each of these requests."""
 
 
 @register_message("fleet.crash_recorded")
--- a/dotterelbridge/quarantine/quarantine.py
+++ b/dotterelbridge/quarantine/quarantine.py
@@ -17,6 +17,9 @@
 from dotterelbridge.ids import TraitId
 from dotterelbridge.ids import VmId
 from dotterelbridge.quarantine.events import QuarantineEvent
+from dotterelbridge.quarantine.settings import QuarantineSettings
+from dotterelbridge.quarantine.traits import TraitKind
+from dotterelbridge.quarantine.traits import get_kind
 from dotterelbridge.replication.log import StateMachine
 
 STATE_MACHINE_NAME = "quarantine"
@@ -122,13 +125,10 @@
 class Quarantine:
     """The quarantine that is in force on one VM; it never goes back."""
 
-    def __init__(self, own_vm: VmId, retry_after: timedelta) -> None:
-        """Create an empty quarantine.
-
-        :param retry_after: time after which a caller may ask again.
-        """
+    def __init__(self, own_vm: VmId, settings: QuarantineSettings) -> None:
+        """Create an empty quarantine."""
         self.snapshot = QuarantineSnapshot()
-        self.retry_after = retry_after
+        self._settings = settings
         self._own_vm = own_vm
         self._traits: frozenset[TraitId] = frozenset()
         self._open_trials: set[TraitId] = set()
@@ -171,6 +171,12 @@
         for callback in self._subscribers:
             callback()
 
+    def find_retry_after(self, blocked: Iterable[TraitId]) -> timedelta:
+        """Return the time after which a caller may ask again."""
+        if all(get_kind(trait) is TraitKind.REQUEST for trait in blocked):
+            return timedelta(seconds=self._settings.quarantine_request_s)
+        return timedelta(seconds=self._settings.quarantine_s)
+
     def find_blocked(self, traits: Iterable[TraitId]) -> set[TraitId]:
         """Return those of the traits that are quarantined."""
         return self._traits.intersection(traits) if self._traits else set()
--- a/tests/fleet/support.py
+++ b/tests/fleet/support.py
@@ -15,11 +15,13 @@
 from dotterelbridge.quarantine.quarantine import Quarantine
 from dotterelbridge.quarantine.quarantine import QuarantinedTrait
 from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
+from dotterelbridge.quarantine.settings import QuarantineSettings
 from tests.routes.support import LLM
 from tests.routes.support import create_engine
 
 DOMAIN = FailureDomain("a")
 RETRY_AFTER = timedelta(seconds=60)
+REQUEST_RETRY_AFTER = timedelta(seconds=30)
 
 
 def create_target(name="e1", held=(), **fields) -> FleetTarget:
@@ -40,7 +42,11 @@
 
 def create_quarantine(vm="f1", *parts) -> Quarantine:
     """Return the quarantine of a VM, with parts in force from the start."""
-    quarantine = Quarantine(VmId(vm), RETRY_AFTER)
+    settings = QuarantineSettings(
+        quarantine_s=RETRY_AFTER.total_seconds(),
+        quarantine_request_s=REQUEST_RETRY_AFTER.total_seconds(),
+    )
+    quarantine = Quarantine(VmId(vm), settings)
     if parts:
         entries = tuple(QuarantinedTrait(part) for part in parts)
         quarantine.activate(QuarantineSnapshot(1, entries))
--- a/tests/gateway/test_quarantined_parts.py
+++ b/tests/gateway/test_quarantined_parts.py
@@ -1,4 +1,4 @@
-"""Requests with a quarantined prompt part, and evidence of crashes."""
+"""Requests with a quarantined trait, and evidence of crashes."""
 
 import anyio
 import pytest
@@ -12,8 +12,10 @@
 from dotterelbridge.quarantine.crash_watch import CrashWatch
 from dotterelbridge.quarantine.quarantine import QuarantinedTrait
 from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
+from dotterelbridge.quarantine.traits import create_caller_trait
+from dotterelbridge.quarantine.traits import get_kind
 from tests.fleet.support import RETRY_AFTER
-from tests.fleet.support import create_target
+from tests.gateway.support import HOST
 from tests.gateway.support import SIGNED_HEADERS
 from tests.gateway.support import run_gateway
 from tests.gateway.support import wait_until
@@ -21,6 +23,7 @@
 from tests.routes.support import LLM
 from tests.serving.fakes import run_async
 
+TARGET = ("e1", 1)
 BAD_PROMPT = ("a0", "bad0", "own1")
 SOUND_PROMPT = ("a0", "c0", "own2")
 
@@ -137,8 +140,11 @@
             "/quotes/", headers={"dotterelbridge-prompt-parts": "p1:1,o:1"}
         )
         with anyio.fail_after(10):
-            report = await gateway.router.crash_watch.wait_for_report()
-    assert (report.target, report.born, report.traits) == ("e1", 1, ("p1",))
+            crash = await gateway.router.crash_watch.wait_for_crash()
+    assert crash.incarnation == ("e1", 1)
+    kinds = [get_kind(trait) for trait in crash.traits]
+    assert "p1" in crash.traits
+    assert sorted(kind.name for kind in kinds) == ["CALLER", "PART", "REQUEST"]
 
 
 # Guards against evidence from broken answers of targets that live on.
@@ -157,7 +163,7 @@
             lambda: gateway.router.dump()["targets"]["e1"]["ejection"] == "in"
         )
         with pytest.raises(TimeoutError), anyio.fail_after(0.05):
-            await gateway.router.crash_watch.wait_for_report()
+            await gateway.router.crash_watch.wait_for_crash()
 
 
 @run_async
@@ -179,36 +185,80 @@
         assert watch.read_answered_traits() == ()
 
 
-def read_reports(watch) -> list[tuple[str, ...]]:
-    """Return the parts of all reports so far."""
-    return [report.traits for report in watch._reports]
+def read_reports(watch) -> list[list[str]]:
+    """Return the traits of all crashes so far."""
+    return [crash.traits for crash in watch._crashes]
 
 
 def test_streams_that_ran_on_are_not_suspected():
     clock = ManualClock(10.0)
     watch = CrashWatch(clock)
-    target = create_target()
-    watch.record_closed_attempt(target, ("running",), 8.5)
-    watch.record_closed_attempt(target, ("begun",), 9.5)
-    watch.record_closed_attempt(target, ("waiting",), None)
-    watch.record_crash(target)
-    assert read_reports(watch) == [("begun", "waiting")]
+    watch.record_closed_attempt(TARGET, ("running",), 8.5)
+    watch.record_closed_attempt(TARGET, ("begun",), 9.5)
+    watch.record_closed_attempt(TARGET, ("waiting",), None)
+    watch.record_crash(TARGET)
+    assert read_reports(watch) == [["begun", "waiting"]]
     assert watch.read_answered_traits() == ("running",)
 
 
 def test_attempts_that_end_after_the_failed_probe_are_reported_too():
     watch = CrashWatch(ManualClock())
-    target = create_target()
     for part in ("p1", "p2"):
-        watch.record_closed_attempt(target, (part,), None)
-        watch.record_crash(target)
-    watch.record_closed_attempt(target, ("p3",), None)
-    assert read_reports(watch) == [("p1",), ("p2",), ("p3",)]
+        watch.record_closed_attempt(TARGET, (part,), None)
+        watch.record_crash(TARGET)
+    watch.record_closed_attempt(TARGET, ("p3",), None)
+    assert read_reports(watch) == [["p1"], ["p2"], ["p3"]]
 
 
-def test_target_that_left_has_not_crashed():
-    watch = CrashWatch(ManualClock())
-    target = create_target(phase=TargetPhase.LEAVING)
-    watch.record_closed_attempt(target, ("p1",), None)
-    watch.record_crash(target)
-    assert read_reports(watch) == []
+@run_async
+async def test_target_that_left_has_not_crashed():
+    async with run_gateway() as gateway:
+
+        async def crash(received):
+            gateway.update_target("e1", service=LLM, phase=TargetPhase.LEAVING)
+            received.reset()
+
+        await gateway.add_target("e1", crash, service=LLM)
+        await gateway.call("/quotes/")
+        gateway.remove_target("e1")
+        assert read_reports(gateway.router.crash_watch) == []
+
+
+# Guards against our own retries of a request that has crashed two targets.
+@run_async
+async def test_request_that_may_crash_targets_is_not_repeated():
+    async with run_gateway(ejection_ms=5000) as gateway:
+
+        async def reset(received):
+            received.reset()
+
+        for name in ("t1", "t2", "t3"):
+            await gateway.add_target(name, reset)
+        response = await gateway.call("/look/a")
+        assert response.status_code == 502
+        received = [len(t.received) for t in gateway.targets.values()]
+        assert sum(received) == 2
+        report_traits = gateway.router.crash_watch._closed_attempts.values()
+        traits = {t for attempts in report_traits for t in attempts[0].traits}
+        gateway.fleet_state.update(watched_traits=frozenset(traits))
+        await gateway.call("/look/a")
+        received = [len(t.received) for t in gateway.targets.values()]
+        assert sum(received) == 3
+
+
+# Guards against answers that clear a request, but are not reported.
+@run_async
+async def test_answer_is_reported_for_traits_that_are_watched():
+    async with run_gateway() as gateway:
+
+        async def answer(received):
+            await received.answer(b"-", headers=SIGNED_HEADERS)
+
+        await gateway.add_target("t1", answer)
+        watch = gateway.router.crash_watch
+        await gateway.call("/look/a")
+        assert watch.read_answered_traits() == ()
+        caller = create_caller_trait(HOST)
+        gateway.fleet_state.update(watched_traits=frozenset((caller, "p9")))
+        await gateway.call("/look/a")
+        assert watch.read_answered_traits() == (caller,)
--- a/tests/quarantine/test_crash_tracker.py
+++ b/tests/quarantine/test_crash_tracker.py
@@ -7,6 +7,8 @@
 from dotterelbridge.clock import ManualClock
 from dotterelbridge.fleet.settings import FleetSettings
 from dotterelbridge.quarantine.crash_tracker import CrashTracker
+from dotterelbridge.quarantine.traits import create_caller_trait
+from dotterelbridge.quarantine.traits import create_request_trait
 
 SETTINGS = FleetSettings()
 FIRST_PART = "a0"
@@ -25,7 +27,7 @@
 
 
 def crash(tracker, number, *traits) -> None:
-    tracker.record_crash((f"e{number}", 1), traits)
+    tracker.record_crash((f"e{number}", 1), [traits])
 
 
 def crash_repeatedly(tracker, clock, count, *traits, first=0) -> None:
@@ -144,3 +146,84 @@
         crash(tracker, number, f"p{number}")
     assert tracker.list_crashed_targets("p0") == []
     assert tracker.list_crashed_targets("p5999") == ["e5999"]
+
+
+REQUEST = create_request_trait("bad")
+CALLER = create_caller_trait("h0")
+
+
+def crash_at(tracker, clock, number, seconds, *attempts, age_s=0.0) -> None:
+    """Report a crash, and advance the clock."""
+    tracker.record_crash((f"e{number}", 1), attempts, age_s=age_s)
+    clock.advance(timedelta(seconds=seconds))
+
+
+def test_same_request_is_suspected_before_what_comes_with_it(tracker, clock):
+    attempt = (REQUEST, BAD_PART, CALLER)
+    for number in range(3):
+        crash_at(tracker, clock, number, 1.0, attempt)
+    assert tracker.list_suspects() == [REQUEST]
+
+
+# Guards against a request that our retries and a caller's copies carry to
+# all targets within a second.
+def test_same_request_is_suspected_even_if_targets_crash_fast(tracker, clock):
+    for number in range(3):
+        crash_at(tracker, clock, number, 0.1, (REQUEST, CALLER))
+    assert tracker.list_suspects() == []
+    clock.advance(timedelta(seconds=0.6))
+    assert tracker.list_suspects() == [REQUEST]
+
+
+# Guards against suspecting what was in progress when a rack lost power.
+def test_targets_that_crash_at_the_same_moment_count_once(tracker, clock):
+    for number in range(3):
+        crash_at(tracker, clock, number, 0.02, (REQUEST,), age_s=number * 0.02)
+    clock.advance(timedelta(seconds=5))
+    assert tracker.list_suspects() == []
+
+
+def test_part_that_other_requests_crash_with_too_is_suspected(tracker, clock):
+    for number in range(3):
+        crash_at(tracker, clock, number, 1.0, (REQUEST, BAD_PART))
+    crash_at(tracker, clock, 4, 1.0, (create_request_trait("x"), BAD_PART))
+    assert tracker.list_suspects() == [BAD_PART]
+
+
+def test_request_and_foreign_part_are_told_apart_by_further_crashes(
+    tracker, clock
+):
+    for number in range(3):
+        crash_at(tracker, clock, number, 1.0, (REQUEST,), (BAD_PART,))
+    assert tracker.list_suspects() == []
+    crash_at(tracker, clock, 4, 1.0, (REQUEST,))
+    assert tracker.list_suspects() == [REQUEST]
+
+
+def test_caller_is_suspected_for_crashes_under_different_requests(
+    tracker, clock
+):
+    for number in range(SETTINGS.quarantine_caller_crashes):
+        assert tracker.list_suspects() == []
+        request = create_request_trait(str(number))
+        crash_at(tracker, clock, number, 1.0, (request, CALLER))
+    assert tracker.list_suspects() == [CALLER]
+
+
+def test_caller_of_a_crashing_request_is_not_suspected(tracker, clock):
+    for number in range(SETTINGS.quarantine_caller_crashes + 1):
+        crash_at(tracker, clock, number, 1.0, (REQUEST, CALLER))
+    assert tracker.list_suspects() == [REQUEST]
+    tracker.record_cause(REQUEST)
+    assert tracker.list_suspects() == []
+
+
+def test_answers_to_what_lacks_one_crash_are_asked_for(tracker, clock):
+    crash_at(tracker, clock, 1, 1.0, (REQUEST, BAD_PART, CALLER))
+    assert tracker.list_watched() == {CALLER}
+    crash_at(tracker, clock, 2, 1.0, (REQUEST, BAD_PART, CALLER))
+    assert tracker.list_watched() == {REQUEST, CALLER}
+    tracker.record_answered([REQUEST, CALLER])
+    assert tracker.list_watched() == set()
+    crash_at(tracker, clock, 3, 1.0, (REQUEST, CALLER))
+    assert tracker.list_suspects() == []
--- a/tests/quarantine/test_quarantine_keeper.py
+++ b/tests/quarantine/test_quarantine_keeper.py
@@ -9,11 +9,14 @@
 from dotterelbridge.errors import NotCommitted
 from dotterelbridge.fleet.settings import FleetSettings
 from dotterelbridge.quarantine.keeper import QuarantineKeeper
+from dotterelbridge.quarantine.messages import CrashReport
 from dotterelbridge.quarantine.quarantine import QuarantineTable
+from dotterelbridge.quarantine.traits import create_caller_trait
+from dotterelbridge.quarantine.traits import create_request_trait
 from standins.virtual_time import LoopClock
 from standins.virtual_time import run_in_virtual_time
 
-SETTINGS = FleetSettings(quarantine_s=60.0)
+SETTINGS = FleetSettings(quarantine_s=60.0, quarantine_request_s=20.0)
 CHECK_DELAY_LIMIT = timedelta(milliseconds=250)
 """Two checks and a margin for rounding."""
 
@@ -39,6 +42,7 @@
         self.table = QuarantineTable()
         self.log = FakeLog(self.table)
         self.is_leader = True
+        self.watched: list[frozenset[str]] = []
         self.clock = LoopClock()
         self.keeper = QuarantineKeeper(
             self.log,
@@ -48,12 +52,15 @@
             random.Random(1),
             lambda: self.is_leader,
             lambda: ["f1", "f2"],
+            self.watched.append,
         )
         tasks.start_soon(self.keeper.run)
 
     async def crash_targets(self, count, *traits) -> None:
         for number in range(count):
-            self.keeper.record_crash((f"e{number}", 1), traits)
+            self.keeper.record_crash(
+                CrashReport(target=f"e{number}", born=1, traits=traits)
+            )
             await anyio.sleep(1.0)
 
     @property
@@ -125,3 +132,31 @@
     harness.keeper.record_answered(["bad0"])
     await anyio.sleep(1.0)
     assert harness.traits == []
+
+
+@in_virtual_time
+async def test_single_request_is_tried_again_sooner(harness):
+    request = create_request_trait("bad")
+    await harness.crash_targets(3, request)
+    await anyio.sleep(CHECK_DELAY_LIMIT.total_seconds())
+    assert harness.traits == [request]
+    await anyio.sleep(SETTINGS.quarantine_request_s + 1)
+    assert harness.entries[0].trial == 1
+
+
+@in_virtual_time
+async def test_report_of_an_older_build_counts(harness):
+    """It names all traits together, and not those of each request."""
+    await harness.crash_targets(3, "bad0")
+    await anyio.sleep(CHECK_DELAY_LIMIT.total_seconds())
+    assert harness.traits == ["bad0"]
+
+
+@in_virtual_time
+async def test_vms_are_told_what_answers_to_report(harness):
+    caller = create_caller_trait("h0")
+    await harness.crash_targets(1, caller)
+    assert harness.watched[-1] == {caller}
+    harness.keeper.record_answered([caller])
+    await anyio.sleep(CHECK_DELAY_LIMIT.total_seconds())
+    assert harness.watched[-1] == frozenset()
