Take a target for crashed only if nobody listens at its address

Cause: a failed probe counted as the end of a target, also if the probe's own connection was reset on the way.

Change: the probe tells a refused connection from other failures, and only the former confirms a crash. A new incarnation, or an entry that the platform removed, confirms it as before.

--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -44,6 +44,7 @@
 from dotterelbridge.quarantine.quarantine import Quarantine
 from dotterelbridge.quarantine.traits import TraitKind
 from dotterelbridge.quarantine.traits import get_kind
+from dotterelbridge.targets.client import ProbeOutcome
 from dotterelbridge.targets.settings import TargetsSettings
 
 _log = structlog.get_logger(__name__)
@@ -422,11 +423,11 @@
         group.start_soon(self._probe, target)
 
     async def _probe(self, target: GatewayTarget) -> None:
-        answered = await target.client.probe(
-            _PROBE_TIMEOUT, target.health_path
+        outcome = await target.client.probe(_PROBE_TIMEOUT, target.health_path)
+        target.ejection.finish_probe(
+            outcome is ProbeOutcome.UP, self._clock.monotonic()
         )
-        target.ejection.finish_probe(answered, self._clock.monotonic())
-        if not answered and target.takes_new_work:
+        if outcome is ProbeOutcome.REFUSED and target.takes_new_work:
             self.crash_watch.record_crash(target.incarnation)
         self._dispatch()
 
--- a/dotterelbridge/routing/router.py
+++ b/dotterelbridge/routing/router.py
@@ -50,6 +50,7 @@
 from dotterelbridge.sheet.rows import SheetRow
 from dotterelbridge.sheet.source import SheetSource
 from dotterelbridge.targets.cache_index import CacheIndex
+from dotterelbridge.targets.client import ProbeOutcome
 from dotterelbridge.targets.client import TargetClient
 from dotterelbridge.targets.client import create_target_client
 from dotterelbridge.targets.settings import TargetsSettings
@@ -392,7 +393,8 @@
     async def probe(self, target: Target) -> None:
         """Probe a target that failed or stopped responding."""
         timeout = timedelta(milliseconds=self._settings.probe_timeout_ms)
-        answered = await target.client.probe(timeout)
+        outcome = await target.client.probe(timeout)
+        answered = outcome is ProbeOutcome.UP
         now = self._clock.monotonic()
         if not target.is_ejected:
             # A request timed out. That counts as a failure of the target
--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import contextlib
 from datetime import timedelta
+import enum
 import math
 import random
 
@@ -64,6 +65,16 @@
     connection takes time, in which a lease or a deadline may expire."""
 
 
+class ProbeOutcome(enum.Enum):
+    """What a probe found."""
+
+    UP = "up"
+    REFUSED = "refused"
+    """No process listens at the target's address."""
+    FAILED = "failed"
+    """The target cannot be reached, or closed the connection."""
+
+
 class Exchange:
     """A response that is being read."""
 
@@ -382,8 +393,8 @@
         idle_s = self._clock.monotonic() - connection.last_byte_at
         return idle_s > limit_s
 
-    async def probe(self, timeout: timedelta, path: str = "") -> bool:
-        """Return whether the target is up.
+    async def probe(self, timeout: timedelta, path: str = "") -> ProbeOutcome:
+        """Find out whether the target is up.
 
         It is if it accepts a new connection and does not close it. What it
         responds does not count, nor does a timeout once the connection is
@@ -393,7 +404,7 @@
         """
         if self.is_held_back:
             # It has answered, and may not be asked.
-            return True
+            return ProbeOutcome.UP
         request = ExchangeRequest(
             attempt=AttemptId(""),
             method="GET",
@@ -405,15 +416,17 @@
             with anyio.fail_after(timeout.total_seconds()):
                 if path:
                     async with self.open_exchange(request):
-                        return True
+                        return ProbeOutcome.UP
                 connection = await self._connect()
-        except TargetError:
-            return False
+        except TargetError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return ProbeOutcome.REFUSED
+            return ProbeOutcome.FAILED
         except TimeoutError:
             # A connection that is not accepted fails before this timeout.
-            return bool(path)
+            return ProbeOutcome.UP if path else ProbeOutcome.FAILED
         connection.abort()
-        return True
+        return ProbeOutcome.UP
 
     def close(self) -> None:
         """Close the idle connections; running exchanges continue."""
--- a/tests/gateway/test_quarantined_parts.py
+++ b/tests/gateway/test_quarantined_parts.py
@@ -166,6 +166,25 @@
             await gateway.router.crash_watch.wait_for_crash()
 
 
+# Guards against evidence from connections that are reset on the way, also
+# that of the probe.
+@run_async
+async def test_target_whose_connections_are_reset_has_not_crashed():
+    async with run_gateway(health_path="/health") as gateway:
+
+        async def reset(received):
+            received.reset()
+
+        target = await gateway.add_target("e1", reset)
+        await gateway.call("/book/a")
+        await wait_until(lambda: len(target.received) >= 2)
+        await wait_until(
+            lambda: gateway.router.dump()["targets"]["e1"]["is_unreachable"]
+        )
+        with pytest.raises(TimeoutError), anyio.fail_after(0.05):
+            await gateway.router.crash_watch.wait_for_crash()
+
+
 @run_async
 async def test_complete_answer_is_reported_with_its_shared_parts():
     async with run_gateway() as gateway:
--- a/tests/routing/test_limits.py
+++ b/tests/routing/test_limits.py
@@ -17,6 +17,7 @@
 from dotterelbridge.routing.errors import QueueFull
 from dotterelbridge.routing.errors import RetriesExhausted
 from dotterelbridge.routing.target import Outcome
+from dotterelbridge.targets.client import ProbeOutcome
 from tests.routing.fakes import QueuedCalls
 from tests.routing.fakes import RouterHarness
 from tests.routing.fakes import run_ready_tasks
@@ -336,7 +337,7 @@
     await fail_calls(harness, 3)
 
     async def answer(timeout):
-        return True
+        return ProbeOutcome.UP
 
     target = harness.get_target("e1")
     target.client.probe = answer
--- a/tests/targets/test_statements.py
+++ b/tests/targets/test_statements.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from dotterelbridge.targets.client import ProbeOutcome
 from dotterelbridge.targets.errors import TargetHeldBack
 from dotterelbridge.targets.settings import TargetsSettings
 from dotterelbridge.targets.statements import MAX_WAIT
@@ -125,7 +126,8 @@
         for _ in range(3):
             with pytest.raises(TargetHeldBack):
                 await fetch(client)
-        assert await client.probe(timedelta(seconds=1), "/health")
+        outcome = await client.probe(timedelta(seconds=1), "/health")
+        assert outcome is ProbeOutcome.UP
         assert len(target.received) == 1
         real_monotonic = client._clock.monotonic
         client._clock.monotonic = lambda: real_monotonic() + 60
