Notice the crash of a target that wants few requests

Cause: a target that had asked to wait was not probed at all, and one with a rate limit only with a permit, which may come seconds later; a crash counts only if the probe finds nobody within 2 s. So targets in need could crash under one request after the other without evidence.

Change: such targets are probed by a connection without a request, which neither their wait nor their limit speaks of. Probes need no permits any more.

--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -412,18 +412,18 @@
         }
 
     def _start_probe(self, group: TaskGroup, target: GatewayTarget) -> None:
-        """Probe a target; a probe takes a slot there, like a request."""
-        if not self._limiter.allows_request(
-            target.incarnation, is_interactive=False
-        ):
-            self._limiter.prefetch_permit(target.incarnation)
-            return
-        self._limiter.record_request(target.incarnation, is_interactive=False)
+        """Probe a target's health, or only connect to one with a rate limit.
+
+        A request for its health takes a slot there, like any other.
+        """
+        path = target.health_path
+        if self._limiter.find_limit(target.incarnation) is not None:
+            path = ""
         target.ejection.start_probe()
-        group.start_soon(self._probe, target)
+        group.start_soon(self._probe, target, path)
 
-    async def _probe(self, target: GatewayTarget) -> None:
-        outcome = await target.client.probe(_PROBE_TIMEOUT, target.health_path)
+    async def _probe(self, target: GatewayTarget, path: str) -> None:
+        outcome = await target.client.probe(_PROBE_TIMEOUT, path)
         target.ejection.finish_probe(
             outcome is ProbeOutcome.UP, self._clock.monotonic()
         )
--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -400,11 +400,11 @@
         responds does not count, nor does a timeout once the connection is
         open, as the target may be busy.
 
-        :param path: a path that costs no work; empty to only connect.
+        :param path: a path that costs no work; empty to only connect, as is
+            done with a target that wants no requests.
         """
         if self.is_held_back:
-            # It has answered, and may not be asked.
-            return ProbeOutcome.UP
+            path = ""
         request = ExchangeRequest(
             attempt=AttemptId(""),
             method="GET",
--- a/tests/gateway/test_quarantined_parts.py
+++ b/tests/gateway/test_quarantined_parts.py
@@ -1,5 +1,7 @@
 """Requests with a quarantined trait, and evidence of crashes."""
 
+from datetime import timedelta
+
 import anyio
 import pytest
 
@@ -14,6 +16,7 @@
 from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
 from dotterelbridge.quarantine.traits import create_caller_trait
 from dotterelbridge.quarantine.traits import get_kind
+from dotterelbridge.targets.statements import TargetStatement
 from tests.fleet.support import RETRY_AFTER
 from tests.gateway.support import HOST
 from tests.gateway.support import SIGNED_HEADERS
@@ -185,6 +188,39 @@
             await gateway.router.crash_watch.wait_for_crash()
 
 
+# Guards against crashes that nobody notices since the target wanted no
+# requests.
+@pytest.mark.parametrize(
+    "statement",
+    [
+        TargetStatement(wait=timedelta(seconds=30)),
+        TargetStatement(rate_limit_per_s=0.05),
+    ],
+    ids=["asked to wait", "rate limit"],
+)
+def test_crash_of_a_target_that_wants_few_requests_is_noticed(statement):
+    async def check():
+        async with run_gateway(health_path="/health") as gateway:
+            target = None
+
+            async def crash(received):
+                client = gateway.router._targets["t1"].client
+                client.record_statement(statement)
+                client._on_answer(200, statement, gateway.clock.monotonic())
+                # No permit for a probe is to be had in time.
+                gateway.router._limiter._channel.issuer.wait_for_predecessor()
+                await target.stop()
+                received.reset()
+
+            target = await gateway.add_target("t1", crash)
+            await gateway.call("/book/a")
+            with anyio.fail_after(10):
+                crash = await gateway.router.crash_watch.wait_for_crash()
+            assert crash.incarnation == ("t1", 1)
+
+    run_async(check)()
+
+
 @run_async
 async def test_complete_answer_is_reported_with_its_shared_parts():
     async with run_gateway() as gateway:
--- a/tests/permits/support.py
+++ b/tests/permits/support.py
@@ -19,12 +19,12 @@
     is_cut_off = False
 
     def __init__(self, issuer: PermitIssuer) -> None:
-        self._issuer = issuer
+        self.issuer = issuer
 
         self.notices: list[RateLimitNotice] = []
 
     async def request(self, request: PermitRequest) -> PermitReply:
-        return self._issuer.decide(request)
+        return self.issuer.decide(request)
 
     def send_notice(self, notice: RateLimitNotice) -> None:
         self.notices.append(notice)
