Quarantine requests under which engines crash on the own listener too

Cause: the same as behind the gateway: nothing related a crash to the requests; the own listener has neither named prompt parts nor a feed.

Change: a guard on each VM collects the requests that a target was beginning to answer when it closed its connections and nobody listened any more: a digest of each, prefixes of its prompt at doubling lengths, and its caller by the Authorization header. The leader of the log decides with the keeper that the gateway's nodes have, the table on the log survives it, and all VMs get changes at once and again once a second. A VM whose reports no leader takes (alone, cut off, without a leader) decides for itself: it knows the order, so that crashes count whose request began after the crash before. Targets whose starts are not known are numbered by their crashes. A request that has ended targets isn't repeated.

Ruled out: the spread over a second and the pause for answers for a VM's own evidence; answers clear it at once there.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -43,6 +43,7 @@
 from dotterelbridge.membership.view import TargetKind
 from dotterelbridge.membership.view import TargetView
 from dotterelbridge.permits.limiter import create_lone_rate_limiter
+from dotterelbridge.quarantine.guard import create_lone_crash_guard
 from dotterelbridge.routing.router import create_router
 from dotterelbridge.routing.settings import RoutingSettings
 from dotterelbridge.serving.callers import create_caller_app
@@ -297,6 +298,7 @@
         FailureDomain("domain"),
         Region("region"),
         create_lone_rate_limiter(clock, rng),
+        create_lone_crash_guard(clock),
     )
     app = create_caller_app(router, None, clock, serving, routing, rng)
     listener = create_caller_listener(app, serving, clock)
--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -20,6 +20,7 @@
 from dotterelbridge.events import CoreEvent
 from dotterelbridge.ids import TargetId
 from dotterelbridge.ids import Term
+from dotterelbridge.ids import VmId
 from dotterelbridge.logs import RecentEvents
 from dotterelbridge.membership.platform import create_platform_list
 from dotterelbridge.membership.service import create_membership
@@ -36,6 +37,17 @@
 from dotterelbridge.placement.operators import create_placement_routes
 from dotterelbridge.placement.service import create_placement
 from dotterelbridge.placement.settings import PlacementSettings
+from dotterelbridge.quarantine.guard import CrashGuard
+from dotterelbridge.quarantine.keeper import QuarantineKeeper
+from dotterelbridge.quarantine.leader_link import PeerLeaderLink
+from dotterelbridge.quarantine.quarantine import (
+    STATE_MACHINE_NAME as QUARANTINE_STATE_MACHINE,
+)
+from dotterelbridge.quarantine.quarantine import Quarantine
+from dotterelbridge.quarantine.quarantine import QuarantineTable
+from dotterelbridge.quarantine.service import QuarantineService
+from dotterelbridge.quarantine.settings import QuarantineSettings
+from dotterelbridge.replication.contact import LeaderContact
 from dotterelbridge.replication.factory import create_replicated_log
 from dotterelbridge.replication.file_storage import create_file_storage
 from dotterelbridge.replication.settings import ReplicationSettings
@@ -89,6 +101,7 @@
         self._create_claims()
         self._create_membership()
         self._create_permits()
+        self._create_crash_guard()
         self._create_serving()
         self._create_placement()
         self._create_operator_listener()
@@ -238,7 +251,12 @@
 
     def _create_permits(self) -> None:
         settings = self._settings
-        voters = settings.list_voters()
+        self._leader_contact = LeaderContact(
+            self._network,
+            self._replicated_log.get_leader,
+            settings.list_voters(),
+            self._rng,
+        )
         self._permit_service = PermitService(
             self._network,
             self._clock,
@@ -257,9 +275,7 @@
             self._network,
             self._permit_service,
             broadcaster,
-            self._replicated_log.get_leader,
-            voters,
-            self._rng,
+            self._leader_contact,
         )
         vm_count = len(settings.list_vms())
         self._limiter = create_rate_limiter(
@@ -269,6 +285,49 @@
         self._run_functions += [self._permit_service.run, broadcaster.run]
         self._dump_registry.add("rate_limits", self._limiter)
 
+    def _create_crash_guard(self) -> None:
+        settings = self._settings.get_section(QuarantineSettings)
+        table = QuarantineTable()
+        quarantine = Quarantine(
+            self._settings.daemon.vm, settings, self._clock
+        )
+
+        def apply(snapshot, watched) -> None:
+            quarantine.activate(snapshot)
+            self._crash_guard.set_watched(watched)
+
+        service = QuarantineService(
+            self._network,
+            table,
+            self._clock,
+            self._get_led_term,
+            self._replicated_log.get_leader,
+            apply,
+        )
+        if self._has_log_storage:
+            self._replicated_log.add_state_machine(
+                QUARANTINE_STATE_MACHINE, table
+            )
+            service.keeper = QuarantineKeeper(
+                self._replicated_log,
+                table,
+                settings,
+                self._clock,
+                self._rng,
+                lambda: self._get_led_term() is not None,
+                self._list_vm_ids,
+                service.publish_watched,
+            )
+        link = PeerLeaderLink(
+            self._network, service, self._leader_contact, self._clock
+        )
+        self._crash_guard = CrashGuard(quarantine, link, settings, self._clock)
+        self._run_functions.append(service.run)
+        self._dump_registry.add("quarantine", self._crash_guard)
+
+    def _list_vm_ids(self) -> list[VmId]:
+        return [vm.vm for vm in self._settings.list_vms()]
+
     def _get_led_term(self) -> Term | None:
         """Return the term that this VM leads, or None."""
         if not self._has_log_storage:
@@ -298,6 +357,7 @@
             own.failure_domain,
             own.region,
             self._limiter,
+            self._crash_guard,
         )
         self._add_component("routing", self._router)
         self._caller_app = create_caller_app(
--- a/dotterelbridge/nodes/node.py
+++ b/dotterelbridge/nodes/node.py
@@ -63,7 +63,7 @@
         )
         self._fleet_state = FleetState(clock)
         self._routes = ActiveRoutes(routes_format)
-        self._quarantine = Quarantine(self._own_vm.vm, settings.fleet)
+        self._quarantine = Quarantine(self._own_vm.vm, settings.fleet, clock)
         self._registry = DumpRegistry()
         self._registry.add("peers", self._network)
         self._metrics_listeners = create_metrics_listeners(settings, clock)
--- a/dotterelbridge/quarantine/crash_tracker.py
+++ b/dotterelbridge/quarantine/crash_tracker.py
@@ -5,6 +5,9 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Sequence
+import itertools
+import math
 
 import msgspec
 
@@ -31,6 +34,10 @@
 they have a common cause, such as a rack without power. Reports from two VMs
 tell the time of a crash to about this accuracy."""
 _MS_PER_S = 1000
+UNKNOWN_BORN = 0
+"""Stands for the start of a target whose incarnations are not known."""
+_SAME_CRASH_S = 0.5
+"""Two crashes of such a target further apart have a start in between."""
 
 
 class _Crash(msgspec.Struct):
@@ -40,6 +47,8 @@
     """Monotonic time in seconds."""
     reported_at: float
     """Monotonic time of the first report."""
+    started_at: float = -math.inf
+    """Monotonic time at which the latest request with the trait began."""
 
 
 class CrashTracker:
@@ -57,6 +66,9 @@
         """The crashes under each trait, in the order of their reports."""
         self._companions: dict[TraitId, frozenset[TraitId]] = {}
         """All traits of a single request."""
+        self._numbers: dict[TargetId, tuple[int, float]] = {}
+        """Number and monotonic time of the latest crash of each target whose
+        incarnations are not known."""
         self._explained: dict[Incarnation, float] = {}
         """Monotonic times of crashes whose cause is known."""
         self._answered_traits: dict[TraitId, None] = {}
@@ -68,6 +80,7 @@
         attempts: Iterable[Collection[TraitId]],
         known_causes: Iterable[TraitId] = (),
         age_s: float = 0.0,
+        started_at: Sequence[float] = (),
     ) -> None:
         """Record that a target crashed while it began to answer requests.
 
@@ -77,22 +90,29 @@
         :param known_causes: traits that explain a crash, so that it is no
             evidence against others.
         :param age_s: time since the crash, as the sender knows it.
+        :param started_at: monotonic times at which the attempts began, if
+            they are known.
         """
         now = self._clock.monotonic()
+        crashed_at = now - age_s
+        incarnation = self._identify(incarnation, crashed_at)
         attempts = list(attempts)
         traits = {trait for attempt in attempts for trait in attempt}
         if traits.intersection(known_causes):
             self._explain_crash(incarnation)
         if incarnation in self._explained:
             return
-        crashed_at = now - age_s
         for trait in sorted(traits):
             crashes = self._crashes.pop(trait, {})
             crash = crashes.setdefault(incarnation, _Crash(crashed_at, now))
             crash.crashed_at = min(crash.crashed_at, crashed_at)
             self._crashes[trait] = crashes
-        for attempt in attempts:
+        for attempt, began_at in itertools.zip_longest(
+            attempts, started_at, fillvalue=-math.inf
+        ):
             for trait in attempt:
+                crash = self._crashes[trait][incarnation]
+                crash.started_at = max(crash.started_at, began_at)
                 if get_kind(trait) is TraitKind.REQUEST:
                     self._companions[trait] = frozenset(attempt)
         while len(self._crashes) > _MAX_TRACKED_TRAITS:
@@ -100,6 +120,19 @@
             del self._crashes[oldest]
             self._companions.pop(oldest, None)
 
+    def _identify(
+        self, incarnation: Incarnation, crashed_at: float
+    ) -> Incarnation:
+        """Return the incarnation, numbered by its crash if it is unknown."""
+        target, born = incarnation
+        if born != UNKNOWN_BORN:
+            return incarnation
+        number, last_crashed_at = self._numbers.get(target, (0, -math.inf))
+        if crashed_at - last_crashed_at > _SAME_CRASH_S:
+            number += 1
+            self._numbers[target] = (number, crashed_at)
+        return target, -number
+
     def record_answered(self, traits: Iterable[TraitId]) -> None:
         """Record that requests with the traits were answered completely."""
         for trait in traits:
@@ -265,6 +298,47 @@
                 self._companions.pop(trait, None)
 
 
+class LocalCrashTracker(CrashTracker):
+    """Uses the evidence of one VM, which knows the order of what it saw.
+
+    Crashes count if the request with the trait began after the crash before:
+    targets that crash together, whatever they run, don't. Complete answers
+    to requests of this VM clear a trait at once.
+    """
+
+    def _is_suspect(
+        self,
+        trait: TraitId,
+        crashes: dict[Incarnation, _Crash],
+        now: float,
+    ) -> bool:
+        needed = self._settings.quarantine_crashes
+        if get_kind(trait) is TraitKind.CALLER:
+            needed = self._settings.quarantine_caller_crashes
+        return _count_sequence(crashes.values()) >= needed
+
+    def _is_watched(self, trait: TraitId, count: int) -> bool:
+        return True
+
+
+def create_local_crash_tracker(
+    settings: QuarantineSettings, clock: Clock
+) -> LocalCrashTracker:
+    """Return a tracker of the crashes that one VM sees."""
+    return LocalCrashTracker(settings, clock)
+
+
+def _count_sequence(crashes: Iterable[_Crash]) -> int:
+    """Return the number of crashes that followed each other."""
+    count = 0
+    previous_at = -math.inf
+    for crash in sorted(crashes, key=lambda crash: crash.crashed_at):
+        if crash.started_at >= previous_at:
+            count += 1
+            previous_at = crash.crashed_at
+    return count
+
+
 def _count_moments(crashes: Iterable[_Crash]) -> int:
     """Return the number of crashes that did not happen together."""
     count = 0
--- a/dotterelbridge/quarantine/crash_watch.py
+++ b/dotterelbridge/quarantine/crash_watch.py
@@ -37,6 +37,8 @@
     closed_at: float
     """Monotonic time in seconds."""
     traits: tuple[TraitId, ...]
+    started_at: float
+    """Monotonic time in seconds."""
 
 
 class Crash(msgspec.Struct, frozen=True):
@@ -47,6 +49,8 @@
     """Traits of each request that the target was beginning to answer."""
     closed_at: float
     """Monotonic time in seconds of the first connection that it closed."""
+    started_at: tuple[float, ...] = ()
+    """Monotonic times in seconds at which these attempts began, if known."""
 
     @property
     def traits(self) -> list[TraitId]:
@@ -68,8 +72,14 @@
 class CrashWatch:
     """Collects reports of crashes, and traits that were answered."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, reports_all_parts: bool = True) -> None:
+        """Create a watch.
+
+        :param reports_all_parts: whether answers to all prompt parts are
+            reported, also of those that nobody watches.
+        """
         self._clock = clock
+        self._reports_all_parts = reports_all_parts
         self._closed_attempts: dict[Incarnation, list[_ClosedAttempt]] = {}
         self._crashed_at: dict[Incarnation, float] = {}
         self._answered_traits: set[TraitId] = set()
@@ -89,7 +99,8 @@
         """
         for trait in traits:
             kind = get_kind(trait)
-            if kind is TraitKind.PART or trait in watched:
+            is_reported = kind is TraitKind.PART and self._reports_all_parts
+            if is_reported or trait in watched:
                 self._answered_traits.add(trait)
             if kind is TraitKind.REQUEST:
                 self._answered_requests.pop(trait, None)
@@ -107,11 +118,13 @@
         incarnation: Incarnation,
         traits: tuple[TraitId, ...],
         first_event_at: float | None,
+        started_at: float = -math.inf,
     ) -> None:
         """Record that a target ended a connection instead of its answer.
 
         :param traits: traits of the request.
         :param first_event_at: monotonic time of the stream's first event.
+        :param started_at: monotonic time at which the attempt began.
         """
         now = self._clock.monotonic()
         if (
@@ -124,11 +137,8 @@
             return
         self._remove_old(now)
         attempts = self._closed_attempts.setdefault(incarnation, [])
-        attempts.append(
-            _ClosedAttempt(
-                now, tuple(t for t in traits if not self._was_answered(t, now))
-            )
-        )
+        suspected = tuple(t for t in traits if not self._was_answered(t, now))
+        attempts.append(_ClosedAttempt(now, suspected, started_at))
         if incarnation in self._crashed_at:
             self._report(incarnation)
 
@@ -154,10 +164,12 @@
 
     def _report(self, incarnation: Incarnation) -> None:
         attempts = self._closed_attempts.pop(incarnation)
+        suspected = [attempt for attempt in attempts if attempt.traits]
         crash = Crash(
             incarnation,
-            tuple(attempt.traits for attempt in attempts if attempt.traits),
+            tuple(attempt.traits for attempt in suspected),
             min(attempt.closed_at for attempt in attempts),
+            tuple(attempt.started_at for attempt in suspected),
         )
         target, born = incarnation
         events.log(
--- a/dotterelbridge/quarantine/events.py
+++ b/dotterelbridge/quarantine/events.py
@@ -38,6 +38,13 @@
         "A change of the quarantine could not be committed to the log; it "
         "is proposed again.",
     )
+    TRAIT_BLOCKED_LOCALLY = (
+        5545,
+        logging.WARNING,
+        "Targets crashed one after the other under requests with one trait, "
+        "and no leader of the log took the reports; this VM refuses such "
+        "requests by itself for a time.",
+    )
     TARGET_CRASHED = (
         8513,
         logging.WARNING,
--- a/dotterelbridge/quarantine/messages.py
+++ b/dotterelbridge/quarantine/messages.py
@@ -1,9 +1,11 @@
 """Messages about crashes of targets."""
 
 from dotterelbridge.ids import TargetId
+from dotterelbridge.ids import Term
 from dotterelbridge.ids import TraitId
 from dotterelbridge.peers.messages import Message
 from dotterelbridge.peers.messages import register_message
+from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
 
 
 @register_message("fleet.crash")
@@ -27,3 +29,21 @@
 
     is_recorded: bool
     """Whether the leader of the log has the report."""
+
+
+@register_message("quarantine.answered")
+class AnsweredTraits(Message, frozen=True, kw_only=True, array_like=True):
+    """Reports complete answers to requests with watched traits."""
+
+    traits: tuple[TraitId, ...]
+
+
+@register_message("quarantine.update")
+class QuarantineUpdate(Message, frozen=True, kw_only=True, array_like=True):
+    """Tells a VM what is quarantined, from the leader of the log."""
+
+    term: Term
+    """Term in which the sender leads."""
+    snapshot: QuarantineSnapshot
+    watched: tuple[TraitId, ...]
+    """Traits of which VMs report complete answers."""
--- a/dotterelbridge/quarantine/quarantine.py
+++ b/dotterelbridge/quarantine/quarantine.py
@@ -13,6 +13,7 @@
 import structlog
 
 from dotterelbridge import events
+from dotterelbridge.clock import Clock
 from dotterelbridge.ids import LogIndex
 from dotterelbridge.ids import TraitId
 from dotterelbridge.ids import VmId
@@ -125,8 +126,14 @@
 class Quarantine:
     """The quarantine that is in force on one VM; it never goes back."""
 
-    def __init__(self, own_vm: VmId, settings: QuarantineSettings) -> None:
+    def __init__(
+        self, own_vm: VmId, settings: QuarantineSettings, clock: Clock
+    ) -> None:
         """Create an empty quarantine."""
+        self._clock = clock
+        self._own_traits: dict[TraitId, float] = {}
+        """Traits that this VM has quarantined by itself, each with the
+        monotonic time at which it may be tried again."""
         self.snapshot = QuarantineSnapshot()
         self._settings = settings
         self._own_vm = own_vm
@@ -141,7 +148,25 @@
 
     def count_traits(self) -> int:
         """Return the number of quarantined traits."""
-        return len(self._traits)
+        return len(self._traits) + len(self._own_traits)
+
+    def list_traits(self) -> list[TraitId]:
+        """Return the quarantined traits."""
+        return [*self._traits, *self._own_traits]
+
+    def block_locally(self, trait: TraitId) -> None:
+        """Quarantine a trait on this VM only, for a time."""
+        wait = self.find_retry_after([trait])
+        self._own_traits[trait] = (
+            self._clock.monotonic() + wait.total_seconds()
+        )
+        events.log(
+            _log,
+            QuarantineEvent.TRAIT_BLOCKED_LOCALLY,
+            trait=trait,
+            seconds=wait.total_seconds(),
+        )
+        self._notify()
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` after each change."""
@@ -168,6 +193,9 @@
             version=snapshot.version,
             traits=sorted(self._traits),
         )
+        self._notify()
+
+    def _notify(self) -> None:
         for callback in self._subscribers:
             callback()
 
@@ -179,7 +207,17 @@
 
     def find_blocked(self, traits: Iterable[TraitId]) -> set[TraitId]:
         """Return those of the traits that are quarantined."""
-        return self._traits.intersection(traits) if self._traits else set()
+        blocked = set(self._traits.intersection(traits))
+        if self._own_traits:
+            self._drop_expired()
+            blocked.update(self._own_traits.keys() & set(traits))
+        return blocked
+
+    def _drop_expired(self) -> None:
+        now = self._clock.monotonic()
+        for trait, until in list(self._own_traits.items()):
+            if now >= until:
+                del self._own_traits[trait]
 
     def take_trial(self, blocked: set[TraitId]) -> bool:
         """Return whether one request with these traits may be sent.
--- a/dotterelbridge/routing/call.py
+++ b/dotterelbridge/routing/call.py
@@ -1,11 +1,14 @@
 """A caller's request as routing sees it."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from dotterelbridge.ids import ItemKind
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import Priority
 from dotterelbridge.ids import RequestId
+from dotterelbridge.ids import TraitId
 from dotterelbridge.sheet.rows import SheetRow
 
 
@@ -23,6 +26,8 @@
     """Time by which the first token is due, in monotonic seconds."""
     prompt_blocks: tuple[str, ...] = ()
     """Hashes of the prompt's leading blocks, shortest prefix first."""
+    list_traits: Callable[[], tuple[TraitId, ...]] = tuple
+    """Returns what it has in common with other requests, itself first."""
     body_size: int = 0
     resumable: bool = False
     """Whether a stream can be resumed at another target."""
--- a/dotterelbridge/routing/errors.py
+++ b/dotterelbridge/routing/errors.py
@@ -36,6 +36,10 @@
     """No target had the item loaded before the deadline."""
 
 
+class Quarantined(RoutingRefused):
+    """Targets crash under such requests."""
+
+
 class RateLimited(RoutingRefused):
     """Every target has reached the rate limit that it named."""
 
--- a/dotterelbridge/routing/router.py
+++ b/dotterelbridge/routing/router.py
@@ -23,6 +23,7 @@
 from dotterelbridge.permits.limiter import RateLimiter
 from dotterelbridge.placement.demand import DemandSource
 from dotterelbridge.placement.demand import ItemDemand
+from dotterelbridge.quarantine.guard import CrashGuard
 from dotterelbridge.routing import metrics
 from dotterelbridge.routing.budget import RetryBudget
 from dotterelbridge.routing.cache_event_poller import CacheEventPoller
@@ -32,6 +33,7 @@
 from dotterelbridge.routing.errors import DeadlinePassed
 from dotterelbridge.routing.errors import DeadlineUnreachable
 from dotterelbridge.routing.errors import ItemNotLoaded
+from dotterelbridge.routing.errors import Quarantined
 from dotterelbridge.routing.errors import QueueFull
 from dotterelbridge.routing.errors import RateLimited
 from dotterelbridge.routing.errors import RetriesExhausted
@@ -78,9 +80,14 @@
         failure_domain: FailureDomain,
         region: Region,
         limiter: RateLimiter,
+        guard: CrashGuard,
     ) -> None:
         self._membership = membership
         self._limiter = limiter
+        self._guard = guard
+        self._closed_targets: list[Target] = []
+        """Targets that closed a connection, to find out whether they run."""
+        self._has_closed_targets = anyio.Event()
         self._clock = clock
         self._settings = settings
         self._random = rng
@@ -123,6 +130,7 @@
         self._apply_membership()
         membership.subscribe(self._apply_membership)
         limiter.subscribe(self._handle_permits_changed)
+        guard.quarantine.subscribe(self._refuse_quarantined)
 
     # Sheet.
 
@@ -200,6 +208,7 @@
         :param deadline_at: overrides the call's own deadline.
         :raises RoutingRefused: no slot; nothing was sent.
         """
+        self._check_quarantine(call)
         if deadline_at is None:
             deadline_at = call.deadline_at
         now = self._clock.monotonic()
@@ -223,6 +232,36 @@
         finally:
             self._queue.remove(waiter)
 
+    def is_suspected(self, call: Call) -> bool:
+        """Whether several targets may have crashed under this request."""
+        return self._guard.is_alert and any(
+            self._guard.is_suspected(trait) for trait in call.list_traits()[:1]
+        )
+
+    def _check_quarantine(self, call: Call) -> None:
+        """Check that targets do not crash under such requests.
+
+        :raises Quarantined: a trait of the request is quarantined.
+        """
+        blocked = self._guard.find_blocked(call.list_traits)
+        if not blocked or self._guard.quarantine.take_trial(blocked):
+            return
+        raise Quarantined(
+            "targets crashed one after the other under such requests: "
+            + ", ".join(sorted(blocked)),
+            "send a request that does not have this in common with them",
+            self._guard.find_retry_after(blocked),
+        )
+
+    def _refuse_quarantined(self) -> None:
+        """Refuse the waiters with a trait that is now quarantined."""
+        for waiter in list(self._queue.list_waiters()):
+            try:
+                self._check_quarantine(waiter.call)
+            except Quarantined as error:
+                self._queue.remove(waiter)
+                waiter.refuse(error)
+
     def record_tokens(self, slot: Slot, count: int) -> None:
         """Count relayed tokens; the first one updates the latency estimate."""
         if slot.first_token_at is None:
@@ -254,6 +293,7 @@
         if ejection_s is not None:
             metrics.record_ejection()
             self._log_ejection(target, ejection_s)
+        self._record_evidence(slot, outcome)
         if outcome is Outcome.SILENT:
             self._targets_to_probe.append(target)
             if slot.first_token_at is None:
@@ -263,6 +303,21 @@
                 target.latency.record_first_token(elapsed, now)
         self._dispatch_target(target)
 
+    def _record_evidence(self, slot: Slot, outcome: Outcome) -> None:
+        """Record whether a request was answered or may have ended a target."""
+        call = slot.call
+        if outcome is Outcome.SUCCEEDED and self._guard.is_alert:
+            self._guard.record_answered(call.list_traits())
+        elif outcome is Outcome.CLOSED:
+            self._guard.record_closed_attempt(
+                slot.target.incarnation,
+                call.list_traits(),
+                slot.acquired_at,
+                slot.first_token_at,
+            )
+            self._closed_targets.append(slot.target)
+            self._has_closed_targets.set()
+
     # DemandSource.
 
     def read_demand(self) -> dict[ItemName, ItemDemand]:
@@ -280,6 +335,8 @@
         ticks = 0
         async with anyio.create_task_group() as group:
             group.start_soon(self._limiter.run)
+            group.start_soon(self._guard.run)
+            group.start_soon(self._check_closed_targets)
             if self._settings.chooser == "estimate":
                 group.start_soon(self._cache_event_poller.run)
             while True:
@@ -413,6 +470,22 @@
         )
         self._dispatch_target(target)
 
+    async def _check_closed_targets(self) -> None:
+        """Find out whether targets that closed connections still run."""
+        async with anyio.create_task_group() as group:
+            while True:
+                await self._has_closed_targets.wait()
+                self._has_closed_targets = anyio.Event()
+                closed, self._closed_targets = self._closed_targets, []
+                for target in dict.fromkeys(closed):
+                    group.start_soon(self._check_runs, target)
+
+    async def _check_runs(self, target: Target) -> None:
+        timeout = timedelta(milliseconds=self._settings.probe_timeout_ms)
+        outcome = await target.client.probe(timeout)
+        if outcome is ProbeOutcome.REFUSED and target.takes_new_work:
+            self._guard.record_crash(target.incarnation)
+
     def dump(self) -> dict[str, Any]:
         now = self._clock.monotonic()
         return {
@@ -851,6 +924,7 @@
     failure_domain: FailureDomain,
     region: Region,
     limiter: RateLimiter,
+    guard: CrashGuard,
 ) -> Router:
     """Return the router of a VM in the given failure domain and region."""
     return Router(
@@ -863,4 +937,5 @@
         failure_domain,
         region,
         limiter,
+        guard,
     )
--- a/dotterelbridge/routing/target.py
+++ b/dotterelbridge/routing/target.py
@@ -38,6 +38,8 @@
     LEAVING = "leaving"
     CONNECT_FAILED = "connect_failed"
     BROKEN = "broken"
+    CLOSED = "closed"
+    """The target ended the connection before its answer was complete."""
     SILENT = "silent"
     """The target sent no data before the timeout."""
     FAILED = "failed"
@@ -54,7 +56,12 @@
 _DEFAULT_SLOT_HOLD_S = 2.0
 _SLOWDOWN_PER_REQUEST_SHARE = 1 / 64
 """Slowdown per running request, as a share of the unloaded time."""
-_FAILED_OUTCOMES = (Outcome.CONNECT_FAILED, Outcome.BROKEN, Outcome.FAILED)
+_FAILED_OUTCOMES = (
+    Outcome.CONNECT_FAILED,
+    Outcome.BROKEN,
+    Outcome.CLOSED,
+    Outcome.FAILED,
+)
 
 
 class Target:
--- a/dotterelbridge/serving/attempts.py
+++ b/dotterelbridge/serving/attempts.py
@@ -32,6 +32,8 @@
 from dotterelbridge.targets.client import Exchange
 from dotterelbridge.targets.client import ExchangeRequest
 from dotterelbridge.targets.completeness import verify_body_end
+from dotterelbridge.targets.errors import ConnectionClosed
+from dotterelbridge.targets.errors import ResponseTruncated
 from dotterelbridge.targets.errors import TargetHeldBack
 from dotterelbridge.targets.errors import TargetIdleTimeout
 
@@ -130,7 +132,7 @@
         self, call: Call, slot: Slot, error: TargetError
     ) -> None:
         """Wait until a retry may start; raise ``error`` if none is allowed."""
-        if not can_retry(call, error):
+        if not can_retry(call, error) or self._router.is_suspected(call):
             raise error
         if isinstance(error, TargetIdleTimeout):
             call.unanswered_attempts += 1
@@ -261,6 +263,8 @@
         return Outcome.FAILED if failed else Outcome.SUCCEEDED
     if isinstance(error, TargetIdleTimeout):
         return Outcome.SILENT
+    if isinstance(error, ConnectionClosed | ResponseTruncated):
+        return Outcome.CLOSED
     if isinstance(error, TargetExchangeFailed):
         return Outcome.BROKEN
     return Outcome.CONNECT_FAILED
--- a/dotterelbridge/serving/callers.py
+++ b/dotterelbridge/serving/callers.py
@@ -1,6 +1,8 @@
 """The HTTP API for callers, as an ASGI application."""
 
 from datetime import timedelta
+import functools
+import hashlib
 from http import HTTPStatus
 import random
 from typing import Any
@@ -16,6 +18,9 @@
 from dotterelbridge.ids import AttemptId
 from dotterelbridge.ids import ItemKind
 from dotterelbridge.ids import RunStatus
+from dotterelbridge.ids import TraitId
+from dotterelbridge.quarantine.traits import create_caller_trait
+from dotterelbridge.quarantine.traits import create_request_trait
 from dotterelbridge.routing.call import Call
 from dotterelbridge.routing.errors import ItemUnknown
 from dotterelbridge.routing.errors import QueueFull
@@ -54,6 +59,7 @@
 from dotterelbridge.sheet.rows import SheetRow
 from dotterelbridge.targets.client import ExchangeRequest
 from dotterelbridge.targets.prefix import list_prompt_blocks
+from dotterelbridge.targets.prefix import list_prompt_prefixes
 
 INFERENCE_PATHS = ("/v1/chat/completions", "/v1/completions")
 MODELS_PATH = "/v1/models"
@@ -63,6 +69,8 @@
 _GIVE_UP_DEADLINE_FACTOR = 2
 """A late request is given up at a target after this many deadlines."""
 _MIN_KEPT_CONNECTION_LIMIT = timedelta(milliseconds=500)
+_HASH_LENGTH = 16
+"""Characters of a hash that stands for a request or a caller."""
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 _UNFORWARDED_HEADERS = HOP_BY_HOP_HEADERS | {
     b"host",
@@ -246,6 +254,9 @@
             deadline_at=now + deadline.total_seconds(),
             body_size=len(request.body),
             prompt_blocks=_list_row_prompt_blocks(row, request),
+            list_traits=functools.cache(
+                lambda: _list_request_traits(row, request)
+            ),
         )
         self._router.record_arrival(call)
         return call
@@ -419,6 +430,22 @@
     return list_prompt_blocks(row.name, request.body)
 
 
+def _list_request_traits(
+    row: SheetRow, request: CallerRequest
+) -> tuple[TraitId, ...]:
+    """Return what a request has in common with others, itself first."""
+    credentials = request.credentials
+    digest = hashlib.sha256(request.digest().encode() + credentials)
+    traits = [create_request_trait(digest.hexdigest()[:_HASH_LENGTH])]
+    if row.kind is not ItemKind.SERVICE:
+        prefixes = list_prompt_prefixes(row.name, request.body)
+        traits += [TraitId(prefix) for prefix in prefixes]
+    if credentials:
+        caller = hashlib.sha256(credentials).hexdigest()
+        traits.append(create_caller_trait(caller[:_HASH_LENGTH]))
+    return tuple(traits)
+
+
 def _needs_new_connection(call: Call) -> bool:
     return not call.is_idempotent or call.unanswered_attempts > 0
 
--- a/dotterelbridge/serving/request.py
+++ b/dotterelbridge/serving/request.py
@@ -34,6 +34,11 @@
     deadline: timedelta | None = None
     key: IdempotencyKey | None = None
 
+    @property
+    def credentials(self) -> bytes:
+        """Value of the Authorization header; empty without one."""
+        return dict(self.headers).get(b"authorization", b"")
+
     def digest(self) -> str:
         """Return the hash by which an idempotency key is bound to it."""
         digest = hashlib.sha256()
--- a/dotterelbridge/settings.py
+++ b/dotterelbridge/settings.py
@@ -25,6 +25,7 @@
 from dotterelbridge.membership.view import VmInfo
 from dotterelbridge.peers.settings import PeersSettings
 from dotterelbridge.placement.settings import PlacementSettings
+from dotterelbridge.quarantine.settings import QuarantineSettings
 from dotterelbridge.replication.settings import ReplicationSettings
 from dotterelbridge.routing.settings import RoutingSettings
 from dotterelbridge.serving.settings import ServingSettings
@@ -139,6 +140,7 @@
     "claims": ClaimsSettings,
     "membership": MembershipSettings,
     "placement": PlacementSettings,
+    "quarantine": QuarantineSettings,
 }
 """Sections that appear once."""
 
--- a/dotterelbridge/targets/prefix.py
+++ b/dotterelbridge/targets/prefix.py
@@ -5,11 +5,15 @@
 """
 
 from collections.abc import Iterator
+import itertools
 
 import msgspec
 import xxhash
 
 BLOCK_SIZE_CHARACTERS = 256
+_SHORTEST_PREFIX = 32
+"""Length in characters of the shortest prefix that is hashed."""
+_PREFIX_COUNT = 10
 MAX_BLOCK_COUNT = 64
 """Blocks that are hashed; more hardly affect the choice of a target."""
 
@@ -39,6 +43,26 @@
     return tuple(_hash_blocks(model, _join_text(prompt)))
 
 
+def list_prompt_prefixes(model: str, body: bytes) -> tuple[str, ...]:
+    """Return hashes of the prompt's prefixes of doubling lengths.
+
+    Prompts that begin with the same template have the short ones in common.
+    """
+    try:
+        prompt = _decode(body)
+    except msgspec.MsgspecError:
+        return ()
+    text = _join_text(prompt)
+    lengths = itertools.takewhile(
+        lambda length: length <= len(text),
+        (_SHORTEST_PREFIX * 2**n for n in range(_PREFIX_COUNT)),
+    )
+    return tuple(
+        xxhash.xxh3_64_hexdigest(f"{model}\n{text[:length]}".encode())
+        for length in lengths
+    )
+
+
 def _join_text(prompt: _Prompt) -> str:
     if prompt.messages is None:
         return prompt.prompt or ""
--- a/tests/fleet/support.py
+++ b/tests/fleet/support.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from dotterelbridge.clock import ManualClock
 from dotterelbridge.fleet.engine import EngineReport
 from dotterelbridge.fleet.engine_state import EngineState
 from dotterelbridge.fleet.records import FleetTarget
@@ -46,7 +47,7 @@
         quarantine_s=RETRY_AFTER.total_seconds(),
         quarantine_request_s=REQUEST_RETRY_AFTER.total_seconds(),
     )
-    quarantine = Quarantine(VmId(vm), settings)
+    quarantine = Quarantine(VmId(vm), settings, ManualClock())
     if parts:
         entries = tuple(QuarantinedTrait(part) for part in parts)
         quarantine.activate(QuarantineSnapshot(1, entries))
--- a/tests/rate_limit_fleet.py
+++ b/tests/rate_limit_fleet.py
@@ -30,6 +30,8 @@
 from dotterelbridge.permits.leader_channel import LeaderChannel
 from dotterelbridge.permits.limiter import create_rate_limiter
 from dotterelbridge.permits.service import PermitService
+from dotterelbridge.quarantine.guard import create_lone_crash_guard
+from dotterelbridge.replication.contact import LeaderContact
 from dotterelbridge.routing.call import Call
 from dotterelbridge.routing.router import create_router
 from dotterelbridge.routing.settings import RoutingSettings
@@ -301,9 +303,7 @@
             endpoint,
             self._service,
             self._broadcaster,
-            lambda: self.leader,
-            voters,
-            rng,
+            LeaderContact(endpoint, lambda: self.leader, voters, rng),
         )
         self.limiter = create_rate_limiter(
             channel, lambda: len(network.vms), self._clock, rng
@@ -321,6 +321,7 @@
             DOMAIN,
             REGION,
             self.limiter,
+            create_lone_crash_guard(self._clock),
         )
 
     async def run(self) -> None:
--- a/tests/routing/fakes.py
+++ b/tests/routing/fakes.py
@@ -9,6 +9,7 @@
 from dotterelbridge.ids import Priority
 from dotterelbridge.ids import RequestId
 from dotterelbridge.permits.limiter import create_lone_rate_limiter
+from dotterelbridge.quarantine.guard import create_lone_crash_guard
 from dotterelbridge.routing.call import Call
 from dotterelbridge.routing.errors import RoutingRefused
 from dotterelbridge.routing.router import create_router
@@ -43,6 +44,7 @@
             DOMAIN,
             REGION,
             create_lone_rate_limiter(self.clock, self.rng),
+            create_lone_crash_guard(self.clock),
         )
         self._calls = 0
 
--- a/tests/serving/fakes.py
+++ b/tests/serving/fakes.py
@@ -31,6 +31,7 @@
 from dotterelbridge.membership.view import TargetKind
 from dotterelbridge.membership.view import TargetView
 from dotterelbridge.permits.limiter import create_lone_rate_limiter
+from dotterelbridge.quarantine.guard import create_lone_crash_guard
 from dotterelbridge.routing.router import create_router
 from dotterelbridge.routing.settings import RoutingSettings
 from dotterelbridge.serving.callers import create_caller_app
@@ -416,6 +417,7 @@
         DOMAIN,
         REGION,
         create_lone_rate_limiter(clock, rng),
+        create_lone_crash_guard(clock),
     )
     claims = FakeClaims()
     app = create_caller_app(router, claims, clock, serving, routing, rng)
--- a/tests/serving/shutdown_process.py
+++ b/tests/serving/shutdown_process.py
@@ -11,6 +11,7 @@
 
 from dotterelbridge.clock import SystemClock
 from dotterelbridge.permits.limiter import create_lone_rate_limiter
+from dotterelbridge.quarantine.guard import create_lone_crash_guard
 from dotterelbridge.routing.router import create_router
 from dotterelbridge.routing.settings import RoutingSettings
 from dotterelbridge.serving.callers import create_caller_app
@@ -44,6 +45,7 @@
         DOMAIN,
         REGION,
         create_lone_rate_limiter(clock, rng),
+        create_lone_crash_guard(clock),
     )
     membership.set(engine_view("e1", engine_port))
     app = create_caller_app(router, FakeClaims(), clock, serving, routing, rng)
