--- a/dotterelbridge/errors.py
+++ b/dotterelbridge/errors.py
@@ -22,6 +22,10 @@
     """The settings, or a file that they name, cannot be used."""
 
 
+class DocumentMalformed(DotterelbridgeError):
+    """A document from outside is not valid, or lacks or mistypes fields."""
+
+
 class SheetError(DotterelbridgeError):
     """A sheet was rejected."""
 
--- a/dotterelbridge/peers/errors.py
+++ b/dotterelbridge/peers/errors.py
@@ -25,3 +25,7 @@
 
 class ProtocolViolation(PeerError):
     """The peer sent data that violates the protocol."""
+
+
+class MessageNotEncodable(PeerError):
+    """A message holds a value that has no encoding; it was not sent."""
--- a/dotterelbridge/peers/events.py
+++ b/dotterelbridge/peers/events.py
@@ -48,3 +48,9 @@
         logging.INFO,
         "A peer restarted; the links to its earlier process were closed.",
     )
+    MESSAGE_NOT_SENT = (
+        2009,
+        logging.ERROR,
+        "A message holds a value that cannot be encoded, so it was not sent. "
+        "Read the error and report a bug.",
+    )
--- a/dotterelbridge/peers/frames.py
+++ b/dotterelbridge/peers/frames.py
@@ -5,12 +5,20 @@
 import cbor2
 import msgspec
 
+from dotterelbridge.peers.errors import MessageNotEncodable
 from dotterelbridge.peers.errors import ProtocolViolation
 from dotterelbridge.peers.messages import Message
 from dotterelbridge.peers.messages import find_message_name
 from dotterelbridge.peers.messages import find_message_type
 
 _REMEDY = "run the same release on all VMs"
+_CODEC_ERRORS = (
+    cbor2.CBORError,
+    msgspec.ValidationError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class FrameKind(enum.IntEnum):
@@ -40,10 +48,19 @@
 def encode_message(
     kind: FrameKind, message: Message, request_id: int = 0
 ) -> bytes:
-    """Return a message encoded as a frame."""
+    """Return a message encoded as a frame.
+
+    :raises MessageNotEncodable: a value in it cannot be encoded.
+    """
     name = find_message_name(type(message))
-    body = msgspec.to_builtins(message, builtin_types=(bytes,))
-    return cbor2.dumps([int(kind), request_id, name, body])
+    try:
+        body = msgspec.to_builtins(message, builtin_types=(bytes,))
+        return cbor2.dumps([int(kind), request_id, name, body])
+    except (*_CODEC_ERRORS, TypeError) as error:
+        raise MessageNotEncodable(
+            f"message {name!r} cannot be encoded: {error}",
+            "read what the message was made from, and report a bug",
+        ) from error
 
 
 def encode_error(request_id: int, problem: str) -> bytes:
@@ -67,7 +84,7 @@
         )
     try:
         return msgspec.convert(cbor2.loads(data), Frame)
-    except (cbor2.CBORError, msgspec.ValidationError, ValueError) as error:
+    except _CODEC_ERRORS as error:
         raise ProtocolViolation(f"malformed frame: {error}", _REMEDY) from None
 
 
@@ -83,7 +100,7 @@
         return msgspec.convert(
             frame.body, message_type, builtin_types=(bytes,)
         )
-    except msgspec.ValidationError as error:
+    except _CODEC_ERRORS as error:
         raise ProtocolViolation(
             f"message {frame.name!r}: {error}", _REMEDY
         ) from None
--- a/dotterelbridge/peers/handshake.py
+++ b/dotterelbridge/peers/handshake.py
@@ -209,7 +209,13 @@
         return msgspec.convert(
             cbor2.loads(data), frame_type, builtin_types=(bytes,)
         )
-    except (cbor2.CBORError, msgspec.ValidationError, ValueError) as error:
+    except (
+        cbor2.CBORError,
+        msgspec.ValidationError,
+        ValueError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise ProtocolViolation(
             f"malformed handshake: {error}", "run the same release on all VMs"
         ) from None
--- a/dotterelbridge/peers/link.py
+++ b/dotterelbridge/peers/link.py
@@ -14,6 +14,7 @@
 from dotterelbridge.errors import PeerUnreachable
 from dotterelbridge.ids import VmId
 from dotterelbridge.peers import frames
+from dotterelbridge.peers.errors import MessageNotEncodable
 from dotterelbridge.peers.errors import PeerBusy
 from dotterelbridge.peers.errors import PeerReturnedError
 from dotterelbridge.peers.errors import ProtocolViolation
@@ -298,13 +299,21 @@
             answer = await self._call_handler(message)
         finally:
             self._running_request_count -= 1
-        if answer is None:
-            problem = f"{type(message).__name__} was not handled"
-            self.queue_frame(frames.encode_error(request_id, problem))
-            return
-        self.queue_frame(
-            frames.encode_message(FrameKind.ANSWER, answer, request_id)
-        )
+        self.queue_frame(self._encode_answer(request_id, message, answer))
+
+    def _encode_answer(
+        self, request_id: int, message: Message, answer: Message | None
+    ) -> bytes:
+        """Return the frame of an answer, or of an error without one."""
+        if answer is not None:
+            try:
+                return frames.encode_message(
+                    FrameKind.ANSWER, answer, request_id
+                )
+            except MessageNotEncodable as error:
+                self._log_failed_handler(message, error)
+        problem = f"{type(message).__name__} was not handled"
+        return frames.encode_error(request_id, problem)
 
     async def _call_handler(self, message: Message) -> Message | None:
         handler = self._handlers.get(type(message))
@@ -313,15 +322,18 @@
         try:
             return await handler(self.identity.vm, message)
         except Exception as error:
-            events.log(
-                _log,
-                PeerEvent.HANDLER_FAILED,
-                peer=self.identity.vm,
-                message=type(message).__name__,
-                error=repr(error),
-            )
+            self._log_failed_handler(message, error)
             return None
 
+    def _log_failed_handler(self, message: Message, error: Exception) -> None:
+        events.log(
+            _log,
+            PeerEvent.HANDLER_FAILED,
+            peer=self.identity.vm,
+            message=type(message).__name__,
+            error=repr(error),
+        )
+
     def _create_link_lost_error(self) -> PeerUnreachable:
         return PeerUnreachable(
             f"the link to {self.identity.vm!r} was lost", _LINK_LOST_REMEDY
--- a/dotterelbridge/peers/websocket_network.py
+++ b/dotterelbridge/peers/websocket_network.py
@@ -28,6 +28,7 @@
 from dotterelbridge.membership.view import VmInfo
 from dotterelbridge.peers import frames
 from dotterelbridge.peers import handshake
+from dotterelbridge.peers.errors import MessageNotEncodable
 from dotterelbridge.peers.errors import RequestNotSent
 from dotterelbridge.peers.events import PeerEvent
 from dotterelbridge.peers.frames import FrameKind
@@ -131,9 +132,18 @@
         link = self._find_link(peer)
         if link is None:
             return False
-        return link.queue_frame(
-            frames.encode_message(FrameKind.MESSAGE, message)
-        )
+        try:
+            frame = frames.encode_message(FrameKind.MESSAGE, message)
+        except MessageNotEncodable as error:
+            events.log(
+                _log,
+                PeerEvent.MESSAGE_NOT_SENT,
+                peer=peer,
+                message=type(message).__name__,
+                error=str(error),
+            )
+            return False
+        return link.queue_frame(frame)
 
     async def request(
         self, peer: VmId, message: Message, timeout: timedelta
--- a/tests/serving/fakes.py
+++ b/tests/serving/fakes.py
@@ -174,6 +174,7 @@
         self.connections = 0
         self.port = 0
         self._server: asyncio.Server | None = None
+        self._idle_writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(
@@ -182,10 +183,23 @@
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
+        """Stop listening; requests that are being served continue."""
         self._server.close()
+        for writer in self._idle_writers:
+            writer.close()
+        # The transports close their sockets in the next cycle of the loop.
+        await asyncio.sleep(0)
 
     async def _serve(self, reader, writer) -> None:
         self.connections += 1
+        self._idle_writers.add(writer)
+        try:
+            await self._serve_requests(reader, writer)
+        finally:
+            self._idle_writers.discard(writer)
+        writer.close()
+
+    async def _serve_requests(self, reader, writer) -> None:
         with contextlib.suppress(ConnectionError):
             while True:
                 received = await _read_request(reader, writer)
@@ -196,8 +210,9 @@
                     await received.answer(self.cache_events(received))
                     continue
                 self.received.append(received)
+                self._idle_writers.discard(writer)
                 await self.handler(received)
-        writer.close()
+                self._idle_writers.add(writer)
 
 
 async def _read_request(reader, writer) -> ReceivedRequest | None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -446,3 +446,50 @@
     assert compute_backoff(9, FAST_SETTINGS, 0.0) < compute_backoff(
         9, FAST_SETTINGS, 1.0
     )
+
+
+async def test_answer_that_has_no_encoding_ends_no_link():
+    # Guards against a process that ends by one answer of a handler (review/2).
+    vms = create_vms(2)
+    first, second = (create_network(vm, vms) for vm in vms)
+
+    async def answer_text(sender, message):
+        if message.number:
+            return await _echo(sender, message)
+        return msgspec.structs.replace(message, payload="i-\ud800")
+
+    first.register_handler(Echo, answer_text)
+    async with anyio.create_task_group() as group:
+        group.start_soon(first.run)
+        group.start_soon(second.run)
+        await wait_until(lambda: second.is_connected("v0"))
+        with capture_logs() as logs, pytest.raises(PeerReturnedError):
+            await second.request("v0", Echo(payload=b""), TIMEOUT)
+        assert _filter_events(logs, "handler_failed")
+        answer = await second.request(
+            "v0", Echo(payload=b"", number=1), TIMEOUT
+        )
+        assert answer.number == 2
+        group.cancel_scope.cancel()
+
+
+async def test_message_that_has_no_encoding_is_not_sent():
+    vms = create_vms(2)
+    first, second = (create_network(vm, vms) for vm in vms)
+    message = Echo(payload="i-\ud800")
+    async with anyio.create_task_group() as group:
+        group.start_soon(first.run)
+        group.start_soon(second.run)
+        await wait_until(lambda: second.is_connected("v0"))
+        with capture_logs() as logs:
+            assert not second.send("v0", message)
+        assert _filter_events(logs, "message_not_sent")
+        with pytest.raises(PeerError):
+            await second.request("v0", message, TIMEOUT)
+        group.cancel_scope.cancel()
+
+
+def test_frame_nested_too_deeply_is_malformed():
+    nested = b"\x81" * 100_000 + b"\x00"
+    with pytest.raises(ProtocolViolation):
+        frames.decode_frame(nested)
