Reject documents from outside that are nested too deeply

Cause: each reader of JSON caught errors of its own choice, none of them RecursionError.

Change: one function decodes JSON from outside and raises one error.

--- a/dotterelbridge/membership/platform.py
+++ b/dotterelbridge/membership/platform.py
@@ -7,7 +7,9 @@
 import httpx
 import msgspec
 
+from dotterelbridge.errors import DocumentMalformed
 from dotterelbridge.errors import DotterelbridgeError
+from dotterelbridge.json_documents import decode_document
 
 
 class PlatformState(enum.Enum):
@@ -59,10 +61,8 @@
                 self._url, timeout=timeout.total_seconds()
             )
             response.raise_for_status()
-            return msgspec.json.decode(
-                response.content, type=list[PlatformMember]
-            )
-        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+            return decode_document(response.content, list[PlatformMember])
+        except (httpx.HTTPError, DocumentMalformed) as error:
             raise PlatformListError(
                 f"cannot read {self._url}: {error}",
                 "check [platform] list_url and the platform's service",
--- a/dotterelbridge/routes/document.py
+++ b/dotterelbridge/routes/document.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from dotterelbridge.errors import DocumentMalformed
+from dotterelbridge.json_documents import decode_document
 from dotterelbridge.routes.errors import RoutesInvalid
 from dotterelbridge.routes.model import RouteSet
 
@@ -47,10 +49,10 @@
 
     def decode(self, document: bytes) -> RouteSet:
         try:
-            routes = msgspec.json.decode(document, type=RouteSet)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            routes = decode_document(document, RouteSet)
+        except DocumentMalformed as error:
             raise RoutesInvalid(
-                f"the document is not a valid set of routes ({error})",
+                f"the document is not a valid set of routes ({error.problem})",
                 "send the whole JSON document as docs/design/routes.md "
                 "describes it",
             ) from None
--- a/dotterelbridge/routes/model.py
+++ b/dotterelbridge/routes/model.py
@@ -8,6 +8,11 @@
 from dotterelbridge.ids import ItemName
 from dotterelbridge.routes.errors import RoutesInvalid
 
+_MAX_VERSION = 2**63 - 1
+"""Highest version that the log's encoding holds."""
+_MAX_TIME_LIMIT_MS = 2**53
+"""Highest time limit that has an exact value as a float."""
+
 
 class Repeatability(enum.Enum):
     """Whether the requests of a route may be repeated."""
@@ -133,6 +138,11 @@
 
         :raises RoutesInvalid: the set cannot be activated.
         """
+        if not 0 <= self.version <= _MAX_VERSION:
+            raise RoutesInvalid(
+                f"the version {self.version} cannot be stored",
+                f"use a version from 0 to {_MAX_VERSION}",
+            )
         service_names = {service.name for service in self.services}
         seen_prefixes = set()
         for route in self.routes:
@@ -162,11 +172,11 @@
             "and must add up to more than 0",
             "give at least one service a weight above 0",
         )
-    if route.time_limit_ms <= 0:
+    if not 0 < route.time_limit_ms <= _MAX_TIME_LIMIT_MS:
         raise RoutesInvalid(
             f"route {route.name!r} has a time limit of "
             f"{route.time_limit_ms} ms",
-            "set a time limit above 0",
+            f"set a time limit from 1 to {_MAX_TIME_LIMIT_MS} ms",
         )
     if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
         raise RoutesInvalid(
--- a/dotterelbridge/routing/cache_event_poller.py
+++ b/dotterelbridge/routing/cache_event_poller.py
@@ -9,12 +9,13 @@
 import uuid
 
 import anyio
-import msgspec
 
 from dotterelbridge.clock import Clock
+from dotterelbridge.errors import DocumentMalformed
 from dotterelbridge.errors import TargetError
 from dotterelbridge.ids import AttemptId
 from dotterelbridge.ids import TargetId
+from dotterelbridge.json_documents import decode_document
 from dotterelbridge.membership.view import TargetKind
 from dotterelbridge.routing.target import Distance
 from dotterelbridge.routing.target import Target
@@ -25,7 +26,6 @@
 _POLL_TIMEOUT_S = 2.0
 _RESPONSE_LIMIT_BYTES = 1 << 20
 _OK_STATUS = 200
-_decode = msgspec.json.Decoder(list[CacheEvent]).decode
 
 
 class CacheEventPoller:
@@ -59,8 +59,8 @@
         try:
             with anyio.fail_after(_POLL_TIMEOUT_S):
                 body = await self._fetch(target)
-            cache_events = _decode(body)
-        except (TargetError, TimeoutError, msgspec.MsgspecError):
+            cache_events = decode_document(body, list[CacheEvent])
+        except (TargetError, TimeoutError, DocumentMalformed):
             return
         self._index.apply(name, cache_events, self._clock.monotonic())
 
--- a/dotterelbridge/serving/attempts.py
+++ b/dotterelbridge/serving/attempts.py
@@ -15,6 +15,7 @@
 
 from dotterelbridge.claims.service import RecordedResponse
 from dotterelbridge.clock import Clock
+from dotterelbridge.errors import DocumentMalformed
 from dotterelbridge.errors import TargetConnectFailed
 from dotterelbridge.errors import TargetError
 from dotterelbridge.errors import TargetExchangeFailed
@@ -22,6 +23,7 @@
 from dotterelbridge.ids import AttemptId
 from dotterelbridge.ids import RunStatus
 from dotterelbridge.ids import TargetId
+from dotterelbridge.json_documents import decode_document
 from dotterelbridge.routing.call import Call
 from dotterelbridge.routing.errors import RetriesExhausted
 from dotterelbridge.routing.router import Router
@@ -280,6 +282,6 @@
 
 def _read_error_type(body: bytes) -> str:
     try:
-        return msgspec.json.decode(body, type=_ErrorBody).error.type
-    except msgspec.MsgspecError:
+        return decode_document(body, _ErrorBody).error.type
+    except DocumentMalformed:
         return ""
--- a/dotterelbridge/serving/request.py
+++ b/dotterelbridge/serving/request.py
@@ -7,9 +7,11 @@
 import anyio
 import msgspec
 
+from dotterelbridge.errors import DocumentMalformed
 from dotterelbridge.ids import IdempotencyKey
 from dotterelbridge.ids import Priority
 from dotterelbridge.ids import RequestId
+from dotterelbridge.json_documents import decode_document
 from dotterelbridge.serving.errors import CallerDisconnected
 from dotterelbridge.serving.errors import RequestMalformed
 from dotterelbridge.serving.errors import RequestTooLarge
@@ -75,8 +77,6 @@
 
 
 _encode = msgspec.json.Encoder().encode
-_decode_inference = msgspec.json.Decoder(_InferenceFields).decode
-_decode_fields = msgspec.json.Decoder(dict[str, msgspec.Raw]).decode
 
 
 async def read_request(
@@ -118,11 +118,11 @@
     :raises RequestMalformed: it is not a JSON object with a model.
     """
     try:
-        requested = _decode_inference(body)
-        fields = _decode_fields(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        requested = decode_document(body, _InferenceFields)
+        fields = decode_document(body, dict[str, msgspec.Raw])
+    except DocumentMalformed as error:
         raise RequestMalformed(
-            f"the body is not a valid inference request ({error})",
+            f"the body is not a valid inference request ({error.problem})",
             'send a JSON object with a "model"',
         ) from None
     model, _, version = requested.model.partition("@")
--- a/dotterelbridge/targets/completeness.py
+++ b/dotterelbridge/targets/completeness.py
@@ -33,6 +33,9 @@
         return False
     try:
         msgspec.json.decode(body)
+    except RecursionError:
+        # Valid as far as it was read, but nested too deeply to be checked.
+        return False
     except (msgspec.DecodeError, UnicodeDecodeError):
         raise ResponseTruncated(
             "the connection ended within the JSON document of the response, "
--- a/dotterelbridge/targets/http_engine.py
+++ b/dotterelbridge/targets/http_engine.py
@@ -10,11 +10,13 @@
 import msgspec
 
 from dotterelbridge.clock import Clock
+from dotterelbridge.errors import DocumentMalformed
 from dotterelbridge.errors import TargetError
 from dotterelbridge.errors import TargetExchangeFailed
 from dotterelbridge.errors import TargetRefused
 from dotterelbridge.ids import AttemptId
 from dotterelbridge.ids import TargetId
+from dotterelbridge.json_documents import decode_document
 from dotterelbridge.membership.view import TargetInfo
 from dotterelbridge.targets.client import ExchangeRequest
 from dotterelbridge.targets.client import create_target_client
@@ -174,10 +176,10 @@
 
     def _decode(self, body: bytes, result_type: type[_T] | Any) -> _T:
         try:
-            return msgspec.json.decode(body, type=result_type)
-        except msgspec.MsgspecError as error:
+            return decode_document(body, result_type)
+        except DocumentMalformed as error:
             raise TargetError(
-                f"{self.target} sent a malformed response ({error})",
+                f"{self.target} sent a malformed response ({error.problem})",
                 "check that the target implements the engine protocol",
             ) from error
 
--- a/dotterelbridge/targets/prefix.py
+++ b/dotterelbridge/targets/prefix.py
@@ -10,6 +10,9 @@
 import msgspec
 import xxhash
 
+from dotterelbridge.errors import DocumentMalformed
+from dotterelbridge.json_documents import decode_document
+
 BLOCK_SIZE_CHARACTERS = 256
 _SHORTEST_PREFIX = 32
 """Length in characters of the shortest prefix that is hashed."""
@@ -28,17 +31,14 @@
     prompt: str | None = None
 
 
-_decode = msgspec.json.Decoder(_Prompt).decode
-
-
 def list_prompt_blocks(model: str, body: bytes) -> tuple[str, ...]:
     """Return the hashes of the complete blocks of an inference request.
 
     Prompts that are not plain text have none.
     """
     try:
-        prompt = _decode(body)
-    except msgspec.MsgspecError:
+        prompt = decode_document(body, _Prompt)
+    except DocumentMalformed:
         return ()
     return tuple(_hash_blocks(model, _join_text(prompt)))
 
@@ -49,8 +49,8 @@
     Prompts that begin with the same template have the short ones in common.
     """
     try:
-        prompt = _decode(body)
-    except msgspec.MsgspecError:
+        prompt = decode_document(body, _Prompt)
+    except DocumentMalformed:
         return ()
     text = _join_text(prompt)
     lengths = itertools.takewhile(
