Send no request twice on one connection to a target

Cause: an ID identifies a request, not one sending of it. The repeat of a rejected request went out on the connection that had carried the first attempt; a late second copy of the rejection there was taken for the answer to the repeat.

Ruled out: responses without an ID, as connections on which the target does not echo IDs are not kept; the own listener, where each attempt has its own ID.

Change: a request remembers the connections that have carried it, and the pool gives it another one, or a new one. A late copy arrives on the connection of its first copy only, so it never meets a repeat.

--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -203,6 +203,7 @@
             headers=headers,
             host=request.host.encode("latin-1"),
             body=request.body,
+            used_connections=self.call.used_connections,
             reused_first_byte_limit=first_byte_limit,
             new_first_byte_limit=first_byte_limit,
             may_send=lambda: self._may_send(slot),
--- a/dotterelbridge/gateway/call.py
+++ b/dotterelbridge/gateway/call.py
@@ -4,6 +4,7 @@
 
 from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.gateway.request import GatewayRequest
+from dotterelbridge.ids import ConnectionId
 from dotterelbridge.ids import TargetId
 from dotterelbridge.ids import TraitId
 from dotterelbridge.quarantine.traits import create_caller_trait
@@ -38,6 +39,8 @@
     """Number of attempts, the current one included."""
     possibly_ran_at: set[TargetId] = set()
     """Targets that may have run the request."""
+    used_connections: set[ConnectionId] = set()
+    """Connections to targets that have carried the request."""
     excluded_targets: set[TargetId] = set()
     """Targets that failed or refused the request, avoided by retries."""
     has_response_started: bool = False
--- a/dotterelbridge/ids.py
+++ b/dotterelbridge/ids.py
@@ -26,6 +26,8 @@
 
 FencingNumber = NewType("FencingNumber", int)
 Term = NewType("Term", int)
+ConnectionId = NewType("ConnectionId", int)
+"""Identifies a connection to a target within one process."""
 LogIndex = NewType("LogIndex", int)
 SheetNumber = NewType("SheetNumber", int)
 """Number that the planners assigned to a sheet."""
--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -23,6 +23,7 @@
 from dotterelbridge.errors import TargetConnectFailed
 from dotterelbridge.errors import TargetError
 from dotterelbridge.ids import AttemptId
+from dotterelbridge.ids import ConnectionId
 from dotterelbridge.membership.view import TargetInfo
 from dotterelbridge.targets import instruments
 from dotterelbridge.targets.connection import TargetConnection
@@ -52,6 +53,10 @@
     host: bytes | None = None
     """Value of the Host header; by default the target's address."""
     body: bytes = b""
+    used_connections: set[ConnectionId] = set()
+    """Connections that have carried an attempt with the same ID; the
+    client adds the one that it uses. None of them carries another one: a late
+    second copy of the first response could not be told from its response."""
     fresh_connection: bool = False
     """Whether to open a new connection. The target may just be closing an
     idle one, which leaves unknown whether the request ran."""
@@ -201,13 +206,14 @@
         :raises TargetExchangeFailed: the request may have run.
         """
         self._check_held_back()
-        connection = await self._acquire_connection(request.fresh_connection)
+        connection = await self._acquire_connection(request)
         if request.may_send is not None and not request.may_send():
             connection.abort()
             raise SendNotPermitted(
                 f"the permission to send to {self.info.target} expired",
                 "send the request again",
             )
+        request.used_connections.add(connection.id)
         self._busy_connections.add(connection)
         limit = self._find_first_byte_limit(request, connection)
         connection.first_byte_limit_s = limit
@@ -442,15 +448,13 @@
             "idle": len(self._idle_connections),
         }
 
-    async def _acquire_connection(self, force_new: bool) -> TargetConnection:
-        while self._idle_connections and not force_new:
-            connection = self._idle_connections.pop()
-            if connection.is_closed:
-                self._log_if_unsolicited(connection)
-                continue
-            if not self._is_idle_too_long(connection):
+    async def _acquire_connection(
+        self, request: ExchangeRequest
+    ) -> TargetConnection:
+        if not request.fresh_connection:
+            connection = self._take_idle_connection(request.used_connections)
+            if connection is not None:
                 return connection
-            connection.abort()
         if len(self._busy_connections) >= self._settings.connections_limit:
             raise TargetConnectFailed(
                 f"{len(self._busy_connections)} connections to "
@@ -459,6 +463,22 @@
             )
         return await self._connect()
 
+    def _take_idle_connection(
+        self, excluded: set[ConnectionId]
+    ) -> TargetConnection | None:
+        """Return the connection that was idle for the shortest time."""
+        for connection in reversed(self._idle_connections.copy()):
+            if connection.id in excluded:
+                continue
+            self._idle_connections.remove(connection)
+            if connection.is_closed:
+                self._log_if_unsolicited(connection)
+            elif self._is_idle_too_long(connection):
+                connection.abort()
+            else:
+                return connection
+        return None
+
     def _find_first_byte_limit(
         self, request: ExchangeRequest, connection: TargetConnection
     ) -> float:
--- a/dotterelbridge/targets/connection.py
+++ b/dotterelbridge/targets/connection.py
@@ -9,11 +9,13 @@
 import asyncio
 from collections.abc import Callable
 import enum
+import itertools
 
 import httptools
 
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import TargetError
+from dotterelbridge.ids import ConnectionId
 from dotterelbridge.targets.errors import ConnectionClosed
 from dotterelbridge.targets.errors import MalformedResponse
 from dotterelbridge.targets.errors import ResponseIdMismatch
@@ -21,6 +23,7 @@
 
 REQUEST_ID_HEADER = b"x-request-id"
 _BODILESS_STATUSES = (204, 304)
+_connection_ids = itertools.count(1)
 _PROGRESS_BYTES = 1024
 """Part of a body that counts as progress, however it is split."""
 
@@ -53,6 +56,7 @@
             parts of a body: heads, interim responses, chunk extensions and
             trailers.
         """
+        self.id = ConnectionId(next(_connection_ids))
         self._request_id_header = request_id_header
         self._skips_mismatched_responses = skips_mismatched_responses
         self._is_skipping_response = False
--- a/tests/gateway/test_faulty_targets.py
+++ b/tests/gateway/test_faulty_targets.py
@@ -7,6 +7,7 @@
 import pytest
 
 from dotterelbridge.targets.settings import TargetsSettings
+from tests.gateway.support import NOT_RUN_HEADERS
 from tests.gateway.support import SIGNED_HEADERS
 from tests.gateway.support import create_event
 from tests.gateway.support import run_gateway
@@ -191,6 +192,34 @@
     run_async(check)()
 
 
+@pytest.mark.parametrize("status", [503, 429, 421])
+@pytest.mark.parametrize("path", ["/book/a", "/look/a"])
+def test_late_copy_of_a_rejection_does_not_answer_the_repeat(path, status):
+    # Guards against a booking that runs twice, or after a 503 (review/1).
+    ran = []
+    copies = {}
+    rejection = SIGNED_HEADERS | NOT_RUN_HEADERS
+
+    async def reject_once(received):
+        if not copies:
+            copies[received.writer] = status
+            await received.answer(b"{}", status, rejection)
+            return
+        if copies.get(received.writer):
+            await received.answer(b"{}", copies[received.writer], rejection)
+        ran.append(received.headers["x-request-id"])
+        await received.answer(b"booked", 200, SIGNED_HEADERS)
+
+    async def check():
+        async with run_gateway() as gateway:
+            await gateway.add_target("t1", reject_once)
+            response = await gateway.call(path)
+            assert response.status_code == 200
+            assert ran == ["r1"]
+
+    run_async(check)()
+
+
 @run_async
 async def test_request_is_not_sent_after_its_deadline():
     """A process that was paused while it opened a connection wakes late."""
