Open the log again after an error of any kind

Cause: a ballot is written inside a task group, so that its StorageError arrives as an exception group, which no "except StorageError" matches.

Change: an error of any kind that leaves the member closes its storage and opens it again, as a restart of the process would. Nothing is acknowledged in between, as the member has ended.

--- a/dotterelbridge/events.py
+++ b/dotterelbridge/events.py
@@ -84,6 +84,24 @@
         "A component of the daemon failed; the daemon stops. Read the "
         "error, then restart it.",
     )
+    PART_RESTARTED = (
+        1012,
+        logging.ERROR,
+        "A component of the daemon failed and is started again; the others "
+        "are not affected. Read the error and report a bug.",
+    )
+    ADDRESS_IN_USE = (
+        1013,
+        logging.WARNING,
+        "The address of a listener is in use; binding is retried for a time. "
+        "Stop the other process, or configure another address.",
+    )
+    DRAIN_FAILED = (
+        1014,
+        logging.ERROR,
+        "The drain before the stop failed; the daemon stops at once. Read "
+        "the error and report a bug.",
+    )
     LOOP_LATE = (
         1011,
         logging.WARNING,
--- a/dotterelbridge/replication/events.py
+++ b/dotterelbridge/replication/events.py
@@ -86,3 +86,9 @@
         "A state machine failed on a committed command; the command has "
         "no effect beyond that. Keep the log, report a bug.",
     )
+    MEMBER_FAILED = (
+        3033,
+        logging.ERROR,
+        "The replicated log of this VM failed; its storage is opened again, "
+        "as after a restart. Read the error; check the disk for free space.",
+    )
--- a/dotterelbridge/replication/recovering_log.py
+++ b/dotterelbridge/replication/recovering_log.py
@@ -88,12 +88,19 @@
     async def run(self) -> None:
         """Take part in the group until cancelled."""
         while True:
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._member.run)
-                await self._member.wait_for_failure()
-                group.cancel_scope.cancel()
+            try:
+                await self._run_member()
+            except Exception:
+                events.log(_log, ReplicationEvent.MEMBER_FAILED, exc_info=True)
             await self._reopen()
 
+    async def _run_member(self) -> None:
+        """Run the member until its storage fails."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._member.run)
+            await self._member.wait_for_failure()
+            group.cancel_scope.cancel()
+
     def dump(self) -> dict[str, Any]:
         return self._member.dump()
 
