Keep a process that gets SIGHUP, or new settings, while it starts

Cause: the default action of SIGHUP until the handlers are installed, after all imports; the settings were read once.

Change: SIGHUP is recorded before the other imports, and the settings are read again once the node handles signals. A file with faults is read again for 2 s before the process gives up. Errors of a reload or a drain that are no error of ours are contained, too.

--- a/dotterelbridge/daemon.py
+++ b/dotterelbridge/daemon.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from dotterelbridge import early_signals
 from dotterelbridge import metrics
 from dotterelbridge.assembly import Assembly
 from dotterelbridge.assembly import create_assembly
@@ -55,6 +56,7 @@
 
 def run() -> None:
     """Run ``main`` with the command line of the process."""
+    early_signals.hold_reload_signal()
     sys.exit(main(sys.argv[1:], Environment()))
 
 
--- a/dotterelbridge/lifecycle.py
+++ b/dotterelbridge/lifecycle.py
@@ -6,6 +6,7 @@
 import anyio
 import structlog
 
+from dotterelbridge import early_signals
 from dotterelbridge import events
 from dotterelbridge.errors import DotterelbridgeError
 from dotterelbridge.events import CoreEvent
@@ -37,6 +38,7 @@
     async with anyio.create_task_group() as component_tasks:
         component_tasks.start_soon(_run_components, assembly)
         await _handle_signals(assembly)
+        early_signals.hold_reload_signal()
         component_tasks.cancel_scope.cancel()
     events.log(_log, CoreEvent.DAEMON_STOPPED)
 
@@ -63,6 +65,8 @@
     async with anyio.create_task_group() as drain_tasks:
         with anyio.open_signal_receiver(*handled_signals) as signals:
             stopping = False
+            if early_signals.take_reload_signal():
+                _reload(assembly)
             async for signum in signals:
                 if signum == signal.SIGUSR1:
                     _write_dump(assembly)
@@ -82,14 +86,17 @@
 
 
 async def _drain(assembly: Drainable, scope: anyio.CancelScope) -> None:
-    await assembly.drain()
+    try:
+        await assembly.drain()
+    except Exception:
+        events.log(_log, CoreEvent.DRAIN_FAILED, exc_info=True)
     scope.cancel()
 
 
 def _reload(assembly: Drainable) -> None:
     try:
         assembly.reload()
-    except DotterelbridgeError as error:
+    except (DotterelbridgeError, OSError, ValueError) as error:
         events.log(_log, CoreEvent.RELOAD_FAILED, error=str(error))
         return
     events.log(_log, CoreEvent.SETTINGS_RELOADED)
--- a/dotterelbridge/nodes/daemon.py
+++ b/dotterelbridge/nodes/daemon.py
@@ -1,6 +1,8 @@
 """Runs an entry or control VM until it is stopped."""
 
 from collections.abc import Callable
+import contextlib
+from datetime import timedelta
 
 import anyio
 
@@ -9,6 +11,7 @@
 from dotterelbridge.cli.exit_status import ExitStatus
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import DotterelbridgeError
+from dotterelbridge.errors import SettingsError
 from dotterelbridge.lifecycle import Drainable
 from dotterelbridge.lifecycle import run_until_drained
 from dotterelbridge.log_stream import QueuedStream
@@ -18,6 +21,10 @@
 
 PROGRAM = "dotterelbridged"
 
+_SETTINGS_READ_INTERVAL = timedelta(milliseconds=100)
+_SETTINGS_READ_COUNT = 20
+"""Reads of a settings file that has faults, before the process gives up."""
+
 NodeFactory = Callable[[NodeSettings, str, Clock], Drainable]
 
 
@@ -30,7 +37,7 @@
     """
     stream = QueuedStream(env.stdout)
     try:
-        settings = load_node_settings(settings_path)
+        settings = _load_settings(settings_path, env)
         configure_logs(
             settings.logs.level.value, settings.logs.format.value, stream
         )
@@ -45,9 +52,30 @@
     except DotterelbridgeError as error:
         env.print_error(PROGRAM, str(error))
         return ExitStatus.ERROR
-    except OSError as error:
+    except (OSError, ExceptionGroup) as error:
         env.print_error(PROGRAM, f"{error}; check addresses and files")
         return ExitStatus.ERROR
     finally:
         stream.close()
     return ExitStatus.OK
+
+
+def _load_settings(path: str, env: Environment) -> NodeSettings:
+    """Load the settings; read a file that has faults again for a time."""
+    try:
+        return load_node_settings(path)
+    except SettingsError as error:
+        env.print_error(PROGRAM, f"{error}; the file is read again")
+    return anyio.run(_load_settings_again, path, env.clock)
+
+
+async def _load_settings_again(path: str, clock: Clock) -> NodeSettings:
+    """Load the settings of a file that may be being replaced.
+
+    :raises SettingsError: the file still has faults after the last read.
+    """
+    for _ in range(_SETTINGS_READ_COUNT):
+        await clock.sleep(_SETTINGS_READ_INTERVAL)
+        with contextlib.suppress(SettingsError):
+            return load_node_settings(path)
+    return load_node_settings(path)
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -8,6 +8,7 @@
 import pytest
 import structlog
 
+from dotterelbridge import early_signals
 from dotterelbridge.lifecycle import run_until_drained
 
 pytestmark = pytest.mark.anyio
@@ -76,6 +77,64 @@
     assert assembly.components_cancelled
 
 
+async def test_reload_signal_from_the_start_is_handled_later():
+    # Guards against a change of settings that a starting process misses.
+    assembly = FakeAssembly()
+    assembly.drain_finished.set()
+    reloaded = anyio.Event()
+    assembly.reload = reloaded.set
+    earlier_handler = signal.getsignal(signal.SIGHUP)
+    try:
+        early_signals.hold_reload_signal()
+        os.kill(os.getpid(), signal.SIGHUP)
+        async with anyio.create_task_group() as group:
+            group.start_soon(run_until_drained, assembly)
+            with anyio.fail_after(10):
+                await reloaded.wait()
+            os.kill(os.getpid(), signal.SIGTERM)
+    finally:
+        signal.signal(signal.SIGHUP, earlier_handler)
+
+
+@pytest.mark.parametrize("error", [OSError(2, "gone"), ValueError("odd")])
+async def test_reload_that_fails_does_not_end_the_daemon(error):
+    assembly = FakeAssembly()
+    assembly.drain_finished.set()
+
+    def fail():
+        raise error
+
+    assembly.reload = fail
+    with structlog.testing.capture_logs() as lines:
+        async with anyio.create_task_group() as group:
+            group.start_soon(run_until_drained, assembly)
+            await assembly.started.wait()
+            await anyio.wait_all_tasks_blocked()
+            os.kill(os.getpid(), signal.SIGHUP)
+            await anyio.wait_all_tasks_blocked()
+            os.kill(os.getpid(), signal.SIGTERM)
+    assert "reload_failed" in [line["event"] for line in lines]
+
+
+async def test_drain_that_fails_still_stops_the_daemon():
+    assembly = FakeAssembly()
+
+    async def fail():
+        raise RuntimeError("cannot drain")
+
+    assembly.drain = fail
+    with structlog.testing.capture_logs() as lines:
+        async with anyio.create_task_group() as group:
+            group.start_soon(run_until_drained, assembly)
+            await assembly.started.wait()
+            await anyio.wait_all_tasks_blocked()
+            os.kill(os.getpid(), signal.SIGTERM)
+    assert [line["event"] for line in lines][-2:] == [
+        "drain_failed",
+        "daemon_stopped",
+    ]
+
+
 async def test_failed_component_stops_the_daemon():
     assembly = FakeAssembly()
 
