Wait for an address that is in use

Seen: a process whose port is still held, by a process that stops or as the local end of an outgoing connection, ended as it started.

--- a/dotterelbridge/peers/websocket_network.py
+++ b/dotterelbridge/peers/websocket_network.py
@@ -40,6 +40,8 @@
 from dotterelbridge.peers.network import PeerNetwork
 from dotterelbridge.peers.settings import PeersSettings
 from dotterelbridge.peers.traffic import TrafficCounter
+from dotterelbridge.sockets import bind_when_free
+from dotterelbridge.sockets import create_listening_socket
 
 _log = structlog.get_logger(__name__)
 
@@ -158,10 +160,15 @@
 
     async def run(self) -> None:
         """Accept and dial links until cancelled."""
+        own = self._own_info
+        listening = await bind_when_free(
+            f"{own.host}:{own.port}",
+            lambda: create_listening_socket(own.host, own.port),
+            self._clock,
+        )
         server = await serve(
             self._handle_connection,
-            self._own_info.host,
-            self._own_info.port,
+            sock=listening,
             compression=None,
             ping_interval=None,
             max_size=self._settings.message_limit_mb * _BYTES_PER_MIB,
@@ -267,7 +274,13 @@
             link = self._create_link(connection, identity, self._own_info.vm)
         except PeerError as error:
             self._log_refusal(peer, error)
-        except (OSError, TimeoutError, WebSocketException) as error:
+        except (
+            OSError,
+            TimeoutError,
+            ValueError,
+            EOFError,
+            WebSocketException,
+        ) as error:
             events.log(
                 _log, PeerEvent.DIAL_FAILED, peer=peer, error=repr(error)
             )
--- a/dotterelbridge/serving/listener.py
+++ b/dotterelbridge/serving/listener.py
@@ -1,6 +1,7 @@
 """Listeners; the one for callers is drained before it stops."""
 
 from datetime import timedelta
+import errno
 import socket
 
 import anyio
@@ -12,28 +13,56 @@
 from dotterelbridge.serving.events import ServingEvent
 from dotterelbridge.serving.server import HttpServer
 from dotterelbridge.serving.settings import ServingSettings
+from dotterelbridge.sockets import bind_when_free
+from dotterelbridge.sockets import create_listening_socket
 
 _log = structlog.get_logger(__name__)
 
 
 class Listener:
-    """HTTP listener; binds at once, so that the port is known before run."""
+    """HTTP listener; binds at once, so that the port is known before run.
+
+    An address that is in use is bound later, by ``run``.
+    """
 
     sweep_interval = timedelta(seconds=1)
     """Interval of the checks for idle and stalled connections."""
 
     def __init__(self, app, settings: ServingSettings, clock: Clock) -> None:
         self._clock = clock
+        self._listener_settings = settings
         self._server = HttpServer(app, settings, clock)
-        self._socket = create_listening_socket(settings)
+        self._socket: socket.socket | None = None
+        try:
+            self._socket = self._bind()
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
 
     @property
     def port(self) -> int:
-        """Port that the listener is bound to."""
+        """Port that the listener is bound to, or will be."""
+        if self._socket is None:
+            return self._listener_settings.port
         return self._socket.getsockname()[1]
 
+    def _bind(self) -> socket.socket:
+        settings = self._listener_settings
+        return create_listening_socket(
+            settings.host, settings.port, settings.backlog
+        )
+
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Serve until cancelled.
+
+        :raises OSError: the address stays in use.
+        """
+        if self._socket is None:
+            self._socket = await bind_when_free(
+                f"{self._listener_settings.host}:{self.port}",
+                self._bind,
+                self._clock,
+            )
         await self._server.start(self._socket)
         try:
             while True:
@@ -71,17 +100,6 @@
         events.log(_log, ServingEvent.DRAIN_FINISHED)
 
 
-def create_listening_socket(settings: ServingSettings) -> socket.socket:
-    """Return a socket that listens at the configured address."""
-    family = socket.AF_INET6 if ":" in settings.host else socket.AF_INET
-    listening = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listening.bind((settings.host, settings.port))
-    listening.listen(settings.backlog)
-    listening.setblocking(False)
-    return listening
-
-
 def create_caller_listener(
     app: CallerApp, settings: ServingSettings, clock: Clock
 ) -> CallerListener:
