Start a failed part of a node again

Cause: all parts ran in one task group.

Ruled out: to do the same for listeners, as a closed socket cannot be served again, and for the log, which opens its storage again by itself.

All parts may be run again: each of them is a loop over state that it owns.

--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -99,8 +99,8 @@
                 self._fleet_controller.run,
                 self._quarantine_keeper.run,
                 self._permit_service.run,
-                self._operator_listener.run,
             ),
+            (self._operator_listener,),
             operator_port=self._operator_listener.port,
         )
 
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -122,9 +122,8 @@
                 self._router.run,
                 self._report_demand,
                 self._report_crashes,
-                self._readiness_listener.run,
-                self._caller_listener.run,
             ),
+            (self._readiness_listener, self._caller_listener),
             caller_port=self._caller_listener.port,
         )
 
--- a/dotterelbridge/nodes/node.py
+++ b/dotterelbridge/nodes/node.py
@@ -1,8 +1,6 @@
 """Base class of the daemons of entry and control VMs."""
 
 import abc
-from collections.abc import Awaitable
-from collections.abc import Callable
 from collections.abc import Iterable
 from datetime import timedelta
 import random
@@ -26,6 +24,9 @@
 from dotterelbridge.quarantine.quarantine import Quarantine
 from dotterelbridge.routes.active_routes import ActiveRoutes
 from dotterelbridge.routes.document import RoutesFormat
+from dotterelbridge.serving.listener import Listener
+from dotterelbridge.supervision import Part
+from dotterelbridge.supervision import run_supervised
 
 _log = structlog.get_logger(__name__)
 
@@ -96,19 +97,21 @@
 
     async def _run_with_common_parts(
         self,
-        parts: Iterable[Callable[[], Awaitable[None]]],
+        parts: Iterable[Part],
+        listeners: Iterable[Listener],
         **start_fields: object,
     ) -> None:
         """Run these parts and those that every node has, until cancelled.
 
+        Parts that fail are started again; a failed listener ends the node.
+
         :param start_fields: extra fields for the log line of the start.
         """
         async with anyio.create_task_group() as group:
             group.start_soon(self._network.run)
-            group.start_soon(LoopMonitor(self._clock).run)
-            for run in parts:
-                group.start_soon(run)
-            for listener in self._metrics_listeners:
+            for run in (LoopMonitor(self._clock).run, *parts):
+                group.start_soon(run_supervised, run, self._clock)
+            for listener in (*listeners, *self._metrics_listeners):
                 group.start_soon(listener.run)
             events.log(
                 _log,
