Keep the errors of failed tests of the own listener

In the cancelled scope of run_serving that wait raised the cancellation in place of the test's error, and the task group dropped it: tests of tests/serving passed though they had failed. Seen by a trial, a planned stop without the code that the test is for: passed before this commit, fails with it.

Change: the wait is shielded. All tests of tests/serving pass with it.

--- a/tests/serving/fakes.py
+++ b/tests/serving/fakes.py
@@ -187,8 +187,10 @@
         self._server.close()
         for writer in self._idle_writers:
             writer.close()
-        # The transports close their sockets in the next cycle of the loop.
-        await asyncio.sleep(0)
+        # The transports close their sockets in the next cycle of the loop. A
+        # cancellation here would replace the error of a failed test.
+        with anyio.CancelScope(shield=True):
+            await asyncio.sleep(0)
 
     async def _serve(self, reader, writer) -> None:
         self.connections += 1
