Pass on no request that a planned stop may cut off

Cause, here too: nothing told the process when it would be killed. A request pipelined behind another one was dropped by the close behind the first answer.

Change: stop_grace_s, filled in from the platform's settings. After the balancer's lead time a request is sent, or sent again, only if its deadline lies before the end of the grace; 0.3 s before the end the others get an answer, 504 if they may have run. On both listeners. This works as a deadline bounds the time to the answer, whatever the target does.

--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -42,6 +42,7 @@
 from dotterelbridge.serving.response import ResponseSink
 from dotterelbridge.serving.response import write_response
 from dotterelbridge.serving.settings import ServingSettings
+from dotterelbridge.serving.stop_grace import StopGrace
 
 _log = structlog.get_logger(__name__)
 
@@ -66,7 +67,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        super().__init__()
+        super().__init__(StopGrace(serving, clock))
         self._routes = routes
         self._router = router
         self._header_names = header_names
@@ -197,6 +198,7 @@
             self._settings,
             self._clock,
             self._random,
+            self._stop_grace,
         )
         try:
             await self._run_attempts(call, runner, receive)
@@ -228,7 +230,9 @@
         remaining_s = call.remaining_s(self._clock.monotonic()) + grace_s
 
         async def run() -> None:
-            with anyio.fail_after(max(0.0, remaining_s)):
+            with self._stop_grace.limit(
+                max(0.0, remaining_s), lambda: bool(runner.status)
+            ):
                 await runner.run()
 
         if call.route.repeatability is Repeatability.UNSAFE:
@@ -274,6 +278,8 @@
         self, call: GatewayCall, runner: AttemptRunner
     ) -> None:
         problem = "the request reached its deadline"
+        if self._clock.monotonic() < call.deadline_at:
+            problem = "this VM stops"
         if call.has_response_started:
             self._abort_response(call, runner, problem)
         if not call.possibly_ran_at:
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -14,8 +14,10 @@
 from dotterelbridge.errors import TargetConnectFailed
 from dotterelbridge.errors import TargetError
 from dotterelbridge.gateway.call import GatewayCall
+from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.errors import RequestNotRun
 from dotterelbridge.gateway.errors import SignatureMissing
+from dotterelbridge.gateway.errors import UnavailableReason
 from dotterelbridge.gateway.event_stream import EventStreamParser
 from dotterelbridge.gateway.events import GatewayEvent
 from dotterelbridge.gateway.headers import HeaderNames
@@ -29,6 +31,7 @@
 from dotterelbridge.serving.response import ResponseSink
 from dotterelbridge.serving.response import create_response_start
 from dotterelbridge.serving.response import filter_response_headers
+from dotterelbridge.serving.stop_grace import StopGrace
 from dotterelbridge.targets.client import Exchange
 from dotterelbridge.targets.client import ExchangeRequest
 from dotterelbridge.targets.completeness import verify_body_end
@@ -48,6 +51,8 @@
 forwarded if the target has confirmed this with its header."""
 _SERVER_ERROR_STATUS = 500
 _SUCCESS_STATUSES = range(200, 300)
+_STOP_RETRY_AFTER = timedelta(0)
+"""Other VMs can take the request at once."""
 _INITIAL_RETRY_DELAY_S = 0.02
 """Base of the exponential delay before a refused request is retried."""
 _MS_PER_S = 1000
@@ -90,7 +95,9 @@
         settings: GatewaySettings,
         clock: Clock,
         rng: random.Random,
+        stop_grace: StopGrace,
     ) -> None:
+        self._stop_grace = stop_grace
         self.status = 0
         """Status of the response to the caller; 0 before it starts."""
         self.slot: Slot | None = None
@@ -130,6 +137,7 @@
         :raises TargetError: the last attempt failed.
         """
         while True:
+            self._check_stop()
             slot = await self._router.acquire(self.call)
             self.slot = slot
             try:
@@ -139,6 +147,21 @@
                 if not await self._prepare_retry(slot, error):
                     raise
 
+    def _check_stop(self) -> None:
+        """Check that an attempt can end before this process does.
+
+        :raises NoTargetAvailable: it might be cut off.
+        """
+        if self.call.has_response_started:
+            return
+        if not self._stop_grace.allows_start(self.call.deadline_at):
+            raise NoTargetAvailable(
+                UnavailableReason.DRAINING,
+                "this VM stops before the request is certainly answered",
+                "send the request again",
+                _STOP_RETRY_AFTER,
+            )
+
     # Attempts.
 
     async def _run_attempt(self, slot: Slot) -> None:
@@ -217,6 +240,10 @@
         that it leaves. Either may happen during a pause of the process.
         """
         has_time_left = self.call.remaining_s(self._clock.monotonic()) > 0
+        if not self.call.has_response_started:
+            has_time_left = has_time_left and self._stop_grace.allows_start(
+                self.call.deadline_at
+            )
         return has_time_left and slot.gateway_target.takes_new_work
 
     def _check_response(self, slot: Slot, exchange: Exchange) -> None:
--- a/dotterelbridge/routing/errors.py
+++ b/dotterelbridge/routing/errors.py
@@ -20,6 +20,10 @@
     """The active sheet has no such model, adapter or service."""
 
 
+class ProcessStops(RoutingRefused):
+    """This process is told to stop, and could cut off the request."""
+
+
 class QueueFull(RoutingRefused):
     """The queue for the request's priority is full."""
 
--- a/dotterelbridge/serving/attempts.py
+++ b/dotterelbridge/serving/attempts.py
@@ -25,12 +25,14 @@
 from dotterelbridge.ids import TargetId
 from dotterelbridge.json_documents import decode_document
 from dotterelbridge.routing.call import Call
+from dotterelbridge.routing.errors import ProcessStops
 from dotterelbridge.routing.errors import RetriesExhausted
 from dotterelbridge.routing.router import Router
 from dotterelbridge.routing.target import Outcome
 from dotterelbridge.routing.target import Slot
 from dotterelbridge.serving.response import filter_response_headers
 from dotterelbridge.serving.settings import ServingSettings
+from dotterelbridge.serving.stop_grace import StopGrace
 from dotterelbridge.targets.client import Exchange
 from dotterelbridge.targets.client import ExchangeRequest
 from dotterelbridge.targets.completeness import verify_body_end
@@ -102,7 +104,9 @@
         settings: ServingSettings,
         clock: Clock,
         rng: random.Random,
+        stop_grace: StopGrace,
     ) -> None:
+        self._stop_grace = stop_grace
         self._router = router
         self._settings = settings
         self._clock = clock
@@ -121,6 +125,7 @@
         :raises TargetError: the last attempt failed.
         """
         while True:
+            self.check_stop(call)
             slot = await self._router.acquire(
                 call, frozenset(attempt_log.failed_targets)
             )
@@ -130,6 +135,18 @@
                 attempt_log.record(slot, error)
                 await self.prepare_retry(call, slot, error)
 
+    def check_stop(self, call: Call) -> None:
+        """Check that an attempt can end before this process does.
+
+        :raises ProcessStops: it might be cut off.
+        """
+        if not self._stop_grace.allows_start(call.deadline_at):
+            raise ProcessStops(
+                "this VM stops before the request is certainly answered",
+                "send the request again",
+                retry_after=timedelta(0),
+            )
+
     async def prepare_retry(
         self, call: Call, slot: Slot, error: TargetError
     ) -> None:
--- a/dotterelbridge/serving/callers.py
+++ b/dotterelbridge/serving/callers.py
@@ -4,6 +4,7 @@
 import functools
 import hashlib
 from http import HTTPStatus
+import math
 import random
 from typing import Any
 
@@ -55,6 +56,7 @@
 from dotterelbridge.serving.response import ResponseSink
 from dotterelbridge.serving.response import ResponseWriter
 from dotterelbridge.serving.settings import ServingSettings
+from dotterelbridge.serving.stop_grace import StopGrace
 from dotterelbridge.serving.stream import StreamRelay
 from dotterelbridge.sheet.rows import SheetRow
 from dotterelbridge.targets.client import ExchangeRequest
@@ -93,12 +95,14 @@
         routing_settings: RoutingSettings,
         rng: random.Random,
     ) -> None:
-        super().__init__()
+        super().__init__(StopGrace(settings, clock))
         self._router = router
         self._clock = clock
         self._settings = settings
         self._routing_settings = routing_settings
-        self._runner = AttemptRunner(router, settings, clock, rng)
+        self._runner = AttemptRunner(
+            router, settings, clock, rng, self._stop_grace
+        )
         self._keyed_runner = KeyedRunner(claims)
         self._calls: dict[Call, float] = {}
 
@@ -338,11 +342,18 @@
         self, call: Call, receive, writer: ResponseWriter, attempt_log, run
     ) -> None:
         self._calls[call] = self._clock.monotonic()
+
+        async def run_within_grace() -> None:
+            with self._stop_grace.limit(math.inf, lambda: writer.started):
+                await run()
+
         try:
             if call.is_idempotent:
-                await run_until_disconnect(receive, run)
+                await run_until_disconnect(receive, run_within_grace)
             else:
-                await run()
+                await run_within_grace()
+        except TimeoutError:
+            await _send_error(writer, _STOPPED_ERROR)
         except ClaimRefused as error:
             await _send_error(writer, error.error_response)
         except TargetFailed as error:
@@ -505,6 +516,13 @@
     remedy="send it with POST",
     run=RunStatus.NO,
 )
+_STOPPED_ERROR = ErrorResponse(
+    status=504,
+    kind="stopped",
+    message="this VM stops before the target has answered",
+    remedy="send it again only if running it twice does no harm",
+    run=RunStatus.UNKNOWN,
+)
 _INTERNAL_ERROR = ErrorResponse(
     status=500,
     kind="internal",
--- a/dotterelbridge/serving/draining.py
+++ b/dotterelbridge/serving/draining.py
@@ -8,6 +8,7 @@
 from dotterelbridge import events
 from dotterelbridge.dump import Dumpable
 from dotterelbridge.serving.events import ServingEvent
+from dotterelbridge.serving.stop_grace import StopGrace
 
 _log = structlog.get_logger(__name__)
 
@@ -15,7 +16,8 @@
 class DrainingApp(Dumpable):
     """Base of ASGI applications that drain before the process ends."""
 
-    def __init__(self) -> None:
+    def __init__(self, stop_grace: StopGrace) -> None:
+        self._stop_grace = stop_grace
         self._requests = 0
         self._draining = False
         self._readiness_conditions: list[Callable[[], bool]] = []
@@ -42,6 +44,7 @@
         if self._draining:
             return
         self._draining = True
+        self._stop_grace.start()
         events.log(_log, ServingEvent.DRAIN_STARTED, in_flight=self._requests)
 
     async def wait_until_idle(self) -> None:
--- a/dotterelbridge/serving/server.py
+++ b/dotterelbridge/serving/server.py
@@ -99,6 +99,14 @@
             self._received_head_bytes > 0 or self._incoming_request is not None
         )
 
+    @property
+    def _closes_after_response(self) -> bool:
+        """Whether the connection closes once the active request is answered.
+
+        Not before requests that have arrived behind it are answered as well.
+        """
+        return self._closing and not self._pipelined_requests
+
     @property
     def is_stalled(self) -> bool:
         """Whether writing is paused because the caller reads too slowly."""
@@ -281,7 +289,7 @@
             request.discards_body = True
             self.close()
             return
-        if not request.keep_alive or self._closing:
+        if not request.keep_alive or self._closes_after_response:
             self.close()
             return
         self._resume_reading()
@@ -369,7 +377,11 @@
         lines += [name + b": " + value for name, value in headers]
         if self._chunked:
             lines.append(b"transfer-encoding: chunked")
-        if not request.keep_alive or self._closing or not request.is_complete:
+        if (
+            not request.keep_alive
+            or self._closes_after_response
+            or not request.is_complete
+        ):
             lines.append(b"connection: close")
         # Sent together with the first part of the body, in one write.
         self._response_head = b"\r\n".join(lines) + b"\r\n\r\n"
--- a/dotterelbridge/serving/settings.py
+++ b/dotterelbridge/serving/settings.py
@@ -36,5 +36,9 @@
     """Data buffered for a slow caller before the relay pauses."""
     stall_limit_s: _Positive = 60
     """Time without progress after which a slow caller is disconnected."""
+    stop_grace_s: Annotated[float, msgspec.Meta(ge=0)] = 0
+    """Time from the signal to stop until the process is killed; 0 if it is
+    not killed. Late in it only requests are passed on that are answered
+    before its end."""
     balancer_lead_s: _Natural = 5
     """Time between /readyz failing and the end of new connections."""
--- a/dotterelbridge/serving/stream.py
+++ b/dotterelbridge/serving/stream.py
@@ -94,6 +94,8 @@
 
     async def _acquire_slot(self) -> Slot:
         avoided_targets = frozenset(self._attempt_log.failed_targets)
+        if not self._writer.started:
+            self._runner.check_stop(self._call)
         try:
             return await self._router.acquire(
                 self._call, avoided_targets, self._find_slot_deadline()
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -68,6 +68,7 @@
         settings: GatewaySettings,
         health_path: str,
         targets: TargetsSettings,
+        stop_grace_s: float,
     ) -> None:
         self.clock = SystemClock()
         self.fleet_state = FleetState(self.clock)
@@ -89,7 +90,9 @@
             self.quarantine,
             create_limiter(self.clock),
         )
-        serving = ServingSettings(port=0, balancer_lead_s=0)
+        serving = ServingSettings(
+            port=0, balancer_lead_s=0, stop_grace_s=stop_grace_s
+        )
         self.app = create_gateway_app(
             self.active_routes,
             self.router,
@@ -138,7 +141,11 @@
 
 @contextlib.asynccontextmanager
 async def run_gateway(
-    routes=None, health_path="", targets: TargetsSettings = TARGETS, **settings
+    routes=None,
+    health_path="",
+    targets: TargetsSettings = TARGETS,
+    stop_grace_s: float = 0,
+    **settings,
 ):
     """Run a gateway until the context exits."""
     gateway = GatewayHarness(
@@ -146,6 +153,7 @@
         GatewaySettings(**({"absent_grace_ms": 200} | settings)),
         health_path,
         targets,
+        stop_grace_s,
     )
     async with anyio.create_task_group() as group:
         group.start_soon(gateway.router.run)
