Answer a caller that reads slowly once only

Cause: the time limit covered the wait for the reader of a complete answer, and the handler of the timeout wrote another answer behind it.

Evidence: the new test, a caller with a receive buffer of 4 KB and an answer of 3.9 MB, read the 504 as the answer to its second request before the change.

Change: a timeout after a complete answer waits on; callers that take nothing are disconnected by the stall limit. The server resets a connection on which a request would be answered twice.

--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -277,6 +277,11 @@
     async def _handle_timeout(
         self, call: GatewayCall, runner: AttemptRunner
     ) -> None:
+        if runner.is_finished:
+            # Only the caller is late, in reading what was written for it.
+            await runner.wait_until_sent()
+            self._log_response(call, runner)
+            return
         problem = "the request reached its deadline"
         if self._clock.monotonic() < call.deadline_at:
             problem = "this VM stops"
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -311,6 +311,10 @@
             ends_with_connection=not response.is_end_known,
         )
         self._write_body(response.body, more=False)
+        await self.wait_until_sent()
+
+    async def wait_until_sent(self) -> None:
+        """Wait until the caller has taken nearly all that was written."""
         await self._sink.wait_writable()
 
     async def _forward_stream(self, exchange: Exchange) -> None:
--- a/dotterelbridge/serving/server.py
+++ b/dotterelbridge/serving/server.py
@@ -340,6 +340,10 @@
         if self._transport is None:
             return True
         if message["type"] == "http.response.start":
+            if self._response_started:
+                # The caller would take it for the answer to its next request.
+                self.abort()
+                raise RuntimeError("a request was answered twice")
             self._write_head(
                 message["status"],
                 message["headers"],
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -1,5 +1,6 @@
 """Tests of forwarding, retries and errors of requests in the gateway."""
 
+import asyncio
 import socket
 import struct
 
@@ -427,6 +428,46 @@
         assert float(responses[0].headers["retry-after"]) < 1
 
 
+@run_async
+async def test_caller_that_reads_slowly_gets_each_answer_once():
+    # Guards against an answer 504 behind a complete one, which the caller
+    # takes for the answer to its next request (review/3).
+    body = b"x" * 3_900_000
+
+    async def answer(received):
+        own_id = received.headers["x-request-id"].encode()
+        await received.answer(own_id + body, headers=SIGNED_HEADERS)
+
+    async def read_answer(reader):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.partition(b"content-length: ")[2].split(b"\r\n")[0])
+        return head.split(b" ")[1], await reader.readexactly(length)
+
+    async with run_gateway() as gateway:
+        await gateway.add_target("t1", answer)
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.connect(("127.0.0.1", gateway.listener.port))
+        reader, writer = await asyncio.open_connection(sock=caller, limit=1024)
+
+        def send(number):
+            writer.write(
+                b"POST /book/a HTTP/1.1\r\nhost: quotes.example\r\n"
+                b"x-request-id: r%d\r\ndotterelbridge-deadline: 400\r\n"
+                b"content-length: 0\r\n\r\n" % number
+            )
+
+        send(1)
+        router = gateway.router
+        await wait_until(lambda: router._targets["t1"].in_flight == 1)
+        # The deadline passes while the answer waits for its reader.
+        await wait_until(lambda: router._targets["t1"].in_flight == 0)
+        assert await read_answer(reader) == (b"200", b"r1" + body)
+        send(2)
+        assert await read_answer(reader) == (b"200", b"r2" + body)
+        writer.close()
+
+
 @run_async
 async def test_shutdown_lets_running_requests_finish():
     async with run_gateway() as gateway:
