Pass on a stream that ends with its connection without a marked end

Cause: the orderly close of the replica's connection, by its kernel, was turned into the last chunk of the answer.

Change: such a stream ends with its connection for the caller too; one that began in chunks counts as broken off. A test of streams cut within an event now also accepts a reset connection as the sign that the stream is not complete, as such a stream has no chunks any more.

--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -103,6 +103,8 @@
         self.slot: Slot | None = None
         """Slot of the latest attempt."""
         self.is_finished = False
+        self._has_marked_end = False
+        """Whether the caller can tell the end of its stream from a cut."""
         self.first_byte_at: float | None = None
         """Monotonic time at which the first byte was forwarded."""
         self.longest_chunk_gap_s: float | None = None
@@ -331,20 +333,29 @@
             if self.slot.first_event_at is None:
                 self.slot.first_event_at = self._clock.monotonic()
             if not self.call.has_response_started:
-                self.call.has_response_started = True
-                headers = filter_response_headers(exchange.headers)
-                self._start_response(exchange.status, headers)
+                self._start_stream(exchange)
             return self._write_body(events_data, more=True)
 
         await exchange.relay(forward, self._sink.wait_writable)
         self._check_stream_end(exchange)
         if not self.call.has_response_started:
-            self.call.has_response_started = True
-            self._start_response(
-                exchange.status, filter_response_headers(exchange.headers)
-            )
+            self._start_stream(exchange)
         self._write_body(b"", more=False)
 
+    def _start_stream(self, exchange: Exchange) -> None:
+        """Begin a stream, with an end of the same kind as the target's.
+
+        The end of a connection may be a crash of the target, so it must not
+        become an end that tells the caller that the stream is complete.
+        """
+        self.call.has_response_started = True
+        self._has_marked_end = exchange.framing is not BodyFraming.CONNECTION
+        self._start_response(
+            exchange.status,
+            filter_response_headers(exchange.headers),
+            ends_with_connection=not self._has_marked_end,
+        )
+
     def _check_stream_end(self, exchange: Exchange) -> None:
         """Check that a stream that ended normally is complete.
 
@@ -355,14 +366,19 @@
                 "the stream ended in the middle of an event",
                 "resume the stream",
             )
-        if (
-            exchange.framing is BodyFraming.CONNECTION
-            and not self._parser.has_events
-        ):
+        if exchange.framing is not BodyFraming.CONNECTION:
+            return
+        if not self._parser.has_events:
             raise ResponseTruncated(
                 "the connection ended before the stream's first event",
                 "resume the stream",
             )
+        if self._has_marked_end:
+            raise ResponseTruncated(
+                "the end of the connection does not show that the resumed "
+                "stream is complete",
+                "resume the stream",
+            )
 
     def _record_chunk(self) -> None:
         now = self._clock.monotonic()
--- a/tests/gateway/test_faulty_targets.py
+++ b/tests/gateway/test_faulty_targets.py
@@ -44,6 +44,7 @@
     """Return a complete stream.
 
     :raises httpx.RemoteProtocolError: it did not end normally.
+    :raises httpx.ReadError: its connection was reset.
     """
     response = await gateway.call(path)
     assert response.status_code == 200
@@ -58,7 +59,7 @@
         handler = create_unframed_stream(create_event(0), b"id: 1\nda")
         async with run_gateway() as gateway:
             await gateway.add_target("e1", handler, service=LLM)
-            with pytest.raises(httpx.RemoteProtocolError):
+            with pytest.raises((httpx.RemoteProtocolError, httpx.ReadError)):
                 await read_stream(gateway, path)
 
     run_async(check)()
@@ -73,6 +74,42 @@
     assert body == create_event(0) + create_event(1)
 
 
+@pytest.mark.parametrize("path", STREAM_PATHS)
+def test_end_of_a_connection_does_not_become_a_marked_end(path):
+    # Guards against a stream that a crash has cut between two events and
+    # that looks complete (review/4).
+    async def check():
+        handler = create_unframed_stream(create_event(0), create_event(1))
+        async with run_gateway() as gateway:
+            await gateway.add_target("e1", handler, service=LLM)
+            response = await gateway.call(path)
+        assert response.content == create_event(0) + create_event(1)
+        assert "transfer-encoding" not in response.headers
+        assert "content-length" not in response.headers
+        assert response.headers["connection"] == "close"
+
+    run_async(check)()
+
+
+@run_async
+async def test_resumed_stream_with_an_unknown_end_does_not_look_complete():
+    unframed = create_unframed_stream(create_event(1))
+
+    async def break_off(received):
+        if "last-event-id" in received.headers:
+            await unframed(received)
+            return
+        await received.start_stream(SIGNED_HEADERS)
+        await received.send_chunk(create_event(0))
+        received.reset()
+
+    async with run_gateway() as gateway:
+        for name in ("e1", "e2", "e3"):
+            await gateway.add_target(name, break_off, service=LLM)
+        with pytest.raises(httpx.RemoteProtocolError):
+            await read_stream(gateway, "/drafts/")
+
+
 @run_async
 async def test_events_with_crlf_line_ends_are_forwarded():
     events = [b"id: 0\r\ndata: a\r\n\r\n", b"id: 1\r\ndata: b\r\n\r\n"]
