Keep a named rate limit when the core restarts

Cause: limits are kept in the memory of the control VMs, and entry VMs took one that a restarted source does not list for one that has ended.

Change: sources list the limits that have ended, and followers drop only those, and limits of targets that are gone. This also covers a source that is cut off, for which followers made an exception before.

--- a/dotterelbridge/fleet/feed.py
+++ b/dotterelbridge/fleet/feed.py
@@ -230,6 +230,7 @@
             if has_newer_quarantine
             else None,
             rate_limits=self._fleet_state.list_rate_limits(),
+            lifted_rate_limits=self._fleet_state.list_lifted_rate_limits(),
             watched_traits=tuple(self._fleet_state.watched_traits),
         )
 
@@ -361,7 +362,7 @@
             self._revision = update.revision
         self.entry_vm_count = update.entry_vm_count
         is_attached = update.detached_ms <= self._settings.detached_limit_ms
-        self._fleet_state.apply(update, is_attached)
+        self._fleet_state.apply(update)
         if update.quarantine is not None:
             self._quarantine.activate(update.quarantine)
         if update.routes is not None and (
--- a/dotterelbridge/fleet/fleet_state.py
+++ b/dotterelbridge/fleet/fleet_state.py
@@ -63,6 +63,8 @@
         self._clock = clock
         self.rate_limits: dict[Incarnation, float] = {}
         """Requests per second that targets take from all VMs together."""
+        self.lifted_rate_limits: dict[Incarnation, float] = {}
+        """Limits that have ended, with their latest value."""
         self.watched_traits: frozenset[TraitId] = frozenset()
         """Traits of which VMs report complete answers."""
         self._pending_loads: dict[ItemKey, float] = {}
@@ -92,6 +94,7 @@
         pending_loads: dict[ItemKey, float] | None = None,
         rate_limits: dict[Incarnation, float] | None = None,
         watched_traits: frozenset[TraitId] | None = None,
+        lifted_rate_limits: dict[Incarnation, float] | None = None,
     ) -> None:
         """Apply changes.
 
@@ -99,6 +102,8 @@
             keeps the known ones.
         :param rate_limits: all limits in force; None keeps the known ones.
         :param watched_traits: all of them; None keeps the known ones.
+        :param lifted_rate_limits: all limits that have ended; None keeps the
+            known ones.
         """
         before = self.revision
         for target in changed:
@@ -111,6 +116,9 @@
         if rate_limits is not None and rate_limits != self.rate_limits:
             self.rate_limits = rate_limits
             self._increase_revision(ChangeKind.URGENT)
+        if lifted_rate_limits not in (None, self.lifted_rate_limits):
+            self.lifted_rate_limits = lifted_rate_limits
+            self._increase_revision(ChangeKind.URGENT)
         if watched_traits not in (None, self.watched_traits):
             self.watched_traits = watched_traits
             self._increase_revision(ChangeKind.URGENT)
@@ -125,7 +133,6 @@
         self,
         targets: Iterable[FleetTarget],
         pending_loads: dict[ItemKey, float],
-        rate_limits: dict[Incarnation, float] | None = None,
     ) -> None:
         """Replace the state with a snapshot from another VM.
 
@@ -137,13 +144,14 @@
             name for name in self.targets if name not in targets_by_name
         ]:
             self._delete_target(name)
-        self.update(targets_by_name.values(), (), pending_loads, rate_limits)
+        self.update(targets_by_name.values(), (), pending_loads)
 
-    def apply(self, update: FleetUpdate, is_attached: bool = True) -> None:
+    def apply(self, update: FleetUpdate) -> None:
         """Apply an update if its source knows all targets.
 
-        :param is_attached: whether the source is up to date. Otherwise rate
-            limits that it does not know may still be in force.
+        Rate limits that the source does not know may still be in force, as it
+        may have restarted, or be cut off. They end once it says so, or with
+        their targets.
         """
         if not update.is_complete:
             return
@@ -153,18 +161,33 @@
             e.item: now + e.ready_in_ms / _MS_PER_S
             for e in update.pending_loads
         }
-        rate_limits = {
-            (e.target, e.born): e.requests_per_s for e in update.rate_limits
-        }
-        if not is_attached:
-            rate_limits = self.rate_limits | rate_limits
         self.update(watched_traits=frozenset(update.watched_traits))
         if update.is_snapshot:
-            self.replace(update.changed, pending_loads, rate_limits)
+            self.replace(update.changed, pending_loads)
         else:
-            self.update(
-                update.changed, update.removed, pending_loads, rate_limits
-            )
+            self.update(update.changed, update.removed, pending_loads)
+        self._merge_rate_limits(update)
+
+    def _merge_rate_limits(self, update: FleetUpdate) -> None:
+        lifted = _collect_rate_limits(update.lifted_rate_limits)
+        known = {
+            incarnation: limit
+            for incarnation, limit in self.rate_limits.items()
+            if incarnation not in lifted
+        }
+        self.update(
+            rate_limits=self._select_present(
+                known | _collect_rate_limits(update.rate_limits)
+            ),
+            lifted_rate_limits=self._select_present(lifted),
+        )
+
+    def _select_present(
+        self, limits: dict[Incarnation, float]
+    ) -> dict[Incarnation, float]:
+        """Return the limits of the targets that are known."""
+        incarnations = {(t.target, t.born) for t in self.targets.values()}
+        return {i: v for i, v in limits.items() if i in incarnations}
 
     def list_changes(
         self, epoch: str, revision: int
@@ -194,10 +217,11 @@
 
     def list_rate_limits(self) -> tuple[RateLimit, ...]:
         """Return the limits in force, as VMs exchange them."""
-        return tuple(
-            RateLimit(target, born, requests_per_s)
-            for (target, born), requests_per_s in self.rate_limits.items()
-        )
+        return _encode_rate_limits(self.rate_limits)
+
+    def list_lifted_rate_limits(self) -> tuple[RateLimit, ...]:
+        """Return the limits that have ended, as VMs exchange them."""
+        return _encode_rate_limits(self.lifted_rate_limits)
 
     async def wait_for_change(self, epoch: str, revision: int) -> None:
         """Return once the state is newer than the given revision."""
@@ -297,3 +321,18 @@
     models = {held.model for held in target.held}
     lost_model = any(held.model not in models for held in known.held)
     return ChangeKind.URGENT if lost_model else ChangeKind.ITEMS
+
+
+def _encode_rate_limits(
+    limits: dict[Incarnation, float],
+) -> tuple[RateLimit, ...]:
+    return tuple(
+        RateLimit(target, born, requests_per_s)
+        for (target, born), requests_per_s in limits.items()
+    )
+
+
+def _collect_rate_limits(
+    limits: Iterable[RateLimit],
+) -> dict[Incarnation, float]:
+    return {(e.target, e.born): e.requests_per_s for e in limits}
--- a/dotterelbridge/fleet/messages.py
+++ b/dotterelbridge/fleet/messages.py
@@ -59,6 +59,9 @@
     """Every limit in force that a target has named."""
     watched_traits: tuple[TraitId, ...] = ()
     """Traits of which VMs report complete answers."""
+    lifted_rate_limits: tuple[RateLimit, ...] = ()
+    """Limits that have ended. A limit that is in neither list may still be
+    in force, as the answering VM may have restarted since."""
 
 
 class ItemDemand(msgspec.Struct, frozen=True, array_like=True):
--- a/dotterelbridge/fleet/rate_limit_recorder.py
+++ b/dotterelbridge/fleet/rate_limit_recorder.py
@@ -60,10 +60,20 @@
             return
         self._registry.retain(incarnations)
         limits = self._registry.apply(notice, self._fleet_state.rate_limits)
+        known = self._fleet_state.rate_limits
+        lifted = self._fleet_state.lifted_rate_limits | {
+            incarnation: known[incarnation]
+            for incarnation in known.keys() - limits.keys()
+        }
         self._fleet_state.update(
             rate_limits={
                 incarnation: limit
                 for incarnation, limit in limits.items()
                 if incarnation in incarnations
-            }
+            },
+            lifted_rate_limits={
+                incarnation: limit
+                for incarnation, limit in lifted.items()
+                if incarnation in incarnations and incarnation not in limits
+            },
         )
--- a/tests/fleet/test_fleet_state.py
+++ b/tests/fleet/test_fleet_state.py
@@ -84,3 +84,52 @@
         assert follower.targets == fleet_state.targets
         assert follower.find_load_time_left_s(key("m0")) == 3.0
         fleet_state.update((), ["e2"])
+
+
+def create_update(source, **fields) -> FleetUpdate:
+    """Return what a source answers to a VM that knows nothing of it."""
+    defaults = {
+        "epoch": source.epoch,
+        "revision": source.revision,
+        "is_complete": True,
+        "is_snapshot": True,
+        "changed": tuple(source.targets.values()),
+        "rate_limits": source.list_rate_limits(),
+        "lifted_rate_limits": source.list_lifted_rate_limits(),
+        "detached_ms": 0,
+        "entry_vm_count": 1,
+    }
+    return FleetUpdate(**(defaults | fields))
+
+
+def test_rate_limit_stays_when_its_source_has_restarted(fleet_state):
+    # Guards against VMs that send all waiting requests to a limited target
+    # when the core has restarted (review/5).
+    follower = FleetState(ManualClock())
+    fleet_state.update([create_target("e1")], rate_limits={("e1", 1): 2.0})
+    follower.apply(create_update(fleet_state))
+    restarted = FleetState(ManualClock())
+    restarted.update([create_target("e1")])
+    follower.apply(create_update(restarted))
+    assert follower.rate_limits == {("e1", 1): 2.0}
+
+
+def test_rate_limit_ends_when_a_source_says_so(fleet_state):
+    follower = FleetState(ManualClock())
+    fleet_state.update([create_target("e1")], rate_limits={("e1", 1): 2.0})
+    follower.apply(create_update(fleet_state))
+    fleet_state.update(rate_limits={}, lifted_rate_limits={("e1", 1): 2.0})
+    follower.apply(create_update(fleet_state))
+    assert follower.rate_limits == {}
+    fleet_state.update(rate_limits={("e1", 1): 3.0}, lifted_rate_limits={})
+    follower.apply(create_update(fleet_state))
+    assert follower.rate_limits == {("e1", 1): 3.0}
+
+
+@pytest.mark.parametrize("changed", [(), (create_target("e1", born=2),)])
+def test_rate_limit_ends_with_its_target(fleet_state, changed):
+    follower = FleetState(ManualClock())
+    fleet_state.update([create_target("e1")], rate_limits={("e1", 1): 2.0})
+    follower.apply(create_update(fleet_state))
+    follower.apply(create_update(fleet_state, changed=changed, rate_limits=()))
+    assert follower.rate_limits == {}
