--- a/dotterelbridge/routes/model.py
+++ b/dotterelbridge/routes/model.py
@@ -147,7 +147,7 @@
         seen_prefixes = set()
         for route in self.routes:
             _check_route(route, service_names)
-            prefix = (route.host, route.prefix)
+            prefix = (route.host.lower(), route.prefix)
             if prefix in seen_prefixes:
                 raise RoutesInvalid(
                     f"two routes share host {route.host!r} and prefix "
--- a/tests/nodes/test_platform_path.py
+++ b/tests/nodes/test_platform_path.py
@@ -419,6 +419,7 @@
         {"timeout_ms": 0},
         {"kind": "unknown"},
         {"service": None, "split": [{"service": "llm", "weight": 0}]},
+        {"service": "nobody", "split": [{"service": "llm", "weight": 1}]},
         {"path_prefix": "/open"},
         {"timeout_ms": "soon"},
     ],
--- a/tests/routes/test_routes.py
+++ b/tests/routes/test_routes.py
@@ -51,6 +51,18 @@
         )
 
 
+def test_routes_whose_hosts_differ_in_case_only_are_rejected():
+    # Guards against a route that is accepted and never found.
+    routes = [
+        create_route("a", host="quotes.example", prefix="/x/"),
+        create_route("b", host="Quotes.example", prefix="/x/"),
+    ]
+    with pytest.raises(RoutesInvalid, match="share"):
+        create_native_format().decode(
+            encode_route_set(create_route_set(1, routes))
+        )
+
+
 @pytest.mark.parametrize("missing_bytes", [1, 40, 200])
 def test_truncated_document_is_rejected(missing_bytes):
     document = encode_route_set(create_route_set())[:-missing_bytes]
