Keep the evidence of crashes when the leader changes

Cause: the evidence was in the leader's memory, and followers threw away theirs every 100 ms.

Ruled out: to put each report on the log, as a crash is reported by each entry VM that had a request there.

Change: the leader sends the other control VMs copies of what it records, and of answers that clear a trait with evidence; they keep them as if they led.

--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -317,6 +317,7 @@
                 lambda: self._get_led_term() is not None,
                 self._list_vm_ids,
                 service.publish_watched,
+                service.share_evidence,
             )
         link = PeerLeaderLink(
             self._network, service, self._leader_contact, self._clock
--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -28,6 +28,7 @@
 from dotterelbridge.nodes.settings import NodeSettings
 from dotterelbridge.permits.service import PermitService
 from dotterelbridge.quarantine.keeper import QuarantineKeeper
+from dotterelbridge.quarantine.messages import CrashEvidence
 from dotterelbridge.quarantine.messages import CrashRecorded
 from dotterelbridge.quarantine.messages import CrashReport
 from dotterelbridge.quarantine.quarantine import (
@@ -242,8 +243,12 @@
             self._replicated_log.has_leader_lease,
             self._demand_tracker.list_entry_vms,
             lambda traits: self._fleet_state.update(watched_traits=traits),
+            self._share_evidence,
         )
         self._network.register_handler(CrashReport, self._handle_crash_report)
+        self._network.register_handler(
+            CrashEvidence, self._handle_crash_evidence
+        )
 
     def _list_follower_sources(self) -> list[VmId]:
         """Return the leader; empty if unknown or this VM itself."""
@@ -274,6 +279,17 @@
         if leader is not None and sender != leader:
             self._network.send(leader, report)
 
+    def _share_evidence(self, evidence: CrashEvidence) -> None:
+        for vm in self.list_control_vms():
+            if vm != self._own_vm.vm:
+                self._network.send(vm, evidence)
+
+    async def _handle_crash_evidence(
+        self, sender: VmId, evidence: CrashEvidence
+    ) -> None:
+        if not self._replicated_log.has_leader_lease():
+            self._quarantine_keeper.apply_evidence(evidence)
+
     async def _handle_crash_report(
         self, sender: VmId, report: CrashReport
     ) -> CrashRecorded:
--- a/dotterelbridge/quarantine/crash_tracker.py
+++ b/dotterelbridge/quarantine/crash_tracker.py
@@ -143,6 +143,10 @@
         while len(self._answered_traits) > _MAX_TRACKED_TRAITS:
             del self._answered_traits[next(iter(self._answered_traits))]
 
+    def select_tracked(self, traits: Iterable[TraitId]) -> list[TraitId]:
+        """Return the traits for which there is evidence."""
+        return [trait for trait in traits if trait in self._crashes]
+
     def record_cause(self, trait: TraitId) -> None:
         """Record that a trait is the cause of the crashes under it."""
         for incarnation in self._crashes.pop(trait, {}):
--- a/dotterelbridge/quarantine/keeper.py
+++ b/dotterelbridge/quarantine/keeper.py
@@ -16,6 +16,7 @@
 from dotterelbridge.ids import VmId
 from dotterelbridge.quarantine.crash_tracker import CrashTracker
 from dotterelbridge.quarantine.events import QuarantineEvent
+from dotterelbridge.quarantine.messages import CrashEvidence
 from dotterelbridge.quarantine.messages import CrashReport
 from dotterelbridge.quarantine.quarantine import NO_VM
 from dotterelbridge.quarantine.quarantine import STATE_MACHINE_NAME
@@ -39,7 +40,8 @@
 class QuarantineKeeper:
     """Decides on the quarantine while this VM leads the log.
 
-    The evidence is in memory: a new leader starts without any.
+    The evidence is in memory. The leader sends copies to the VMs that may lead
+    after it, which otherwise would need as many crashes again.
     """
 
     def __init__(
@@ -52,12 +54,16 @@
         is_leader: Callable[[], bool],
         list_entry_vms: Callable[[], Sequence[VmId]],
         publish_watched: Callable[[frozenset[TraitId]], None],
+        share_evidence: Callable[[CrashEvidence], None],
     ) -> None:
         """Create the keeper of a VM.
 
         :param publish_watched: tells all VMs of which traits they report
             complete answers.
+        :param share_evidence: sends what the leader has recorded to the VMs
+            that may lead after it.
         """
+        self._share_evidence = share_evidence
         self._log = log
         self._table = table
         self._settings = settings
@@ -73,23 +79,37 @@
         """Quarantined traits of which a trial succeeded."""
 
     def record_crash(self, report: CrashReport) -> None:
-        """Record one VM's report of a crash."""
-        quarantined = [entry.trait for entry in self._table.snapshot.traits]
-        self._tracker.record_crash(
-            (report.target, report.born),
-            report.attempts or (report.traits,),
-            quarantined,
-            report.closed_ms_ago / _MS_PER_S,
-        )
+        """Record one VM's report of a crash, on the leader."""
+        self._record_report(report)
         self._publish_watched(self._tracker.list_watched())
+        self._share_evidence(CrashEvidence(reports=(report,)))
 
     def record_answered(self, traits: Iterable[TraitId]) -> None:
-        """Record that requests with the traits were answered completely."""
+        """Record complete answers to requests with traits, on the leader."""
+        traits = tuple(traits)
         for trait in traits:
             entry = self._table.find(trait)
             if entry is not None and entry.trial:
                 self._cleared.add(trait)
+        cleared = self._tracker.select_tracked(traits)
         self._tracker.record_answered(traits)
+        if cleared:
+            self._share_evidence(CrashEvidence(answered=tuple(cleared)))
+
+    def apply_evidence(self, evidence: CrashEvidence) -> None:
+        """Record a copy from the leader."""
+        for report in evidence.reports:
+            self._record_report(report)
+        self._tracker.record_answered(evidence.answered)
+
+    def _record_report(self, report: CrashReport) -> None:
+        quarantined = [entry.trait for entry in self._table.snapshot.traits]
+        self._tracker.record_crash(
+            (report.target, report.born),
+            report.attempts or (report.traits,),
+            quarantined,
+            report.closed_ms_ago / _MS_PER_S,
+        )
 
     async def run(self) -> None:
         """Change the quarantine whenever this VM leads, until cancelled."""
@@ -101,10 +121,15 @@
                 await self._start_due_trials()
                 self._publish_watched(self._tracker.list_watched())
             else:
-                self._tracker = CrashTracker(self._settings, self._clock)
+                self._explain_quarantined()
                 self._quarantined_at.clear()
                 self._cleared.clear()
 
+    def _explain_quarantined(self) -> None:
+        """Follow the decisions of the leader on the copied evidence."""
+        for entry in self._table.snapshot.traits:
+            self._tracker.record_cause(entry.trait)
+
     async def _quarantine_suspects(self) -> None:
         for trait in self._tracker.list_suspects():
             targets = self._tracker.list_crashed_targets(trait)
--- a/dotterelbridge/quarantine/messages.py
+++ b/dotterelbridge/quarantine/messages.py
@@ -31,6 +31,15 @@
     """Whether the leader of the log has the report."""
 
 
+@register_message("fleet.crash_evidence")
+class CrashEvidence(Message, frozen=True, kw_only=True, array_like=True):
+    """Copy of what the leader has recorded, for those that may follow it."""
+
+    reports: tuple[CrashReport, ...] = ()
+    answered: tuple[TraitId, ...] = ()
+    """Traits of complete answers, which clear them."""
+
+
 @register_message("quarantine.answered")
 class AnsweredTraits(Message, frozen=True, kw_only=True, array_like=True):
     """Reports complete answers to requests with watched traits."""
--- a/dotterelbridge/quarantine/service.py
+++ b/dotterelbridge/quarantine/service.py
@@ -17,6 +17,7 @@
 from dotterelbridge.peers.network import PeerNetwork
 from dotterelbridge.quarantine.keeper import QuarantineKeeper
 from dotterelbridge.quarantine.messages import AnsweredTraits
+from dotterelbridge.quarantine.messages import CrashEvidence
 from dotterelbridge.quarantine.messages import CrashRecorded
 from dotterelbridge.quarantine.messages import CrashReport
 from dotterelbridge.quarantine.messages import QuarantineUpdate
@@ -63,6 +64,7 @@
         network.register_handler(CrashReport, self._handle_crash_report)
         network.register_handler(AnsweredTraits, self._handle_answered)
         network.register_handler(QuarantineUpdate, self._handle_update)
+        network.register_handler(CrashEvidence, self._handle_evidence)
 
     @property
     def leads(self) -> bool:
@@ -88,6 +90,11 @@
             self._watched = traits
             self._send_update()
 
+    def share_evidence(self, evidence: CrashEvidence) -> None:
+        """Send what the leader has recorded to the other VMs."""
+        for peer in self._network.list_peers():
+            self._network.send(peer, evidence)
+
     def record_crash(self, report: CrashReport) -> None:
         """Record a report on the leader."""
         self.keeper.record_crash(report)
@@ -120,6 +127,12 @@
         self._watched = frozenset(message.watched)
         self._apply(message.snapshot, self._watched)
 
+    async def _handle_evidence(
+        self, sender: VmId, evidence: CrashEvidence
+    ) -> None:
+        if self.keeper is not None and not self.leads:
+            self.keeper.apply_evidence(evidence)
+
     async def _handle_crash_report(
         self, sender: VmId, report: CrashReport
     ) -> CrashRecorded:
--- a/tests/quarantine/test_quarantine_keeper.py
+++ b/tests/quarantine/test_quarantine_keeper.py
@@ -9,6 +9,7 @@
 from dotterelbridge.errors import NotCommitted
 from dotterelbridge.fleet.settings import FleetSettings
 from dotterelbridge.quarantine.keeper import QuarantineKeeper
+from dotterelbridge.quarantine.messages import CrashEvidence
 from dotterelbridge.quarantine.messages import CrashReport
 from dotterelbridge.quarantine.quarantine import QuarantineTable
 from dotterelbridge.quarantine.traits import create_caller_trait
@@ -43,6 +44,7 @@
         self.log = FakeLog(self.table)
         self.is_leader = True
         self.watched: list[frozenset[str]] = []
+        self.evidence: list[CrashEvidence] = []
         self.clock = LoopClock()
         self.keeper = QuarantineKeeper(
             self.log,
@@ -53,6 +55,7 @@
             lambda: self.is_leader,
             lambda: ["f1", "f2"],
             self.watched.append,
+            self.evidence.append,
         )
         tasks.start_soon(self.keeper.run)
 
@@ -160,3 +163,45 @@
     harness.keeper.record_answered([caller])
     await anyio.sleep(CHECK_DELAY_LIMIT.total_seconds())
     assert harness.watched[-1] == frozenset()
+
+
+@in_virtual_time
+async def test_evidence_outlasts_the_leader(harness):
+    # Guards against a crashing request that reaches as many targets again
+    # after each change of the leader.
+    harness.is_leader = False
+    await anyio.sleep(1.0)
+    for number in range(2):
+        report = CrashReport(target=f"e{number}", born=1, traits=("bad",))
+        harness.keeper.apply_evidence(CrashEvidence(reports=(report,)))
+        await anyio.sleep(1.0)
+    harness.is_leader = True
+    harness.keeper.record_crash(
+        CrashReport(target="e2", born=1, traits=("bad",))
+    )
+    await anyio.sleep(3.0)
+    assert harness.traits == ["bad"]
+
+
+@in_virtual_time
+async def test_answer_clears_the_evidence_of_a_follower(harness):
+    harness.is_leader = False
+    for number in range(2):
+        report = CrashReport(target=f"e{number}", born=1, traits=("sound",))
+        harness.keeper.apply_evidence(CrashEvidence(reports=(report,)))
+    harness.keeper.apply_evidence(CrashEvidence(answered=("sound",)))
+    harness.is_leader = True
+    harness.keeper.record_crash(
+        CrashReport(target="e2", born=1, traits=("sound",))
+    )
+    await anyio.sleep(3.0)
+    assert not harness.traits
+
+
+@in_virtual_time
+async def test_leader_shares_crashes_and_the_answers_that_clear_them(harness):
+    await harness.crash_targets(2, "part")
+    harness.keeper.record_answered(["other", "part"])
+    reports = [r.target for e in harness.evidence for r in e.reports]
+    assert reports == ["e0", "e1"]
+    assert [e.answered for e in harness.evidence if e.answered] == [("part",)]
--- a/tests/quarantine/test_service.py
+++ b/tests/quarantine/test_service.py
@@ -53,6 +53,7 @@
                 lambda: self.led_term is not None,
                 lambda: list(group.vms),
                 self.service.publish_watched,
+                self.service.share_evidence,
             )
         contact = LeaderContact(
             network, lambda: self.known_leader, VOTERS, rng
