Give a restarted entry VM its share of the retry budget little by little

Cause: the predecessor's repeats still count, but the new process had the whole fixed share again.

Change: the fixed share grows over one window after the start.

--- a/dotterelbridge/gateway/budget.py
+++ b/dotterelbridge/gateway/budget.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 from collections.abc import Callable
+import math
 import random
 
 from dotterelbridge.clock import Clock
@@ -43,7 +44,15 @@
         clock: Clock,
         count_entry_vms: Callable[[], int],
         rng: random.Random,
+        started_at: float = -math.inf,
     ) -> None:
+        """Create a budget without requests.
+
+        :param started_at: monotonic time at which this process started. The
+            retries of its predecessor count for one window more, so the fixed
+            part grows with the time since the start.
+        """
+        self._started_at = started_at
         self._settings = settings
         self._clock = clock
         self._count_entry_vms = count_entry_vms
@@ -60,7 +69,9 @@
         """Whether the budget allows one more retry."""
         now = self._clock.monotonic()
         vm_count = max(_MIN_ENTRY_VM_COUNT, self._count_entry_vms())
-        fixed = self._settings.retry_extra / vm_count
+        age_s = now - self._started_at
+        fixed_share = min(1.0, age_s / self._settings.retry_window_s)
+        fixed = fixed_share * self._settings.retry_extra / vm_count
         proportional = (
             self._requests.count(now) * self._settings.retry_percent / 100
         )
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -166,6 +166,7 @@
         self._running: Counter[ItemKey] = Counter()
         self._arrival_rates = ArrivalRates(clock)
         self._is_draining = False
+        self._started_at = clock.monotonic()
         self.missing_item_event = anyio.Event()
         """Set when a request waits for an item that no target holds."""
         fleet_state.subscribe(self._update_targets)
@@ -210,6 +211,7 @@
                 self._clock,
                 self._count_entry_vms,
                 self._random,
+                self._started_at,
             )
         return self._retry_budgets[name]
 
