Answer 502 where a repeat is refused after a possible run

Evidence: the new test got 429 before.

Change: a refusal after an attempt that may have run has status 502.

--- a/dotterelbridge/serving/callers.py
+++ b/dotterelbridge/serving/callers.py
@@ -542,6 +542,9 @@
         status, kind = 400, "malformed"
     elif isinstance(error, ItemUnknown):
         status, kind = 404, "item_unknown"
+    elif run is not RunStatus.NO:
+        # Statuses such as 503 promise that the request has not run.
+        status, kind = 502, "target_broke"
     elif isinstance(error, QueueFull):
         status, kind = 429, "queue_full"
     elif isinstance(error, RoutingRefused):
--- a/tests/serving/test_calls.py
+++ b/tests/serving/test_calls.py
@@ -5,6 +5,7 @@
 
 from dotterelbridge.errors import CommitUnknown
 from dotterelbridge.errors import NotCommitted
+from dotterelbridge.routing.errors import QueueFull
 from tests.serving.fakes import FakeTarget
 from tests.serving.fakes import model_row
 from tests.serving.fakes import run_async
@@ -330,3 +331,25 @@
             "/v1/completions", json={"model": "quote"}
         )
         assert response.headers["dotterelbridge-run"] == "yes"
+
+
+@run_async
+async def test_refused_retry_after_a_possible_run_promises_nothing():
+    # Guards against a 429 or 503, which say that nothing has run, to a caller
+    # whose first attempt may have run.
+    async with (
+        run_serving((service_row(idempotent=True),)) as harness,
+        create_client(harness) as client,
+    ):
+        target = await harness.add_service("s1", reset_before_answer)
+        acquire = harness.router.acquire
+
+        async def acquire_once(call, *args):
+            if target.received:
+                raise QueueFull("the queue is full", "try again later")
+            return await acquire(call, *args)
+
+        harness.router.acquire = acquire_once
+        response = await client.post(BOOKING_PATH)
+        assert response.status_code == 502
+        assert response.headers["dotterelbridge-run"] == "unknown"
