--- a/dotterelbridge/fleet/fleet_state.py
+++ b/dotterelbridge/fleet/fleet_state.py
@@ -169,6 +169,13 @@
         self._merge_rate_limits(update)
 
     def _merge_rate_limits(self, update: FleetUpdate) -> None:
+        if not (
+            self.rate_limits
+            or self.lifted_rate_limits
+            or update.rate_limits
+            or update.lifted_rate_limits
+        ):
+            return
         lifted = _collect_rate_limits(update.lifted_rate_limits)
         known = {
             incarnation: limit
--- a/dotterelbridge/quarantine/crash_tracker.py
+++ b/dotterelbridge/quarantine/crash_tracker.py
@@ -143,6 +143,10 @@
         while len(self._answered_traits) > _MAX_TRACKED_TRAITS:
             del self._answered_traits[next(iter(self._answered_traits))]
 
+    def remove_expired(self) -> None:
+        """Forget crashes that are too old to be evidence."""
+        self._remove_expired(self._clock.monotonic())
+
     def select_tracked(self, traits: Iterable[TraitId]) -> list[TraitId]:
         """Return the traits for which there is evidence."""
         return [trait for trait in traits if trait in self._crashes]
--- a/dotterelbridge/quarantine/keeper.py
+++ b/dotterelbridge/quarantine/keeper.py
@@ -127,6 +127,7 @@
 
     def _explain_quarantined(self) -> None:
         """Follow the decisions of the leader on the copied evidence."""
+        self._tracker.remove_expired()
         for entry in self._table.snapshot.traits:
             self._tracker.record_cause(entry.trait)
 
