--- a/dotterelbridge/json_documents.py
+++ b/dotterelbridge/json_documents.py
@@ -11,20 +11,19 @@
 
 _T = TypeVar("_T")
 
-_TOKEN = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{},:]|[^"\[\]{},:]+', re.S)
+_TOKEN = re.compile(
+    r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[{]|[\]}]|[,:]|[^"\[\]{},:]+', re.S
+)
 _OPENING = ("[", "{")
 _CLOSING = ("]", "}")
 
 
-def decode_document(
-    data: bytes, document_type: type[_T] | Any = Any, remedy: str = ""
-) -> _T:
+def decode_document(data: bytes, document_type: type[_T] | Any = Any) -> _T:
     """Decode and validate a document.
 
     msgspec raises different errors for invalid JSON, text that is not UTF-8,
     and nesting deeper than the interpreter's stack; each is reported alike.
 
-    :param remedy: remedy that the error names.
     :raises DocumentMalformed: the document is not valid.
     """
     try:
@@ -36,7 +35,7 @@
         OverflowError,
     ) as error:
         raise DocumentMalformed(
-            str(error), remedy or "send a valid JSON document"
+            str(error), "send a valid JSON document"
         ) from None
 
 
