--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -21,7 +21,7 @@
 from dotterelbridge.gateway.event_stream import EventStreamParser
 from dotterelbridge.gateway.events import GatewayEvent
 from dotterelbridge.gateway.headers import HeaderNames
-from dotterelbridge.gateway.router import AttemptOutcome
+from dotterelbridge.gateway.outcomes import AttemptOutcome
 from dotterelbridge.gateway.router import GatewayRouter
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.gateway.target import Slot
--- a/dotterelbridge/gateway/call.py
+++ b/dotterelbridge/gateway/call.py
@@ -12,6 +12,7 @@
 from dotterelbridge.routes.model import Repeatability
 from dotterelbridge.routes.model import Route
 from dotterelbridge.routes.model import Service
+from dotterelbridge.teams.model import Team
 
 _URGENCY_STEPS_PER_RANK = 2
 """Within a rank, non-interactive requests come after the interactive."""
@@ -35,6 +36,8 @@
     """Monotonic seconds by which the response must be complete."""
     first_byte_deadline_at: float
     """Monotonic seconds at which the caller gives up on a first byte."""
+    team: Team | None = None
+    """The team whose key the caller sent; None without teams."""
     attempts: int = 0
     """Number of attempts, the current one included."""
     possibly_ran_at: set[TargetId] = set()
@@ -69,12 +72,19 @@
     @property
     def labels(self) -> dict[str, str | int]:
         """Labels of the call's metrics."""
-        return {"service": self.service.name, "rank": self.route.rank}
+        return {"service": self.service.name, "rank": self.rank}
+
+    @property
+    def rank(self) -> int:
+        """Priority of the team, if it has one, or of the route."""
+        if self.team is not None and self.team.rank is not None:
+            return self.team.rank
+        return self.route.rank
 
     @property
     def urgency(self) -> int:
         """Scheduling priority; 0 is the most urgent, 9 the least."""
-        urgency = self.route.rank * _URGENCY_STEPS_PER_RANK + 1
+        urgency = self.rank * _URGENCY_STEPS_PER_RANK + 1
         return min(_LEAST_URGENT, urgency + (not self.is_interactive))
 
     @property
--- /dev/null
+++ b/dotterelbridge/gateway/target_table.py
@@ -0,0 +1,206 @@
+"""All targets as one entry VM sees them."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from collections.abc import Iterator
+from datetime import timedelta
+import random
+import statistics
+
+from anyio.abc import TaskGroup
+import structlog
+
+from dotterelbridge import events
+from dotterelbridge.clock import Clock
+from dotterelbridge.fleet.fleet_state import FleetState
+from dotterelbridge.fleet.records import FleetTarget
+from dotterelbridge.gateway.call import GatewayCall
+from dotterelbridge.gateway.events import GatewayEvent
+from dotterelbridge.gateway.settings import GatewaySettings
+from dotterelbridge.gateway.target import GatewayTarget
+from dotterelbridge.gateway.target import create_gateway_target
+from dotterelbridge.ids import FailureDomain
+from dotterelbridge.ids import ItemName
+from dotterelbridge.ids import Region
+from dotterelbridge.ids import TargetId
+from dotterelbridge.permits.limiter import RateLimiter
+from dotterelbridge.quarantine.crash_watch import CrashWatch
+from dotterelbridge.targets.buffer_budget import BufferBudget
+from dotterelbridge.targets.client import ProbeOutcome
+from dotterelbridge.targets.settings import TargetsSettings
+
+_log = structlog.get_logger(__name__)
+
+_PROBE_TIMEOUT = timedelta(seconds=1)
+_MIN_MEASURED_TARGETS = 3
+"""Targets whose speed is known, from which a usual speed can be told."""
+_SLOW_RATIO = 2.0
+"""Ratio to the usual time between events from which a target counts as slow;
+models and batches of different sizes differ by less."""
+
+
+class TargetTable:
+    """Keeps the state of each target in step with the fleet state."""
+
+    def __init__(
+        self,
+        fleet_state: FleetState,
+        clock: Clock,
+        settings: GatewaySettings,
+        targets_settings: TargetsSettings,
+        rng: random.Random,
+        failure_domain: FailureDomain,
+        regions: dict[FailureDomain, Region],
+        limiter: RateLimiter,
+        buffer_budget: BufferBudget,
+        crash_watch: CrashWatch,
+    ) -> None:
+        self.targets: dict[TargetId, GatewayTarget] = {}
+        self._fleet_state = fleet_state
+        self._clock = clock
+        self._settings = settings
+        self._targets_settings = targets_settings
+        self._random = rng
+        self._failure_domain = failure_domain
+        self._regions = regions
+        self._limiter = limiter
+        self._buffer_budget = buffer_budget
+        self._crash_watch = crash_watch
+
+    def update(self) -> None:
+        """Apply changes of the fleet state."""
+        for name, known in list(self.targets.items()):
+            target = self._fleet_state.targets.get(name)
+            if target is None or target.born != known.view.born:
+                if known.takes_new_work:
+                    self._crash_watch.record_crash(known.incarnation)
+                self.targets.pop(name).client.close()
+                self._limiter.forget(known.incarnation)
+        for name, target in self._fleet_state.targets.items():
+            known = self.targets.get(name)
+            if known is not None and known.view is target:
+                continue
+            if known is not None:
+                known.update(target, self._clock.monotonic())
+            else:
+                self.targets[name] = create_gateway_target(
+                    target,
+                    self._find_distance(target),
+                    self._settings,
+                    self._targets_settings,
+                    self._clock,
+                    self._random,
+                    self._limiter,
+                    self._buffer_budget,
+                )
+        self._update_slowness()
+
+    def list_suitable(self, call: GatewayCall) -> Iterator[GatewayTarget]:
+        """Yield the eligible targets, and those that asked to wait."""
+        now = self._clock.monotonic()
+        for target in self.targets.values():
+            if (
+                target.view.service == call.service.name
+                and target.takes_new_work
+                and not target.is_unreachable
+                and not target.lacks_item(call.item, now)
+            ):
+                yield target
+
+    def list_eligible(self, call: GatewayCall) -> Iterator[GatewayTarget]:
+        """Yield the targets that can take the request, busy ones included."""
+        for target in self.list_suitable(call):
+            if not target.client.is_held_back:
+                yield target
+
+    def list_free(self, call: GatewayCall) -> list[GatewayTarget]:
+        """Return the targets with a free slot, without those that failed."""
+        targets = [t for t in self.list_eligible(call) if t.has_free_slot()]
+        return self._filter_failed(call, targets)
+
+    def _filter_failed(
+        self, call: GatewayCall, targets: list[GatewayTarget]
+    ) -> list[GatewayTarget]:
+        """Leave out targets that failed, unless all of them did."""
+        healthy = [t for t in targets if not t.is_ejected] or targets
+        not_excluded = [
+            t for t in healthy if t.view.target not in call.excluded_targets
+        ]
+        return not_excluded or healthy
+
+    def _update_slowness(self) -> None:
+        """Compare how fast the streams of each service's targets advance."""
+        gaps_ms: dict[ItemName, list[int]] = defaultdict(list)
+        for target in self.targets.values():
+            if target.view.load.event_gap_ms:
+                gaps_ms[target.view.service].append(
+                    target.view.load.event_gap_ms
+                )
+        usual_ms = {
+            service: statistics.median_low(gaps)
+            for service, gaps in gaps_ms.items()
+            if len(gaps) >= _MIN_MEASURED_TARGETS
+        }
+        for target in self.targets.values():
+            usual = usual_ms.get(target.view.service)
+            ratio = target.view.load.event_gap_ms / usual if usual else 0.0
+            slowness = ratio if ratio > _SLOW_RATIO else 1.0
+            if (slowness > 1.0) != target.is_slow:
+                self._log_speed(target, ratio, usual)
+            target.slowness = slowness
+
+    def _log_speed(
+        self, target: GatewayTarget, ratio: float, usual_ms: int | None
+    ) -> None:
+        events.log(
+            _log,
+            GatewayEvent.TARGET_NOT_SLOW
+            if target.is_slow
+            else GatewayEvent.TARGET_SLOW,
+            target=target.view.target,
+            event_gap_ms=target.view.load.event_gap_ms,
+            usual_gap_ms=usual_ms,
+            ratio=round(ratio, 1),
+        )
+
+    def _find_distance(self, target: FleetTarget) -> int:
+        if target.failure_domain == self._failure_domain:
+            return 0
+        own_region = self._regions.get(self._failure_domain)
+        is_same_region = self._regions.get(target.failure_domain) == own_region
+        return 1 if is_same_region else 2
+
+    # Probes.
+
+    def start_probes(
+        self, group: TaskGroup, on_probed: Callable[[], None]
+    ) -> None:
+        """Close idle connections, and probe the ejected targets that are due.
+
+        :param on_probed: called after each probe.
+        """
+        now = self._clock.monotonic()
+        for target in list(self.targets.values()):
+            if target.client.has_connections:
+                target.client.enforce_timeouts()
+            if target.is_ejected and target.ejection.is_probe_due(now):
+                target.ejection.start_probe()
+                group.start_soon(self._probe, target, on_probed)
+
+    async def _probe(
+        self, target: GatewayTarget, on_probed: Callable[[], None]
+    ) -> None:
+        """Probe a target's health, or only connect to one with a rate limit.
+
+        A request for its health takes a slot there, like any other.
+        """
+        path = target.health_path
+        if self._limiter.find_limit(target.incarnation) is not None:
+            path = ""
+        outcome = await target.client.probe(_PROBE_TIMEOUT, path)
+        target.ejection.finish_probe(
+            outcome is ProbeOutcome.UP, self._clock.monotonic()
+        )
+        if outcome is ProbeOutcome.REFUSED and target.takes_new_work:
+            self._crash_watch.record_crash(target.incarnation)
+        on_probed()
--- a/dotterelbridge/ids.py
+++ b/dotterelbridge/ids.py
@@ -13,6 +13,7 @@
 FailureDomain = NewType("FailureDomain", str)
 Region = NewType("Region", str)
 Business = NewType("Business", str)
+TeamName = NewType("TeamName", str)
 TargetId = NewType("TargetId", str)
 Incarnation = tuple[TargetId, int]
 """A target and the Unix time of its start in ms."""
--- a/dotterelbridge/permits/pool.py
+++ b/dotterelbridge/permits/pool.py
@@ -135,6 +135,7 @@
         self._failing_since: float | None = None
         """Monotonic time from which no order was answered."""
         self._retry_at = -math.inf
+        """Monotonic time from which orders are sent again after a failure."""
         self._denied_at: dict[Incarnation, float] = {}
         """Monotonic time of the latest denial."""
 
--- a/dotterelbridge/routes/model.py
+++ b/dotterelbridge/routes/model.py
@@ -7,6 +7,7 @@
 
 from dotterelbridge.ids import ItemName
 from dotterelbridge.routes.errors import RoutesInvalid
+from dotterelbridge.teams.model import Team
 
 _MAX_VERSION = 2**63 - 1
 """Highest version that the log's encoding holds."""
@@ -52,6 +53,8 @@
     has_affinity: bool = False
     """Whether requests share prompt parts that a target may cache."""
     is_resumable: bool = False
+    is_public: bool = False
+    """Whether requests need no key of a team."""
 
     @property
     def is_repeatable(self) -> bool:
@@ -125,6 +128,8 @@
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: CallerLimits
+    teams: tuple[Team, ...] = ()
+    """Empty if callers need no keys."""
 
     def find_service(self, name: str) -> Service | None:
         """Return a service by its name."""
--- /dev/null
+++ b/dotterelbridge/teams/__init__.py
@@ -0,0 +1,1 @@
+"""Teams that share the deployment: their keys, ranks and quotas."""
--- a/tests/gateway/test_plain_services.py
+++ b/tests/gateway/test_plain_services.py
@@ -13,8 +13,8 @@
 
 from dotterelbridge.fleet.fleet_state import FleetState
 from dotterelbridge.gateway.call import GatewayCall
+from dotterelbridge.gateway.outcomes import AttemptOutcome
 from dotterelbridge.gateway.request import GatewayRequest
-from dotterelbridge.gateway.router import AttemptOutcome
 from dotterelbridge.gateway.router import create_gateway_router
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.routes.model import Repeatability
--- a/tests/gateway/test_quarantined_parts.py
+++ b/tests/gateway/test_quarantined_parts.py
@@ -9,8 +9,8 @@
 from dotterelbridge.fleet.records import TargetPhase
 from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.errors import UnavailableReason
+from dotterelbridge.gateway.outcomes import AttemptOutcome
 from dotterelbridge.gateway.request import PromptPart
-from dotterelbridge.gateway.router import AttemptOutcome
 from dotterelbridge.quarantine.crash_watch import CrashWatch
 from dotterelbridge.quarantine.quarantine import QuarantinedTrait
 from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -12,8 +12,8 @@
 from dotterelbridge.fleet.records import TargetLoad
 from dotterelbridge.gateway.call import GatewayCall
 from dotterelbridge.gateway.errors import NoTargetAvailable
+from dotterelbridge.gateway.outcomes import AttemptOutcome
 from dotterelbridge.gateway.request import GatewayRequest
-from dotterelbridge.gateway.router import AttemptOutcome
 from dotterelbridge.gateway.router import create_gateway_router
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.targets.settings import TargetsSettings
--- a/tests/gateway/test_target_statements.py
+++ b/tests/gateway/test_target_statements.py
@@ -7,7 +7,7 @@
 
 from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.errors import UnavailableReason
-from dotterelbridge.gateway.router import AttemptOutcome
+from dotterelbridge.gateway.outcomes import AttemptOutcome
 from dotterelbridge.targets.statements import TargetStatement
 from tests.gateway.support import NOT_RUN_HEADERS
 from tests.gateway.support import SIGNED_HEADERS
--- a/tests/rate_limit_fleet.py
+++ b/tests/rate_limit_fleet.py
@@ -20,7 +20,7 @@
 from dotterelbridge.fleet.rate_limit_recorder import RateLimitRecorder
 from dotterelbridge.fleet.records import TargetPhase
 from dotterelbridge.fleet.settings import FleetSettings
-from dotterelbridge.gateway.router import AttemptOutcome
+from dotterelbridge.gateway.outcomes import AttemptOutcome
 from dotterelbridge.ids import Priority
 from dotterelbridge.ids import RequestId
 from dotterelbridge.ids import TargetId
