--- a/dotterelbridge/fleet/messages.py
+++ b/dotterelbridge/fleet/messages.py
@@ -74,6 +74,28 @@
     waiting: int
 
 
+class TargetAnswers(msgspec.Struct, frozen=True, array_like=True):
+    """Answers that one entry VM got from one incarnation of a target."""
+
+    target: TargetId
+    born: int
+    answered: int
+    """Requests answered without a server error."""
+    errors: int
+    """Requests answered with a server error."""
+
+
+class StreamGap(msgspec.Struct, frozen=True, array_like=True):
+    """Time between the events of the streams of one model at one target."""
+
+    target: TargetId
+    born: int
+    model: str
+    streams: int
+    gap_ms: float
+    """Median over the streams of their median time between two events."""
+
+
 @register_message("fleet.demand")
 class DemandReport(Message, frozen=True, kw_only=True, array_like=True):
     """Reports the demand of an entry VM's callers to the active controller."""
@@ -83,3 +105,7 @@
     answered_traits: tuple[TraitId, ...] = ()
     """Traits of requests that were answered completely since the previous
     report."""
+    answers: tuple[TargetAnswers, ...] = ()
+    """Answers since the previous report, where there were any."""
+    stream_gaps: tuple[StreamGap, ...] = ()
+    """Measurements since the previous report."""
--- a/dotterelbridge/fleet/records.py
+++ b/dotterelbridge/fleet/records.py
@@ -48,6 +48,11 @@
     kv_tokens_used: int = 0
     event_gap_ms: int = 0
     """Mean time between two events of a stream; 0 while unknown."""
+    speed_percent: int = 100
+    """Time of a step in percent of what is usual for the same models; 160
+    means that a step takes 1.6 times as long."""
+    error_percent: int = 0
+    """Share of requests that ended with a server error, over all VMs."""
 
 
 class FleetTarget(msgspec.Struct, frozen=True, array_like=True):
--- a/dotterelbridge/fleet/settings.py
+++ b/dotterelbridge/fleet/settings.py
@@ -69,5 +69,8 @@
     in which the entry VMs stop sending requests: one crossing of the
     slowest link to the control VMs, one of a request in transit, and a
     margin."""
+    place_by_speed: bool = False
+    """Whether models whose work is heavy are placed on engines whose steps
+    take less time."""
     store_burst_s: Annotated[float, Meta(gt=0)] = 5.0
     """Window over which loads from the weight store are counted."""
--- a/dotterelbridge/gateway/settings.py
+++ b/dotterelbridge/gateway/settings.py
@@ -1,5 +1,6 @@
 """Settings of the gateway."""
 
+import enum
 from typing import Annotated
 
 from msgspec import Meta
@@ -11,6 +12,18 @@
 _Percent = Annotated[int, Meta(ge=1, le=1000)]
 
 
+class BalanceMode(enum.Enum):
+    """By what the load of targets is compared."""
+
+    REQUESTS = "requests"
+    """Their number of requests."""
+    WORK = "work"
+    """The work that their requests still cause."""
+    AUTO = "auto"
+    """By work where targets differ in speed or teams share them, otherwise
+    by requests."""
+
+
 class GatewaySettings(Section, frozen=True, kw_only=True):
     """Section ``[gateway]``."""
 
@@ -67,6 +80,11 @@
     memory until it is complete."""
     event_limit_kb: _Count = 256
     """Limit on the size of one server-sent event."""
+    balance: BalanceMode = BalanceMode.REQUESTS
+    """By what the load of targets is compared: requests, work, or auto."""
+    error_evidence: bool = False
+    """Whether targets that answer more of their requests with errors than is
+    usual for their service get fewer of them."""
     answer_grace_ms: _Milliseconds = 150
     """Time beyond a request's deadline in which the target's response is
     still accepted."""
