Send fewer requests to targets that answer with errors

Change: entry VMs report answers and errors by target, the active controller publishes the share of errors, and a VM leaves a target out whose share exceeds the usual one of its service by a quarter, while others can take the request. A request that may be repeated tries it again twice a second over all VMs.

Measured: not yet; tests/gateway and tests/fleet pass.

--- a/dotterelbridge/fleet/controller.py
+++ b/dotterelbridge/fleet/controller.py
@@ -35,6 +35,7 @@
 from dotterelbridge.fleet.sender import get_item_kind
 from dotterelbridge.fleet.settings import FleetSettings
 from dotterelbridge.fleet.store_limiter import StoreLoadLimiter
+from dotterelbridge.fleet.target_evidence import TargetEvidence
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import VmId
 from dotterelbridge.replication.recovering_log import RecoveringLog
@@ -297,10 +298,13 @@
     control: EngineControl,
     settings: FleetSettings,
     clock: Clock,
+    evidence: TargetEvidence | None = None,
 ) -> FleetController:
     """Return the fleet controller of a control VM."""
     authority = OrderAuthority(own_vm, log, settings, clock)
-    engines = EngineStates(fleet_state, routes, control, settings, clock)
+    engines = EngineStates(
+        fleet_state, routes, control, settings, clock, evidence
+    )
     sender = OrderSender(authority, engines, control, settings, clock)
     return FleetController(
         authority,
--- a/dotterelbridge/fleet/engine_states.py
+++ b/dotterelbridge/fleet/engine_states.py
@@ -17,6 +17,7 @@
 from dotterelbridge.fleet.fleet_state import FleetState
 from dotterelbridge.fleet.records import TargetPhase
 from dotterelbridge.fleet.settings import FleetSettings
+from dotterelbridge.fleet.target_evidence import TargetEvidence
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import TargetId
 from dotterelbridge.routes.active_routes import ActiveRoutes
@@ -40,7 +41,12 @@
         control: EngineControl,
         settings: FleetSettings,
         clock: Clock,
+        evidence: TargetEvidence | None = None,
     ) -> None:
+        """Create an empty table.
+
+        :param evidence: adds what entry VMs have measured to reported loads.
+        """
         self.changed = anyio.Event()
         """Set when a report was read or a new plan is requested."""
         self._fleet_state = fleet_state
@@ -48,6 +54,7 @@
         self._control = control
         self._settings = settings
         self._clock = clock
+        self._evidence = evidence
         self._states: dict[TargetId, EngineState] = {}
         self._fetching: set[TargetId] = set()
 
@@ -135,10 +142,13 @@
             )
         now = self._clock.monotonic()
         state.apply_report(report, now)
+        load = state.describe_load(report, now)
+        if self._evidence is not None:
+            load = self._evidence.complete_load(state.target, load)
         target = msgspec.structs.replace(
             state.target,
             held=state.list_served_models(),
-            load=state.describe_load(report, now),
+            load=load,
             is_silent=False,
         )
         if report.is_leaving:
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -19,6 +19,7 @@
 from dotterelbridge.gateway.balance import choose_candidate
 from dotterelbridge.gateway.budget import RetryBudget
 from dotterelbridge.gateway.call import GatewayCall
+from dotterelbridge.gateway.error_watch import ErrorWatch
 from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.errors import UnavailableReason
 from dotterelbridge.gateway.events import GatewayEvent
@@ -54,6 +55,7 @@
 _REPORT_LIFETIME_S = 0.75
 """Time during which VMs act on one load report: the interval of reports plus
 the time for which the control VMs batch them."""
+_ANSWERS = (AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR)
 
 
 class GatewayRouter(Dumpable):
@@ -81,6 +83,9 @@
         self.buffer_budget = create_buffer_budget(targets_settings)
         self._random = rng
         self._count_entry_vms = count_entry_vms
+        self.error_watch = (
+            ErrorWatch(clock, rng) if settings.error_evidence else None
+        )
         self._table = TargetTable(
             fleet_state,
             clock,
@@ -92,6 +97,8 @@
             limiter,
             self.buffer_budget,
             self.crash_watch,
+            self.error_watch,
+            count_entry_vms,
         )
         self._targets = self._table.targets
         self._waiting = WaitPolicy(
@@ -265,6 +272,10 @@
         now = self._clock.monotonic()
         if slot.call.item is not None:
             self._running[slot.call.item] -= 1
+        if self.error_watch is not None and outcome in _ANSWERS:
+            self.error_watch.record_answer(
+                target.incarnation, outcome is AttemptOutcome.SERVER_ERROR
+            )
         if outcome is AttemptOutcome.ANSWERED:
             target.ejection.record_success()
             target.record_response(slot.acquired_at, now)
--- a/dotterelbridge/gateway/target_table.py
+++ b/dotterelbridge/gateway/target_table.py
@@ -15,6 +15,7 @@
 from dotterelbridge.fleet.fleet_state import FleetState
 from dotterelbridge.fleet.records import FleetTarget
 from dotterelbridge.gateway.call import GatewayCall
+from dotterelbridge.gateway.error_watch import ErrorWatch
 from dotterelbridge.gateway.events import GatewayEvent
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.gateway.target import GatewayTarget
@@ -54,7 +55,14 @@
         limiter: RateLimiter,
         buffer_budget: BufferBudget,
         crash_watch: CrashWatch,
+        error_watch: ErrorWatch | None,
+        count_entry_vms: Callable[[], int],
     ) -> None:
+        """Create an empty table.
+
+        :param error_watch: finds targets that answer with errors; None if
+            these get requests like any other.
+        """
         self.targets: dict[TargetId, GatewayTarget] = {}
         self._fleet_state = fleet_state
         self._clock = clock
@@ -66,6 +74,8 @@
         self._limiter = limiter
         self._buffer_budget = buffer_budget
         self._crash_watch = crash_watch
+        self._error_watch = error_watch
+        self._count_entry_vms = count_entry_vms
 
     def update(self) -> None:
         """Apply changes of the fleet state."""
@@ -76,6 +86,8 @@
                     self._crash_watch.record_crash(known.incarnation)
                 self.targets.pop(name).client.close()
                 self._limiter.forget(known.incarnation)
+                if self._error_watch is not None:
+                    self._error_watch.forget(known.incarnation)
         for name, target in self._fleet_state.targets.items():
             known = self.targets.get(name)
             if known is not None and known.view is target:
@@ -116,7 +128,12 @@
     def list_free(self, call: GatewayCall) -> list[GatewayTarget]:
         """Return the targets with a free slot, without those that failed."""
         targets = [t for t in self.list_eligible(call) if t.has_free_slot()]
-        return self._filter_failed(call, targets)
+        targets = self._filter_failed(call, targets)
+        if self._error_watch is None:
+            return targets
+        return self._error_watch.select_sound(
+            call, targets, self._count_entry_vms()
+        )
 
     def _filter_failed(
         self, call: GatewayCall, targets: list[GatewayTarget]
--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -19,6 +19,7 @@
 from dotterelbridge.fleet.listing import TargetListing
 from dotterelbridge.fleet.messages import DemandReport
 from dotterelbridge.fleet.rate_limit_recorder import RateLimitRecorder
+from dotterelbridge.fleet.target_evidence import TargetEvidence
 from dotterelbridge.ids import Term
 from dotterelbridge.ids import VmId
 from dotterelbridge.nodes.directory import ControlVmDirectory
@@ -98,6 +99,7 @@
                 self._fleet_follower.run,
                 self._listing_reader.run,
                 self._fleet_controller.run,
+                self._target_evidence.run,
                 self._quarantine_keeper.run,
                 self._permit_service.run,
             ),
@@ -186,6 +188,9 @@
         self._replicated_log.add_state_machine(
             AUTHORITY_STATE_MACHINE, AuthorityTable()
         )
+        self._target_evidence = TargetEvidence(
+            self._fleet_state, clock, self._replicated_log.has_leader_lease
+        )
         self._fleet_controller = create_fleet_controller(
             self._own_vm.vm,
             self._replicated_log,
@@ -195,6 +200,7 @@
             engines,
             settings,
             clock,
+            self._target_evidence,
         )
         self._network.register_handler(
             DemandReport, self._handle_demand_report
@@ -272,6 +278,7 @@
             self._fleet_feed.record_waiting(sender)
         if self._replicated_log.has_leader_lease():
             self._quarantine_keeper.record_answered(report.answered_traits)
+            self._target_evidence.add_report(report)
             if self._demand_tracker.add_report(report):
                 self._fleet_controller.request_plan()
             return
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -9,6 +9,7 @@
 from dotterelbridge.errors import PeerError
 from dotterelbridge.fleet.feed import FleetFollower
 from dotterelbridge.fleet.messages import DemandReport
+from dotterelbridge.fleet.messages import TargetAnswers
 from dotterelbridge.fleet.permit_channel import SourceChannel
 from dotterelbridge.gateway.app import create_gateway_app
 from dotterelbridge.gateway.headers import HeaderNames
@@ -177,17 +178,24 @@
             items = self._router.read_demand()
             source = self._fleet_follower.source
             answered_traits = self._router.crash_watch.read_answered_traits()
-            if source is not None and (items or answered_traits):
+            answers = self._read_answers()
+            if source is not None and (items or answered_traits or answers):
                 self._network.send(
                     source,
                     DemandReport(
                         entry_vm=self._network.own_id,
                         items=items,
                         answered_traits=answered_traits,
+                        answers=answers,
                     ),
                 )
             await self._clock.sleep(min_interval)
 
+    def _read_answers(self) -> tuple[TargetAnswers, ...]:
+        """Return how targets answered since the previous report."""
+        error_watch = self._router.error_watch
+        return () if error_watch is None else error_watch.read_counts()
+
     async def _report_crashes(self) -> None:
         """Send reports of crashed targets, each until the leader has it."""
         while True:
