Hold back requests from targets that fail most of them

Change: a target with a share of errors of a half or more takes no requests but trials; its requests wait for other targets, and placement looks for another engine for what it holds. At most a quarter of a service's targets are left out.

--- a/dotterelbridge/fleet/engine_state.py
+++ b/dotterelbridge/fleet/engine_state.py
@@ -15,6 +15,9 @@
 from dotterelbridge.fleet.records import TargetLoad
 from dotterelbridge.routes.model import EngineInfo
 
+_FAILING_PERCENT = 50
+"""Share of errors from which entry VMs send an engine no requests, so that
+what it holds needs another place."""
 SILENT_REPORT_COUNT = 2
 """Consecutive failed reports after which an engine counts as dead until a
 report succeeds. Its models are then loaded elsewhere, seconds before the
@@ -95,6 +98,11 @@
         """Whether the engine counts as dead."""
         return self._failed_report_count >= SILENT_REPORT_COUNT
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the engine answers most requests with errors."""
+        return self.target.load.error_percent >= _FAILING_PERCENT
+
     def describe_load(self, report: EngineReport, now: float) -> TargetLoad:
         """Return the load in a report, with the measured speed."""
         self._event_gaps.record(report.streams, now)
--- a/dotterelbridge/fleet/placement_index.py
+++ b/dotterelbridge/fleet/placement_index.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterator
+import math
 
 from dotterelbridge.fleet.demand import Demand
 from dotterelbridge.fleet.engine_state import EngineState
@@ -11,6 +12,10 @@
 
 _NO_DEMAND = Demand()
 
+_MAX_FAILING_PART = 0.25
+"""Largest part of the engines that count as failing; if more fail, other
+engines would not do better."""
+
 
 class PlacementIndex:
     """Built once for each plan and updated as steps are added.
@@ -26,11 +31,7 @@
         demand: dict[ItemKey, Demand],
     ) -> None:
         self.service = service
-        self.states = [
-            state
-            for state in states
-            if state.target.takes_new_work and not state.is_silent
-        ]
+        self.states = _list_usable(states)
         self.demand = {
             key: entry
             for key, entry in demand.items()
@@ -173,3 +174,16 @@
             total.last_arrival_at, entry.last_arrival_at
         )
     return totals
+
+
+def _list_usable(states: list[EngineState]) -> list[EngineState]:
+    """Return the engines to which entry VMs send requests."""
+    usable = [
+        state
+        for state in states
+        if state.target.takes_new_work and not state.is_silent
+    ]
+    failing = sum(state.is_failing for state in usable)
+    if failing > math.ceil(len(usable) * _MAX_FAILING_PART):
+        return usable
+    return [state for state in usable if not state.is_failing]
--- a/dotterelbridge/gateway/error_watch.py
+++ b/dotterelbridge/gateway/error_watch.py
@@ -5,10 +5,10 @@
 """
 
 from collections import Counter
+from collections.abc import Iterable
 from collections.abc import Sequence
 import math
 import random
-import statistics
 
 import msgspec
 
@@ -20,12 +20,16 @@
 
 _HALF_LIFE_S = 4.0
 """Half-life of what this VM has seen itself."""
-_PRIOR_ANSWERS = 1.0
+_PRIOR_ANSWERS = 2.0
 """Answers without an error that are assumed at first, so that one error does
 not outweigh what all VMs have seen."""
 _EXCESS = 0.25
-"""Share of errors beyond the usual one of the service, from which a target
-counts as failing. Part of it is chance: a VM sees a few answers."""
+"""Difference of the shares of errors from which another target is better.
+Part of it is chance: a VM sees a few answers."""
+_FAILING_SHARE = 0.5
+"""Share of errors from which a request is better off in a queue."""
+_MAX_FAILING_PART = 0.25
+"""Largest part of a service's targets that are left out."""
 _TRIALS_PER_S = 2.0
 """Trials of one failing target over all VMs."""
 
@@ -72,34 +76,53 @@
             for error_count in (errors[target, born],)
         )
 
-    def select_sound(
-        self,
-        call: GatewayCall,
-        targets: Sequence[GatewayTarget],
-        vm_count: int,
-    ) -> list[GatewayTarget]:
-        """Leave out failing targets, unless all of them fail alike.
+    def is_failing(
+        self, target: GatewayTarget, targets: Iterable[GatewayTarget]
+    ) -> bool:
+        """Whether a target answers so many errors that none should go there.
+
+        Its requests wait for other targets, also where these are full, and
+        the item that it alone holds counts as missing. At most a quarter of
+        a service's targets fail at a time; if more do, the cause is
+        elsewhere.
 
-        From time to time a request that may be repeated tries a failing
-        target, and only that one is returned.
+        :param targets: all targets, of any service.
         """
-        if len(targets) < 2:
-            return list(targets)
+        now = self._clock.monotonic()
+        share = self._estimate_share(target, now)
+        if share < _FAILING_SHARE:
+            return False
+        shares = sorted(
+            (
+                self._estimate_share(other, now)
+                for other in targets
+                if other.view.service == target.view.service
+            ),
+            reverse=True,
+        )
+        limit = math.ceil(len(shares) * _MAX_FAILING_PART)
+        return len(shares) > limit and share > shares[limit]
+
+    def takes_trial(
+        self, call: GatewayCall, target: GatewayTarget, vm_count: int
+    ) -> bool:
+        """Whether a request that may be repeated tries a failing target."""
+        return _may_be_repeated(call) and self._is_trial_due(
+            target.incarnation, vm_count, self._clock.monotonic()
+        )
+
+    def prefer_sound(
+        self, targets: Sequence[GatewayTarget]
+    ) -> list[GatewayTarget]:
+        """Leave out targets with many errors while others are free."""
         now = self._clock.monotonic()
         shares = [self._estimate_share(target, now) for target in targets]
-        usual = statistics.median_low(shares)
-        failing = [
+        lowest = min(shares, default=0.0)
+        return [
             target
             for target, share in zip(targets, shares, strict=True)
-            if share > usual + _EXCESS
+            if share <= lowest + _EXCESS
         ]
-        if not failing:
-            return list(targets)
-        if _may_be_repeated(call):
-            for target in failing:
-                if self._takes_trial(target.incarnation, vm_count, now):
-                    return [target]
-        return [target for target in targets if target not in failing]
 
     def _estimate_share(self, target: GatewayTarget, now: float) -> float:
         """Return the higher of the own share of errors and that of all."""
@@ -112,7 +135,7 @@
         total = errors + seen.answered * fade + _PRIOR_ANSWERS
         return max(published, errors / total)
 
-    def _takes_trial(
+    def _is_trial_due(
         self, incarnation: Incarnation, vm_count: int, now: float
     ) -> bool:
         """Whether it is this VM's turn to try a failing target."""
--- a/dotterelbridge/gateway/target_table.py
+++ b/dotterelbridge/gateway/target_table.py
@@ -109,6 +109,12 @@
 
     def list_suitable(self, call: GatewayCall) -> Iterator[GatewayTarget]:
         """Yield the eligible targets, and those that asked to wait."""
+        for target in self._list_holders(call):
+            if not self._is_failing(target):
+                yield target
+
+    def _list_holders(self, call: GatewayCall) -> Iterator[GatewayTarget]:
+        """Yield the reachable targets that can run the request."""
         now = self._clock.monotonic()
         for target in self.targets.values():
             if (
@@ -119,6 +125,12 @@
             ):
                 yield target
 
+    def _is_failing(self, target: GatewayTarget) -> bool:
+        """Whether a target would probably answer with an error."""
+        return self._error_watch is not None and self._error_watch.is_failing(
+            target, self.targets.values()
+        )
+
     def list_eligible(self, call: GatewayCall) -> Iterator[GatewayTarget]:
         """Yield the targets that can take the request, busy ones included."""
         for target in self.list_suitable(call):
@@ -131,9 +143,25 @@
         targets = self._filter_failed(call, targets)
         if self._error_watch is None:
             return targets
-        return self._error_watch.select_sound(
-            call, targets, self._count_entry_vms()
-        )
+        trial = self._find_trial(call, self._error_watch)
+        return [trial] if trial else self._error_watch.prefer_sound(targets)
+
+    def _find_trial(
+        self, call: GatewayCall, error_watch: ErrorWatch
+    ) -> GatewayTarget | None:
+        """Return a failing target that the request is to try, if any."""
+        for target in self._list_holders(call):
+            if (
+                self._is_failing(target)
+                and target.has_free_slot()
+                and not target.client.is_held_back
+                and not target.is_ejected
+                and error_watch.takes_trial(
+                    call, target, self._count_entry_vms()
+                )
+            ):
+                return target
+        return None
 
     def _filter_failed(
         self, call: GatewayCall, targets: list[GatewayTarget]
