--- a/dotterelbridge/fleet/events.py
+++ b/dotterelbridge/fleet/events.py
@@ -95,3 +95,9 @@
         "the reasons for delayed items, the age of the oldest report, and "
         "the items and requests that wait.",
     )
+    ERROR_SHARE_CHANGED = (
+        5538,
+        logging.WARNING,
+        "The share of requests that a target answers with server errors has "
+        "changed, over all entry VMs; from a half on it gets trials only.",
+    )
--- a/dotterelbridge/fleet/target_evidence.py
+++ b/dotterelbridge/fleet/target_evidence.py
@@ -4,14 +4,19 @@
 from datetime import timedelta
 
 import msgspec
+import structlog
 
+from dotterelbridge import events
 from dotterelbridge.clock import Clock
 from dotterelbridge.fleet.error_shares import ErrorShares
+from dotterelbridge.fleet.events import FleetEvent
 from dotterelbridge.fleet.fleet_state import FleetState
 from dotterelbridge.fleet.messages import DemandReport
 from dotterelbridge.fleet.records import FleetTarget
 from dotterelbridge.fleet.records import TargetLoad
 
+_log = structlog.get_logger(__name__)
+
 _INTERVAL = timedelta(milliseconds=250)
 """Time between two updates of targets that have no reports of their own."""
 
@@ -55,13 +60,23 @@
         while True:
             await self._clock.sleep(_INTERVAL)
             if self._is_controller():
-                self._publish()
+                self.publish()
 
-    def _publish(self) -> None:
+    def publish(self) -> None:
+        """Publish what has changed."""
         changed = []
         for target in self._fleet_state.targets.values():
             load = self.complete_load(target, target.load)
             if load != target.load:
                 changed.append(msgspec.structs.replace(target, load=load))
+                if load.error_percent != target.load.error_percent:
+                    events.log(
+                        _log,
+                        FleetEvent.ERROR_SHARE_CHANGED,
+                        target=target.target,
+                        born=target.born,
+                        error_percent=load.error_percent,
+                        before=target.load.error_percent,
+                    )
         if changed:
             self._fleet_state.update(changed)
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -38,7 +38,12 @@
     """The router of one entry VM, without a network."""
 
     def __init__(
-        self, vm_count=2, seed=1, fleet_state=None, limiter=None
+        self,
+        vm_count=2,
+        seed=1,
+        fleet_state=None,
+        limiter=None,
+        settings=SETTINGS,
     ) -> None:
         self.clock = LoopClock()
         self.fleet_state = fleet_state or FleetState(self.clock)
@@ -46,7 +51,7 @@
         self.router = create_gateway_router(
             self.fleet_state,
             self.clock,
-            SETTINGS,
+            settings,
             TargetsSettings(),
             random.Random(seed),
             DOMAIN,
