Decode and check the teams of routes documents

The configuration may name teams with keys, a priority and a quota; the decoders ignored them.

A quota with rate 0 counts as no limit.

--- a/dotterelbridge/routes/document.py
+++ b/dotterelbridge/routes/document.py
@@ -9,6 +9,7 @@
 from dotterelbridge.json_documents import decode_document
 from dotterelbridge.routes.errors import RoutesInvalid
 from dotterelbridge.routes.model import RouteSet
+from dotterelbridge.teams.validation import drop_unlimited_quotas
 
 DOCUMENT_LIMIT_BYTES = 16 * 1024 * 1024
 """Largest decompressed document; protects against decompression bombs."""
@@ -57,7 +58,9 @@
                 "describes it",
             ) from None
         routes.check()
-        return routes
+        return msgspec.structs.replace(
+            routes, teams=drop_unlimited_quotas(routes.teams)
+        )
 
 
 def pack_routes(version: int, document: bytes) -> PackedRoutes:
--- a/dotterelbridge/routes/model.py
+++ b/dotterelbridge/routes/model.py
@@ -8,6 +8,7 @@
 from dotterelbridge.ids import ItemName
 from dotterelbridge.routes.errors import RoutesInvalid
 from dotterelbridge.teams.model import Team
+from dotterelbridge.teams.validation import check_teams
 
 _MAX_VERSION = 2**63 - 1
 """Highest version that the log's encoding holds."""
@@ -160,6 +161,7 @@
                     "give each route its own host and prefix",
                 )
             seen_prefixes.add(prefix)
+        check_teams(self.teams)
 
 
 def _check_route(route: Route, service_names: set[ItemName]) -> None:
--- a/dotterelbridge/teams/model.py
+++ b/dotterelbridge/teams/model.py
@@ -34,3 +34,7 @@
     """Replaces the rank of routes; 0 is the highest."""
     quota: Quota | None = None
     """None if the team's use is not limited."""
+
+    def __repr__(self) -> str:
+        """Return a description without the keys, which stay out of logs."""
+        return f"Team(name={self.name!r}, rank={self.rank})"
