Authenticate requests by the keys of teams

Authorization was forwarded to targets as received, and the header for the name of the team was free for callers to set.

While the deployment has teams, a request on a route that is not public needs exactly one Authorization: Bearer KEY, and otherwise gets 401. The key, and each spelling of the team's header, is removed before the request is routed; every attempt carries the name of the team that was found. Without teams, nothing changes.

--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -18,6 +18,8 @@
 from dotterelbridge.gateway.attempts import AttemptRunner
 from dotterelbridge.gateway.attempts import TargetFailed
 from dotterelbridge.gateway.attempts import WholeResponse
+from dotterelbridge.gateway.authentication import Authenticator
+from dotterelbridge.gateway.authentication import KeyRefused
 from dotterelbridge.gateway.call import GatewayCall
 from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.errors import RequestNotRun
@@ -43,6 +45,7 @@
 from dotterelbridge.serving.response import write_response
 from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.serving.stop_grace import StopGrace
+from dotterelbridge.teams.model import Team
 
 _log = structlog.get_logger(__name__)
 
@@ -50,6 +53,7 @@
 _MS_PER_S = 1000
 _ROUTES_POLL_INTERVAL = timedelta(milliseconds=20)
 _DEFAULT_RETRY_AFTER = timedelta(milliseconds=500)
+_UNAUTHORIZED_STATUS = 401
 _REASON_NOT_RUN = "not_run"
 """Reason in logs and metrics if all attempts ended without a run."""
 
@@ -71,6 +75,7 @@
         self._routes = routes
         self._router = router
         self._header_names = header_names
+        self._authenticator = Authenticator(routes, header_names)
         self._settings = settings
         self._serving = serving
         self._clock = clock
@@ -122,7 +127,12 @@
         if route is None:
             await self._refuse_unrouted(sink, request, _NO_ROUTE)
             return
-        call = self._create_call(request, route, started_at)
+        try:
+            request, team = self._authenticator.authenticate(request, route)
+        except KeyRefused as error:
+            await self._refuse_key(sink, request, route, error)
+            return
+        call = self._create_call(request, route, team, started_at)
         self._router.record_arrival(call)
         await self._run_call(call, receive, sink)
 
@@ -136,7 +146,11 @@
                 await self._clock.sleep(_ROUTES_POLL_INTERVAL)
 
     def _create_call(
-        self, request: GatewayRequest, route: Route, started_at: float
+        self,
+        request: GatewayRequest,
+        route: Route,
+        team: Team | None,
+        started_at: float,
     ) -> GatewayCall:
         limit_ms = route.time_limit_ms
         if request.deadline_ms is not None:
@@ -150,6 +164,7 @@
             route=route,
             service=service,
             item=item,
+            team=team,
             started_at=started_at,
             deadline_at=started_at + limit_ms / _MS_PER_S,
             first_byte_deadline_at=started_at
@@ -370,6 +385,31 @@
         )
         await self._write_error(sink, request.request_id, error_response)
 
+    async def _refuse_key(
+        self,
+        sink: ResponseSink,
+        request: GatewayRequest,
+        route: Route,
+        error: KeyRefused,
+    ) -> None:
+        """Answer a request whose route needs the key of a team."""
+        events.log(
+            _log,
+            GatewayEvent.KEY_REFUSED,
+            request=request.request_id,
+            route=route.name,
+            reason=error.fault.value,
+            routes_version=self._routes.version,
+        )
+        error_response = ErrorResponse(
+            status=_UNAUTHORIZED_STATUS,
+            kind="unauthorized",
+            message=error.problem,
+            remedy=error.remedy,
+            run=RunStatus.NO,
+        )
+        await self._write_error(sink, request.request_id, error_response)
+
     async def _send_error(
         self, runner: AttemptRunner, error_response: ErrorResponse
     ) -> None:
@@ -403,6 +443,8 @@
         if error_response.retry_after is not None:
             seconds = error_response.retry_after.total_seconds()
             headers.append((b"retry-after", b"%.2f" % seconds))
+        if error_response.status == _UNAUTHORIZED_STATUS:
+            headers.append((b"www-authenticate", b"Bearer"))
         return headers
 
     # Logs and metrics.
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -214,6 +214,8 @@
             headers.append((names.last_event_id, self._parser.last_id))
         headers.append((names.deadline_ms, b"%d" % max(1, int(remaining_ms))))
         headers.append((names.expected_target, slot.view.target.encode()))
+        if self.call.team is not None:
+            headers.append((names.team, self.call.team.name.encode("latin-1")))
         if self.call.item is not None:
             headers.append((names.urgency, b"%d" % self.call.urgency))
         first_byte_limit = None
--- a/dotterelbridge/gateway/events.py
+++ b/dotterelbridge/gateway/events.py
@@ -79,3 +79,9 @@
         logging.INFO,
         "The streams of a slow target advance at the usual speed again.",
     )
+    KEY_REFUSED = (
+        8514,
+        logging.WARNING,
+        "A request to a route that is not public had no valid key; it has "
+        "not run. The line gives the reason, never the key.",
+    )
--- a/dotterelbridge/gateway/headers.py
+++ b/dotterelbridge/gateway/headers.py
@@ -23,6 +23,8 @@
     """ID of the intended target; any other target refuses the request."""
     urgency: bytes = b"dotterelbridge-urgency"
     """Priority at the target, from 0 (most urgent) to 9."""
+    team: bytes = b"dotterelbridge-team"
+    """Name of the team whose key the caller sent."""
     not_run: bytes = b"dotterelbridge-not-run"
     """In a response: the target did not run the request."""
     signature: bytes | None = None
--- a/tests/serving/fakes.py
+++ b/tests/serving/fakes.py
@@ -60,6 +60,8 @@
     body: bytes
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    head: bytes = b""
+    """As received, with repeated headers."""
 
     @property
     def offset(self) -> int:
@@ -227,7 +229,7 @@
     headers = dict(field.split(": ", 1) for field in fields)
     length = int(headers.get("content-length", "0"))
     body = await reader.readexactly(length)
-    return ReceivedRequest(method, path, headers, body, reader, writer)
+    return ReceivedRequest(method, path, headers, body, reader, writer, head)
 
 
 class FakeMembership(MembershipView):
