Serve keys only while the VM knows that they are current

An entry VM that was paused, partitioned or just started served keys that had been taken away long before.

FleetUpdate.confirmed_ms states the age of the source's routes: 0 on a leader that holds its lease and has applied all committed entries, else the age by the same rule. KeyPermission counts from the time at which the poll was sent. It is checked on arrival and before each send of a request that has not run; without it, the answer is 503. An update whose routes were not activated does not renew it. [teams] key_lifetime_ms and refusal_age_ms are 0 by default; the platform's template sets them from its bounds.

--- a/dotterelbridge/fleet/feed.py
+++ b/dotterelbridge/fleet/feed.py
@@ -27,6 +27,8 @@
 from dotterelbridge.quarantine.quarantine import Quarantine
 from dotterelbridge.routes.active_routes import ActiveRoutes
 from dotterelbridge.sheet.feed import LogContact
+from dotterelbridge.teams.permission import UNCONFIRMED_MS
+from dotterelbridge.teams.permission import KeyPermission
 
 _log = structlog.get_logger(__name__)
 
@@ -80,6 +82,7 @@
         clock: Clock,
         detached_ms: Callable[[], int],
         list_control_vms: Callable[[], tuple[VmId, ...]],
+        confirmed_ms: Callable[[], int] = lambda: UNCONFIRMED_MS,
     ) -> None:
         self._fleet_state = fleet_state
         self._routes = routes
@@ -88,6 +91,7 @@
         self._clock = clock
         self._detached_ms = detached_ms
         self._list_control_vms = list_control_vms
+        self._confirmed_ms = confirmed_ms
         self._followers: dict[VmId, tuple[float, int]] = {}
         self._waiting_until: dict[VmId, float] = {}
         """Until when each follower is assumed to have waiting requests."""
@@ -232,6 +236,7 @@
             rate_limits=self._fleet_state.list_rate_limits(),
             lifted_rate_limits=self._fleet_state.list_lifted_rate_limits(),
             watched_traits=tuple(self._fleet_state.watched_traits),
+            confirmed_ms=self._confirmed_ms(),
         )
 
 
@@ -249,6 +254,7 @@
         random: random_module.Random,
         list_sources: Callable[[], Sequence[VmId]],
         count_entry_vms: Callable[[], int],
+        key_permission: KeyPermission | None = None,
     ) -> None:
         self.entry_vm_count = 0
         """Number of entry VMs in the deployment, from the source."""
@@ -265,6 +271,7 @@
         self._random = random
         self._list_sources = list_sources
         self._count_entry_vms = count_entry_vms
+        self._key_permission = key_permission
         self._epoch = ""
         self._revision = 0
         self._started_at = clock.monotonic()
@@ -335,6 +342,7 @@
             milliseconds=self._settings.poll_hold_ms
             + self._settings.poll_grace_ms
         )
+        sent_at = self._clock.monotonic()
         try:
             update = await self._network.request(source, poll, timeout)
         except PeerError as error:
@@ -350,6 +358,7 @@
             self._rejected_sources.add(source)
             return False
         self._apply_update(update)
+        self._renew_key_permission(update, sent_at)
         if update.detached_ms > self._settings.detached_limit_ms:
             self._rejected_sources.add(source)
             return len(self._list_sources()) > 1
@@ -375,6 +384,17 @@
                 callback()
         self.contact.record_contact(update.detached_ms)
 
+    def _renew_key_permission(
+        self, update: FleetUpdate, sent_at: float
+    ) -> None:
+        """Renew the permission unless this VM lacks the source's routes."""
+        if self._key_permission is None:
+            return
+        if update.routes is None or (
+            update.routes.version <= self._routes.version
+        ):
+            self._key_permission.record(sent_at, update.confirmed_ms)
+
     def _accepts_detached_routes(self) -> bool:
         """Whether routes from a source that may be outdated are accepted.
 
--- a/dotterelbridge/fleet/messages.py
+++ b/dotterelbridge/fleet/messages.py
@@ -13,6 +13,7 @@
 from dotterelbridge.permits.messages import RateLimit
 from dotterelbridge.quarantine.quarantine import QuarantineSnapshot
 from dotterelbridge.routes.document import PackedRoutes
+from dotterelbridge.teams.permission import UNCONFIRMED_MS
 
 
 @register_message("fleet.poll")
@@ -62,6 +63,9 @@
     lifted_rate_limits: tuple[RateLimit, ...] = ()
     """Limits that have ended. A limit that is in neither list may still be
     in force, as the answering VM may have restarted since."""
+    confirmed_ms: int = UNCONFIRMED_MS
+    """Time since the routes of the answering VM were known to include all
+    that were acknowledged; 0 on the leader of the log."""
 
 
 class ItemDemand(msgspec.Struct, frozen=True, array_like=True):
--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -45,7 +45,10 @@
 from dotterelbridge.serving.response import write_response
 from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.serving.stop_grace import StopGrace
+from dotterelbridge.teams import instruments as teams_instruments
 from dotterelbridge.teams.model import Team
+from dotterelbridge.teams.permission import KeyPermission
+from dotterelbridge.teams.settings import TeamsSettings
 
 _log = structlog.get_logger(__name__)
 
@@ -70,12 +73,16 @@
         serving: ServingSettings,
         clock: Clock,
         rng: random.Random,
+        key_permission: KeyPermission,
     ) -> None:
         super().__init__(StopGrace(serving, clock))
         self._routes = routes
         self._router = router
         self._header_names = header_names
-        self._authenticator = Authenticator(routes, header_names)
+        self._authenticator = Authenticator(
+            routes, header_names, key_permission
+        )
+        self._key_permission = key_permission
         self._settings = settings
         self._serving = serving
         self._clock = clock
@@ -129,8 +136,8 @@
             return
         try:
             request, team = self._authenticator.authenticate(request, route)
-        except KeyRefused as error:
-            await self._refuse_key(sink, request, route, error)
+        except (KeyRefused, NoTargetAvailable) as error:
+            await self._refuse_unauthenticated(sink, request, route, error)
             return
         call = self._create_call(request, route, team, started_at)
         self._router.record_arrival(call)
@@ -214,6 +221,7 @@
             self._clock,
             self._random,
             self._stop_grace,
+            self._key_permission,
         )
         try:
             await self._run_attempts(call, runner, receive)
@@ -327,14 +335,15 @@
         instruments.refusals.add(
             1, {"service": call.service.name, "reason": reason}
         )
-        error_response = ErrorResponse(
-            status=503,
-            kind="not_run",
-            message=problem,
-            remedy="send it again after the time in Retry-After",
-            run=RunStatus.NO,
-            retry_after=retry_after,
-        )
+        if call.team is not None:
+            teams_instruments.refusals.add(
+                1,
+                {
+                    "team": teams_instruments.get_label(call.team),
+                    "reason": reason,
+                },
+            )
+        error_response = _create_not_run_response(problem, retry_after)
         self._log(
             GatewayEvent.REQUEST_REFUSED,
             call,
@@ -385,20 +394,27 @@
         )
         await self._write_error(sink, request.request_id, error_response)
 
-    async def _refuse_key(
+    async def _refuse_unauthenticated(
         self,
         sink: ResponseSink,
         request: GatewayRequest,
         route: Route,
-        error: KeyRefused,
+        error: KeyRefused | NoTargetAvailable,
     ) -> None:
         """Answer a request whose route needs the key of a team."""
+        teams_instruments.refusals.add(
+            1,
+            {
+                "team": teams_instruments.get_label(None),
+                "reason": error.reason.value,
+            },
+        )
         events.log(
             _log,
             GatewayEvent.KEY_REFUSED,
             request=request.request_id,
             route=route.name,
-            reason=error.fault.value,
+            reason=error.reason.value,
             routes_version=self._routes.version,
         )
         error_response = ErrorResponse(
@@ -408,6 +424,10 @@
             remedy=error.remedy,
             run=RunStatus.NO,
         )
+        if isinstance(error, NoTargetAvailable):
+            error_response = _create_not_run_response(
+                error.problem, error.retry_after
+            )
         await self._write_error(sink, request.request_id, error_response)
 
     async def _send_error(
@@ -462,6 +482,11 @@
     ) -> None:
         outcome = event.name.lower().removeprefix("request_")
         instruments.requests.add(1, call.labels | {"outcome": outcome})
+        if call.team is not None:
+            team = teams_instruments.get_label(call.team)
+            teams_instruments.requests.add(
+                1, {"team": team, "outcome": outcome}
+            )
         if runner.first_byte_s is not None:
             instruments.first_bytes.record(runner.first_byte_s, call.labels)
         if runner.longest_chunk_gap_s is not None:
@@ -494,13 +519,21 @@
         )
 
 
-_NO_ROUTES = ErrorResponse(
-    status=503,
-    kind="not_run",
-    message="this VM knows no routes yet",
-    remedy="send it again after the time in Retry-After",
-    run=RunStatus.NO,
-    retry_after=_DEFAULT_RETRY_AFTER,
+def _create_not_run_response(
+    problem: str, retry_after: timedelta
+) -> ErrorResponse:
+    return ErrorResponse(
+        status=503,
+        kind="not_run",
+        message=problem,
+        remedy="send it again after the time in Retry-After",
+        run=RunStatus.NO,
+        retry_after=retry_after,
+    )
+
+
+_NO_ROUTES = _create_not_run_response(
+    "this VM knows no routes yet", _DEFAULT_RETRY_AFTER
 )
 _NO_ROUTE = ErrorResponse(
     status=404,
@@ -536,8 +569,20 @@
     serving: ServingSettings,
     clock: Clock,
     rng: random.Random,
+    key_permission: KeyPermission | None = None,
 ) -> GatewayApp:
-    """Return the ASGI application for callers."""
+    """Return the ASGI application for callers.
+
+    :param key_permission: whether the keys of teams may be relied on; by
+        default always.
+    """
     return GatewayApp(
-        routes, router, header_names, settings, serving, clock, rng
+        routes,
+        router,
+        header_names,
+        settings,
+        serving,
+        clock,
+        rng,
+        key_permission or KeyPermission(clock, TeamsSettings()),
     )
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -13,6 +13,7 @@
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import TargetConnectFailed
 from dotterelbridge.errors import TargetError
+from dotterelbridge.gateway.authentication import create_unconfirmed_error
 from dotterelbridge.gateway.call import GatewayCall
 from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.errors import RequestNotRun
@@ -41,6 +42,7 @@
 from dotterelbridge.targets.errors import ResponseTruncated
 from dotterelbridge.targets.errors import SendNotPermitted
 from dotterelbridge.targets.errors import TargetHeldBack
+from dotterelbridge.teams.permission import KeyPermission
 
 _log = structlog.get_logger(__name__)
 
@@ -96,8 +98,10 @@
         clock: Clock,
         rng: random.Random,
         stop_grace: StopGrace,
+        key_permission: KeyPermission,
     ) -> None:
         self._stop_grace = stop_grace
+        self._key_permission = key_permission
         self.status = 0
         """Status of the response to the caller; 0 before it starts."""
         self.slot: Slot | None = None
@@ -140,6 +144,7 @@
         """
         while True:
             self._check_stop()
+            self._check_key_permission()
             slot = await self._router.acquire(self.call)
             self.slot = slot
             try:
@@ -164,6 +169,27 @@
                 _STOP_RETRY_AFTER,
             )
 
+    def _check_key_permission(self) -> None:
+        """Check that the key of the request may still be relied on.
+
+        :raises NoTargetAvailable: it may have been taken away meanwhile.
+        """
+        if not self._has_key_permission():
+            raise create_unconfirmed_error()
+
+    def _has_key_permission(self) -> bool:
+        """Return whether the request may be sent as far as keys matter.
+
+        What has run already may run to its end.
+        """
+        call = self.call
+        return (
+            call.team is None
+            or call.route.is_public
+            or bool(call.possibly_ran_at)
+            or self._key_permission.is_valid()
+        )
+
     # Attempts.
 
     async def _run_attempt(self, slot: Slot) -> None:
@@ -240,15 +266,20 @@
         """Return whether the request may still be sent to a slot's target.
 
         Not after the caller's deadline, by which it was promised an answer,
-        as it may then repeat the request, and not to a target that has said
-        that it leaves. Either may happen during a pause of the process.
+        as it may then repeat the request, not to a target that has said that
+        it leaves, and not once the key may be dead. Each may happen during a
+        pause of the process.
         """
         has_time_left = self.call.remaining_s(self._clock.monotonic()) > 0
         if not self.call.has_response_started:
             has_time_left = has_time_left and self._stop_grace.allows_start(
                 self.call.deadline_at
             )
-        return has_time_left and slot.gateway_target.takes_new_work
+        return (
+            has_time_left
+            and slot.gateway_target.takes_new_work
+            and self._has_key_permission()
+        )
 
     def _check_response(self, slot: Slot, exchange: Exchange) -> None:
         """Check that the response may be forwarded to the caller.
--- a/dotterelbridge/gateway/errors.py
+++ b/dotterelbridge/gateway/errors.py
@@ -26,6 +26,8 @@
     other requests use up."""
     QUARANTINED = "quarantined"
     """Targets crash under such requests."""
+    KEYS_UNCONFIRMED = "keys_unconfirmed"
+    """This VM does not know which keys of teams are valid at present."""
 
 
 class NoTargetAvailable(RequestRefused):
--- a/dotterelbridge/gateway/events.py
+++ b/dotterelbridge/gateway/events.py
@@ -82,6 +82,7 @@
     KEY_REFUSED = (
         8514,
         logging.WARNING,
-        "A request to a route that is not public had no valid key; it has "
-        "not run. The line gives the reason, never the key.",
+        "A request to a route that is not public had no valid key, or this "
+        "VM does not know which keys are valid; it has not run. The line "
+        "gives the reason, never the key.",
     )
--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -47,6 +47,9 @@
     STATE_MACHINE_NAME as ROUTES_STATE_MACHINE,
 )
 from dotterelbridge.routes.table import RouteTable
+from dotterelbridge.teams.confirmation import KeyConfirmation
+from dotterelbridge.teams.permission import KeyPermission
+from dotterelbridge.teams.settings import TeamsSettings
 
 _LEADERSHIP_TRANSFER_TIMEOUT = timedelta(seconds=2)
 _CRASH_REPORT_TIMEOUT = timedelta(milliseconds=500)
@@ -157,6 +160,11 @@
         settings = self._settings.fleet
         clock = self._clock
         self._demand_tracker = DemandTracker(clock)
+        # Control VMs serve no requests, so here the permission never expires.
+        key_permission = KeyPermission(clock, TeamsSettings())
+        confirmation = KeyConfirmation(
+            self._replicated_log, key_permission, clock
+        )
         self._fleet_feed = FleetFeed(
             self._network,
             self._fleet_state,
@@ -166,6 +174,7 @@
             clock,
             self._get_detached_ms,
             self.list_control_vms,
+            confirmation.read_age_ms,
         )
         self._fleet_follower = FleetFollower(
             self._network,
@@ -177,6 +186,7 @@
             self._rng,
             self._list_follower_sources,
             self._fleet_feed.count_entry_vms,
+            key_permission,
         )
         self._listing_reader = ListingReader(
             listing,
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -25,10 +25,12 @@
 from dotterelbridge.quarantine.messages import CrashRecorded
 from dotterelbridge.routes.document import RoutesFormat
 from dotterelbridge.serving.listener import create_caller_listener
+from dotterelbridge.teams.permission import KeyPermission
 
 _CRASH_REPORT_TIMEOUT = timedelta(seconds=1)
 """Time for a control VM to answer, which may have to ask the leader."""
 _CRASH_REPORT_RETRY_DELAY = timedelta(milliseconds=200)
+_MS_PER_S = 1000
 _CRASH_REPORT_LIFETIME_S = 10.0
 """Time after which a report that no leader took is dropped."""
 
@@ -55,6 +57,7 @@
             clock,
             settings.discovery.links_kept,
         )
+        self._key_permission = KeyPermission(clock, settings.teams)
         self._fleet_follower = FleetFollower(
             self._network,
             self._fleet_state,
@@ -65,6 +68,7 @@
             rng,
             self._directory.rank_control_vms,
             lambda: 1,
+            self._key_permission,
         )
         self._fleet_follower.subscribe_control_vms(
             self._directory.update_links
@@ -95,6 +99,7 @@
             settings.serving,
             clock,
             rng,
+            self._key_permission,
         )
         self._app.add_readiness_condition(
             lambda: self._routes.route_set is not None
@@ -149,6 +154,12 @@
             lambda: self._app.in_flight,
             "Requests that are being answered",
         )
+        metrics.register_gauge(
+            "dotterelbridge.teams.permission_age",
+            lambda: self._key_permission.age_ms() / _MS_PER_S,
+            "Time since the keys of teams were known to be current",
+            unit="s",
+        )
 
     def _get_detached_ms(self) -> int:
         return self._fleet_follower.contact.detached_ms()
--- a/dotterelbridge/nodes/settings.py
+++ b/dotterelbridge/nodes/settings.py
@@ -22,6 +22,7 @@
 from dotterelbridge.settings import read_sections
 from dotterelbridge.settings_schema import Section
 from dotterelbridge.targets.settings import TargetsSettings
+from dotterelbridge.teams.settings import TeamsSettings
 
 _Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 
@@ -94,6 +95,7 @@
     "gateway": GatewaySettings,
     "serving": ServingSettings,
     "targets": TargetsSettings,
+    "teams": TeamsSettings,
 }
 
 NAMED_SECTION_TYPES: dict[str, type[Section]] = {
@@ -114,6 +116,7 @@
     gateway: GatewaySettings
     serving: ServingSettings
     targets: TargetsSettings
+    teams: TeamsSettings
     regions: dict[FailureDomain, Region]
 
     def describe_own_vm(self) -> VmInfo:
--- a/dotterelbridge/replication/member.py
+++ b/dotterelbridge/replication/member.py
@@ -104,6 +104,14 @@
         """Return whether this VM leads with a valid lease."""
         return self._leadership is not None and self._leadership.has_lease()
 
+    def has_applied_all(self) -> bool:
+        """Return whether the state machines hold all committed entries.
+
+        On a leader with a valid lease, these are all that any member has
+        acknowledged.
+        """
+        return self.applied_index >= self._state.commit_index
+
     def add_state_machine(self, name: str, machine: StateMachine) -> None:
         self._entry_applier.add_state_machine(name, machine)
 
--- a/dotterelbridge/replication/recovering_log.py
+++ b/dotterelbridge/replication/recovering_log.py
@@ -55,6 +55,10 @@
         """Return whether this VM leads with a valid lease."""
         return self._member.has_leader_lease()
 
+    def has_applied_all(self) -> bool:
+        """Return whether the state machines hold all committed entries."""
+        return self._member.has_applied_all()
+
     @property
     def term(self) -> Term:
         """The term that this VM knows of."""
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -19,6 +19,7 @@
 from dotterelbridge.serving.listener import create_caller_listener
 from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.targets.settings import TargetsSettings
+from dotterelbridge.teams.permission import KeyPermission
 from tests.fleet.support import DOMAIN
 from tests.fleet.support import create_quarantine
 from tests.fleet.support import create_target
@@ -69,6 +70,7 @@
         health_path: str,
         targets: TargetsSettings,
         stop_grace_s: float,
+        key_permission: KeyPermission | None,
     ) -> None:
         self.clock = SystemClock()
         self.fleet_state = FleetState(self.clock)
@@ -101,6 +103,7 @@
             serving,
             self.clock,
             rng,
+            key_permission,
         )
         self.listener = create_caller_listener(self.app, serving, self.clock)
 
@@ -145,6 +148,7 @@
     health_path="",
     targets: TargetsSettings = TARGETS,
     stop_grace_s: float = 0,
+    key_permission: KeyPermission | None = None,
     **settings,
 ):
     """Run a gateway until the context exits."""
@@ -154,6 +158,7 @@
         health_path,
         targets,
         stop_grace_s,
+        key_permission,
     )
     async with anyio.create_task_group() as group:
         group.start_soon(gateway.router.run)
--- a/tests/nodes/test_node_template.py
+++ b/tests/nodes/test_node_template.py
@@ -113,3 +113,25 @@
         tmp_path, create_fields(machines=machines)
     )
     assert settings.replication.losses_tolerated == machines
+
+
+# A permission of keys that expires where it should not refuses requests; one
+# that does not expire where it should serves keys that were taken away.
+@pytest.mark.parametrize(
+    ("bounds", "lifetime_ms", "refusal_age_ms"),
+    [
+        ({}, 0, 0),
+        ({"revoke_ms": 5000, "strict_revoke": False}, 0, 0),
+        ({"revoke_ms": 5000, "strict_revoke": True}, 5000, 0),
+        ({"revoke_ms": 4999.5, "strict_revoke": True}, 4999.5, 0),
+        ({"config_apply_ms": 3000}, 0, 3000),
+    ],
+)
+def test_keys_expire_only_where_revocation_is_strict(
+    tmp_path, bounds, lifetime_ms, refusal_age_ms
+):
+    settings = load_rendered_settings(
+        tmp_path, create_fields(BOUNDS | bounds)
+    ).teams
+    assert settings.key_lifetime_ms == lifetime_ms
+    assert settings.refusal_age_ms == refusal_age_ms
