Lease credit for the quotas of teams from the leader

Cause: one team used 412,390 tokens in 8 s where 328,408 were allowed; nothing limited a team over all entry VMs.

Change: the leader keeps a token bucket and a window of what it issued for each team; entry VMs charge requests to credit that they lease by way of their control VM, which merges requests into one message each 10 ms. Messages may overlap, as an answer from another region takes about as long as a request may wait. Settings [quotas]; the gateway does not charge requests yet.

No load test yet.

--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -36,6 +36,7 @@
     STATE_MACHINE_NAME as QUARANTINE_STATE_MACHINE,
 )
 from dotterelbridge.quarantine.quarantine import QuarantineTable
+from dotterelbridge.quotas.service import CreditService
 from dotterelbridge.replication.file_storage import create_file_storage
 from dotterelbridge.replication.member import LogMember
 from dotterelbridge.replication.member import create_log_member
@@ -102,6 +103,7 @@
                 self._target_evidence.run,
                 self._quarantine_keeper.run,
                 self._permit_service.run,
+                self._credit_service.run,
             ),
             (self._operator_listener,),
             operator_port=self._operator_listener.port,
@@ -225,6 +227,15 @@
             self._replicated_log.get_leader,
             self._fleet_feed.find_attached_share,
         )
+        self._credit_service = CreditService(
+            self._network,
+            self._clock,
+            self._settings.quotas,
+            self._routes,
+            self._get_led_term,
+            self._replicated_log.get_leader,
+        )
+        self._registry.add("quotas", self._credit_service)
 
     def _get_led_term(self) -> Term | None:
         """Return the term that this VM leads, or None."""
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -7,6 +7,7 @@
 from dotterelbridge import metrics
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import PeerError
+from dotterelbridge.fleet.credit_channel import SourceCreditChannel
 from dotterelbridge.fleet.feed import FleetFollower
 from dotterelbridge.fleet.messages import DemandReport
 from dotterelbridge.fleet.messages import TargetAnswers
@@ -23,6 +24,7 @@
 from dotterelbridge.permits.limiter import create_rate_limiter
 from dotterelbridge.quarantine.crash_watch import Crash
 from dotterelbridge.quarantine.messages import CrashRecorded
+from dotterelbridge.quotas.account import QuotaAccounts
 from dotterelbridge.routes.document import RoutesFormat
 from dotterelbridge.serving.listener import create_caller_listener
 
@@ -75,6 +77,12 @@
             clock,
             rng,
         )
+        self._quota_accounts = QuotaAccounts(
+            SourceCreditChannel(self._network, self._fleet_follower),
+            lambda: self._fleet_follower.entry_vm_count,
+            clock,
+            rng,
+        )
         self._router = create_gateway_router(
             self._fleet_state,
             clock,
@@ -113,6 +121,7 @@
         self._registry.add("gateway", self._app)
         self._registry.add("routing", self._router)
         self._registry.add("rate_limits", self._limiter)
+        self._registry.add("quotas", self._quota_accounts)
 
     async def run_components(self) -> None:
         """Run all parts until cancelled."""
@@ -121,6 +130,7 @@
                 self._directory.run,
                 self._fleet_follower.run,
                 self._router.run,
+                self._quota_accounts.run,
                 self._report_demand,
                 self._report_crashes,
             ),
--- a/dotterelbridge/nodes/settings.py
+++ b/dotterelbridge/nodes/settings.py
@@ -13,6 +13,7 @@
 from dotterelbridge.ids import VmId
 from dotterelbridge.membership.view import VmInfo
 from dotterelbridge.peers.settings import PeersSettings
+from dotterelbridge.quotas.settings import QuotasSettings
 from dotterelbridge.replication.settings import ReplicationSettings
 from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.settings import LogSettings
@@ -94,6 +95,7 @@
     "gateway": GatewaySettings,
     "serving": ServingSettings,
     "targets": TargetsSettings,
+    "quotas": QuotasSettings,
 }
 
 NAMED_SECTION_TYPES: dict[str, type[Section]] = {
@@ -114,6 +116,7 @@
     gateway: GatewaySettings
     serving: ServingSettings
     targets: TargetsSettings
+    quotas: QuotasSettings
     regions: dict[FailureDomain, Region]
 
     def describe_own_vm(self) -> VmInfo:
--- a/tests/nodes/test_node_template.py
+++ b/tests/nodes/test_node_template.py
@@ -11,7 +11,14 @@
 TEMPLATE = (
     Path(__file__).resolve().parent.parent.parent / "platform" / "node.ini"
 )
-BOUNDS = {"budget_extra": 56, "budget_window_s": 10, "ceiling_window_s": 5}
+BOUNDS = {
+    "budget_extra": 56,
+    "budget_window_s": 10,
+    "ceiling_window_s": 5,
+    "quota_window_s": 8,
+    "quota_excess": 0.1,
+    "quota_slack": 7400,
+}
 """Sample values of the bounds that the template uses."""
 _SECTION = re.compile(r"{{([#^])([\w.]+)}}(.*?){{/\2}}", re.DOTALL)
 _VALUE = re.compile(r"{{([\w.@]+)(\|json)?}}")
@@ -105,6 +112,16 @@
     assert settings.gateway.retry_extra == 0
 
 
+# Quotas that the platform states but the settings do not get would be enforced
+# with the defaults of another deployment.
+def test_quota_bounds_reach_the_settings(tmp_path):
+    bounds = {"quota_window_s": 6, "quota_excess": 0.25, "quota_slack": 0}
+    settings = load_rendered_settings(tmp_path, create_fields(bounds))
+    assert settings.quotas.window_s == 6
+    assert settings.quotas.excess_fraction == 0.25
+    assert settings.quotas.slack_units == 0
+
+
 # A limit on losses_tolerated would stop every VM at its start in a deployment
 # that tolerates more losses than earlier ones.
 @pytest.mark.parametrize("machines", (0, 2, 9))
