--- a/dotterelbridge/nodes/settings.py
+++ b/dotterelbridge/nodes/settings.py
@@ -13,6 +13,7 @@
 from dotterelbridge.ids import VmId
 from dotterelbridge.membership.view import VmInfo
 from dotterelbridge.peers.settings import PeersSettings
+from dotterelbridge.quotas.settings import QuotasSettings
 from dotterelbridge.replication.settings import ReplicationSettings
 from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.settings import LogSettings
@@ -96,6 +97,7 @@
     "serving": ServingSettings,
     "targets": TargetsSettings,
     "teams": TeamsSettings,
+    "quotas": QuotasSettings,
 }
 
 NAMED_SECTION_TYPES: dict[str, type[Section]] = {
@@ -117,6 +119,7 @@
     serving: ServingSettings
     targets: TargetsSettings
     teams: TeamsSettings
+    quotas: QuotasSettings
     regions: dict[FailureDomain, Region]
 
     def describe_own_vm(self) -> VmInfo:
