Charge the requests of teams to their quotas

Cause: quotas had accounts, but no request was charged.

Change: gateway/quota_gate.py charges each request once, after authentication and before it is routed; 429 with Retry-After over the quota, 503 where no leader answers. A request that was never sent gets its credit back.

--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -25,11 +25,15 @@
 from dotterelbridge.gateway.errors import RequestNotRun
 from dotterelbridge.gateway.events import GatewayEvent
 from dotterelbridge.gateway.headers import HeaderNames
+from dotterelbridge.gateway.quota_gate import QuotaGate
 from dotterelbridge.gateway.request import GatewayRequest
 from dotterelbridge.gateway.request import read_gateway_request
 from dotterelbridge.gateway.router import GatewayRouter
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.ids import RunStatus
+from dotterelbridge.quotas.account import QuotaAccounts
+from dotterelbridge.quotas.errors import QuotaExceeded
+from dotterelbridge.quotas.errors import QuotaRefused
 from dotterelbridge.routes.active_routes import ActiveRoutes
 from dotterelbridge.routes.model import Repeatability
 from dotterelbridge.routes.model import Route
@@ -57,6 +61,8 @@
 _ROUTES_POLL_INTERVAL = timedelta(milliseconds=20)
 _DEFAULT_RETRY_AFTER = timedelta(milliseconds=500)
 _UNAUTHORIZED_STATUS = 401
+_TOO_MANY_REQUESTS_STATUS = 429
+_UNAVAILABLE_STATUS = 503
 _REASON_NOT_RUN = "not_run"
 """Reason in logs and metrics if all attempts ended without a run."""
 
@@ -74,6 +80,7 @@
         clock: Clock,
         rng: random.Random,
         key_permission: KeyPermission,
+        quota_gate: QuotaGate,
     ) -> None:
         super().__init__(StopGrace(serving, clock))
         self._routes = routes
@@ -83,6 +90,7 @@
             routes, header_names, key_permission
         )
         self._key_permission = key_permission
+        self._quota_gate = quota_gate
         self._settings = settings
         self._serving = serving
         self._clock = clock
@@ -140,8 +148,17 @@
             await self._refuse_unauthenticated(sink, request, route, error)
             return
         call = self._create_call(request, route, team, started_at)
+        try:
+            charge = await self._quota_gate.charge(call)
+        except QuotaRefused as error:
+            await self._refuse_uncharged(sink, call, error)
+            return
         self._router.record_arrival(call)
-        await self._run_call(call, receive, sink)
+        try:
+            await self._run_call(call, receive, sink)
+        finally:
+            if not call.possibly_ran_at:
+                charge.refund()
 
     async def _wait_for_routes(self, request: GatewayRequest) -> None:
         """Wait for the first routes after this VM has started."""
@@ -430,6 +447,40 @@
             )
         await self._write_error(sink, request.request_id, error_response)
 
+    async def _refuse_uncharged(
+        self, sink: ResponseSink, call: GatewayCall, error: QuotaRefused
+    ) -> None:
+        """Answer a request that its team's quota does not allow."""
+        is_exceeded = isinstance(error, QuotaExceeded)
+        reason = "over_quota" if is_exceeded else "quota_unknown"
+        teams_instruments.refusals.add(
+            1,
+            {
+                "team": teams_instruments.get_label(call.team),
+                "reason": reason,
+            },
+        )
+        events.log(
+            _log,
+            GatewayEvent.QUOTA_REFUSED,
+            request=call.request.request_id,
+            route=call.route.name,
+            team=call.team.name if call.team else None,
+            reason=reason,
+            retry_after_s=error.retry_after.total_seconds(),
+        )
+        error_response = ErrorResponse(
+            status=_TOO_MANY_REQUESTS_STATUS
+            if is_exceeded
+            else _UNAVAILABLE_STATUS,
+            kind="over_quota" if is_exceeded else "not_run",
+            message=error.problem,
+            remedy=error.remedy,
+            run=RunStatus.NO,
+            retry_after=error.retry_after,
+        )
+        await self._write_error(sink, call.request.request_id, error_response)
+
     async def _send_error(
         self, runner: AttemptRunner, error_response: ErrorResponse
     ) -> None:
@@ -570,11 +621,14 @@
     clock: Clock,
     rng: random.Random,
     key_permission: KeyPermission | None = None,
+    quota_accounts: QuotaAccounts | None = None,
 ) -> GatewayApp:
     """Return the ASGI application for callers.
 
     :param key_permission: whether the keys of teams may be relied on; by
         default always.
+    :param quota_accounts: charges requests to the quotas of teams; None if
+        quotas are not enforced.
     """
     return GatewayApp(
         routes,
@@ -585,4 +639,5 @@
         clock,
         rng,
         key_permission or KeyPermission(clock, TeamsSettings()),
+        QuotaGate(quota_accounts),
     )
--- a/dotterelbridge/gateway/events.py
+++ b/dotterelbridge/gateway/events.py
@@ -86,3 +86,9 @@
         "VM does not know which keys are valid; it has not run. The line "
         "gives the reason, never the key.",
     )
+    QUOTA_REFUSED = (
+        8515,
+        logging.INFO,
+        "A request was refused because its team has used its quota, or "
+        "because no leader could be asked; it has not run.",
+    )
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -108,6 +108,7 @@
             clock,
             rng,
             self._key_permission,
+            self._quota_accounts,
         )
         self._app.add_readiness_condition(
             lambda: self._routes.route_set is not None
