--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -467,6 +467,7 @@
             route=call.route.name,
             team=call.team.name if call.team else None,
             reason=reason,
+            units=error.units,
             retry_after_s=error.retry_after.total_seconds(),
         )
         error_response = ErrorResponse(
@@ -560,6 +561,7 @@
             service=call.service.name,
             model=call.request.model,
             adapter=call.request.adapter,
+            team=call.team.name if call.team else None,
             target=runner.slot.view.target if runner.slot else None,
             attempts=call.attempts,
             ran_at=sorted(call.possibly_ran_at),
--- a/dotterelbridge/quotas/account.py
+++ b/dotterelbridge/quotas/account.py
@@ -243,6 +243,7 @@
                     _MIN_RETRY_S, _UNAVAILABLE_RETRY_S
                 )
             ),
+            units,
         )
 
     def _refuse(
@@ -254,6 +255,7 @@
             f"team {team.name!r} has used its quota",
             "send the request again later, or ask for a higher quota",
             timedelta(seconds=max(_MIN_RETRY_S, wait_s) * spread),
+            units,
         )
 
     def _find_outage(self, now: float) -> float | None:
