Issue quota credit from control VMs while no leader answers

Change: a control VM that gets no answer of the leader within 70 ms issues its part of half of each rate, and of an eighth of what is tolerated, for 2.5 s, and tells the next leader what it issued.

--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -244,6 +244,8 @@
             self._routes,
             self._get_led_term,
             self._replicated_log.get_leader,
+            lambda: len(self.list_control_vms()),
+            self._rng,
         )
         self._registry.add("quotas", self._credit_service)
 
--- a/dotterelbridge/quotas/limits.py
+++ b/dotterelbridge/quotas/limits.py
@@ -27,6 +27,8 @@
     """Limits of one team, in its units."""
 
     units_per_s: float
+    tolerated_units: float
+    """Use in a window that is tolerated beyond the quota."""
     capacity: float
     """The most that the leader's bucket holds."""
     window_units: float
@@ -66,6 +68,7 @@
     capacity = quota.burst + tolerated * _BUCKET_PART
     return QuotaLimits(
         units_per_s=quota.units_per_s,
+        tolerated_units=tolerated,
         capacity=capacity,
         window_units=window_units + capacity,
         ahead_units=tolerated * _AHEAD_PART,
--- a/dotterelbridge/quotas/service.py
+++ b/dotterelbridge/quotas/service.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from datetime import timedelta
+import random
 from typing import Any
 
 import anyio
@@ -23,6 +24,7 @@
 from dotterelbridge.quotas.messages import TeamCredit
 from dotterelbridge.quotas.messages import TeamDemand
 from dotterelbridge.quotas.settings import QuotasSettings
+from dotterelbridge.quotas.standby import StandbyIssuer
 from dotterelbridge.routes.active_routes import ActiveRoutes
 from dotterelbridge.teams.model import Quota
 from dotterelbridge.teams.model import Team
@@ -33,6 +35,10 @@
 _LEADER_TIMEOUT = timedelta(milliseconds=250)
 """Time for the leader to answer: five crossings of the slowest link and
 back."""
+_LEADER_PATIENCE = timedelta(milliseconds=70)
+"""Time without an answer of the leader after which this VM issues credit by
+itself; an answer from another region takes 40 ms."""
+_PROBE_INTERVAL = timedelta(milliseconds=50)
 _BATCH_INTERVAL = timedelta(milliseconds=10)
 """Time between two messages to the leader, which bounds its load by the
 number of control VMs. The next message does not wait for the answer to the
@@ -89,6 +95,8 @@
         routes: ActiveRoutes,
         get_led_term: Callable[[], Term | None],
         get_leader: Callable[[], VmId | None],
+        count_control_vms: Callable[[], int],
+        rng: random.Random,
     ) -> None:
         """Create the service of a control VM.
 
@@ -103,6 +111,9 @@
         self._issuer = CreditIssuer(
             clock, settings, quotas.find_quota, quotas.is_known
         )
+        self._standby = StandbyIssuer(
+            clock, rng, settings, quotas.find_quota, count_control_vms
+        )
         self._issuing_term: Term | None = None
         self._pending: list[_Pending] = []
         self._has_pending = anyio.Event()
@@ -112,6 +123,7 @@
         """Pass requests on to the leader until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_term)
+            group.start_soon(self._watch_leader)
             while True:
                 await self._has_pending.wait()
                 self._has_pending = anyio.Event()
@@ -121,7 +133,11 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the buckets of the leader; outdated on other VMs."""
-        return {"term": self._issuing_term, "buckets": self._issuer.dump()}
+        return {
+            "term": self._issuing_term,
+            "issues_by_itself": self._standby.is_active,
+            "buckets": self._issuer.dump(),
+        }
 
     async def _watch_term(self) -> None:
         while True:
@@ -133,8 +149,8 @@
     ) -> CreditReply:
         if self._check_leads():
             return self._decide(request)
-        leader = self._get_leader()
-        if leader is None or leader in (sender, self._network.own_id):
+        if sender == self._get_leader():
+            # Each of the two takes the other for the leader.
             return _UNAVAILABLE
         pending = _Pending(request)
         self._pending.append(pending)
@@ -163,8 +179,19 @@
             )
 
     async def _ask_leader(self, request: CreditRequest) -> CreditReply:
+        """Return the leader's decision, or this VM's own without a leader."""
         if self._check_leads():
             return self._decide(request)
+        reply = _UNAVAILABLE
+        if not self._standby.is_active:
+            with anyio.move_on_after(_LEADER_PATIENCE.total_seconds()):
+                reply = await self._send_to_leader(request)
+        if reply.is_available:
+            return reply
+        self._standby.start()
+        return self._standby.decide(request)
+
+    async def _send_to_leader(self, request: CreditRequest) -> CreditReply:
         leader = self._get_leader()
         if leader is None or leader == self._network.own_id:
             return _UNAVAILABLE
@@ -176,6 +203,25 @@
             return _UNAVAILABLE
         return reply if isinstance(reply, CreditReply) else _UNAVAILABLE
 
+    async def _watch_leader(self) -> None:
+        """Look for a leader while none answers, and tell it what was issued.
+
+        Also on the new leader itself.
+        """
+        while True:
+            await self._clock.sleep(_PROBE_INTERVAL)
+            if not self._standby.is_active:
+                continue
+            request = CreditRequest(demands=self._standby.take_reports())
+            if self._check_leads():
+                reply = self._decide(request)
+            else:
+                reply = await self._send_to_leader(request)
+            if reply.is_available:
+                self._standby.stop()
+            else:
+                self._standby.restore_reports(request.demands)
+
     def _check_leads(self) -> bool:
         """Return whether this VM leads; a new leader starts anew."""
         term = self._get_led_term()
