--- a/standins/network.py
+++ b/standins/network.py
@@ -57,6 +57,8 @@
         self._random = random_module.Random(seed)
         self._endpoints: dict[VmId, _StandinEndpoint] = {}
         self._blocked_links: set[tuple[VmId, VmId]] = set()
+        self._holding_vms: set[VmId] = set()
+        self._held_messages: list[tuple[_StandinEndpoint, VmId, bytes]] = []
         self._tasks: set[asyncio.Task] = set()
 
     def join(self, vm: VmId) -> PeerNetwork:
@@ -91,6 +93,21 @@
         """Unblock all links."""
         self._blocked_links.clear()
 
+    def hold_messages(self, vm: VmId) -> None:
+        """Hold back all messages from and to a VM, as when it is frozen."""
+        self._holding_vms.add(vm)
+
+    def release_messages(self) -> None:
+        """Deliver all messages that were held back."""
+        self._holding_vms.clear()
+        held, self._held_messages = self._held_messages, []
+        for sender, destination, data in held:
+            self.transmit(sender, destination, data)
+
+    def find_endpoint(self, vm: VmId) -> PeerNetwork:
+        """Return the present endpoint of a VM."""
+        return self._endpoints[vm]
+
     async def close(self) -> None:
         """Disconnect all VMs and wait for their handlers to end."""
         for vm in self.vms:
@@ -107,6 +124,9 @@
         conditions = self.conditions
         if (source, destination) in self._blocked_links:
             return
+        if self._holding_vms & {source, destination}:
+            self._held_messages.append((sender, destination, data))
+            return
         if not self.frame_filter(
             source, destination, frames.decode_frame(data)
         ):
