--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -54,6 +54,8 @@
         self.applied_order_count = 0
         self.controllers: set[str] = set()
         self.served_items: list[str] = []
+        self.received_headers: list[list[tuple[bytes, bytes]]] = []
+        """Headers of each request that was not an order or a report."""
         self.over_committed = False
         self.is_leaving = False
         """Whether its answers say that it leaves."""
@@ -131,6 +133,7 @@
         return 202
 
     def _serve_request(self, scope, sink) -> None:
+        self.received_headers.append(list(scope["headers"]))
         headers = dict(scope["headers"])
         request_id_header = (_REQUEST_ID_HEADER, headers[_REQUEST_ID_HEADER])
         requested_item = headers.get(b"x-dotterelbridge-model", b"").decode()
--- a/tests/nodes/test_platform_path.py
+++ b/tests/nodes/test_platform_path.py
@@ -105,6 +105,7 @@
     def __init__(self, folder: Path) -> None:
         self.clock = SystemClock()
         self.folder = folder
+        self.nodes = []
         (
             self.peer_port,
             self.operator_port,
@@ -136,6 +137,7 @@
         lines += ["request_id_header = x-dotterelbridge-request-id"]
         lines += ["leaving_header = server-leaving"]
         lines += ["rate_limit_header = server-limit"]
+        lines += ["[teams]", "key_lifetime_ms = 5000"]
         path = self.folder / f"{name}.ini"
         path.write_text("\n".join(lines))
         return load_node_settings(str(path)), str(path)
@@ -239,6 +241,7 @@
         group.start_soon(deployment.list_listener.run)
         for node in nodes:
             group.start_soon(node.run_components)
+        deployment.nodes = nodes
         yield deployment
         group.cancel_scope.cancel()
 
