Check keys of teams at the listener of the OpenAI API

The listener served everybody, and forwarded Authorization to services.

With at least one, inference, models and services need a key by the same check as in the gateway, and targets get the name of the team in Dotterelbridge-Team. Faults in these sections show no value, as an operator may have written a key in place of a digest. Without sections, nothing changes.

tests/teams, test_settings, test_catalogue, test_config_commands and serving/test_calls: 149 passed.

--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -58,6 +58,7 @@
 from dotterelbridge.serving.operator_listener import create_operator_listener
 from dotterelbridge.serving.operators import create_operator_app
 from dotterelbridge.serving.settings import ServingSettings
+from dotterelbridge.serving.teams import CallerTeams
 from dotterelbridge.settings import PlatformSettings
 from dotterelbridge.settings import Settings
 from dotterelbridge.settings import read_secret_file
@@ -368,6 +369,7 @@
             serving,
             routing,
             self._rng,
+            CallerTeams(self._settings.get_teams()),
         )
         self._caller_app.add_readiness_condition(self._sheet_store.is_synced)
         self._caller_app.add_readiness_condition(self._is_not_leaving)
--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -19,7 +19,6 @@
 from dotterelbridge.gateway.attempts import TargetFailed
 from dotterelbridge.gateway.attempts import WholeResponse
 from dotterelbridge.gateway.authentication import Authenticator
-from dotterelbridge.gateway.authentication import KeyRefused
 from dotterelbridge.gateway.call import GatewayCall
 from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.errors import RequestNotRun
@@ -40,12 +39,14 @@
 from dotterelbridge.serving.errors import ErrorResponse
 from dotterelbridge.serving.errors import RequestTooLarge
 from dotterelbridge.serving.errors import ResponseIncomplete
+from dotterelbridge.serving.errors import create_unauthorized_response
 from dotterelbridge.serving.response import SINK_EXTENSION
 from dotterelbridge.serving.response import ResponseSink
 from dotterelbridge.serving.response import write_response
 from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.serving.stop_grace import StopGrace
 from dotterelbridge.teams import instruments as teams_instruments
+from dotterelbridge.teams.authorization import KeyRefused
 from dotterelbridge.teams.model import Team
 from dotterelbridge.teams.permission import KeyPermission
 from dotterelbridge.teams.settings import TeamsSettings
@@ -56,7 +57,6 @@
 _MS_PER_S = 1000
 _ROUTES_POLL_INTERVAL = timedelta(milliseconds=20)
 _DEFAULT_RETRY_AFTER = timedelta(milliseconds=500)
-_UNAUTHORIZED_STATUS = 401
 _REASON_NOT_RUN = "not_run"
 """Reason in logs and metrics if all attempts ended without a run."""
 
@@ -417,17 +417,12 @@
             reason=error.reason.value,
             routes_version=self._routes.version,
         )
-        error_response = ErrorResponse(
-            status=_UNAUTHORIZED_STATUS,
-            kind="unauthorized",
-            message=error.problem,
-            remedy=error.remedy,
-            run=RunStatus.NO,
-        )
         if isinstance(error, NoTargetAvailable):
             error_response = _create_not_run_response(
                 error.problem, error.retry_after
             )
+        else:
+            error_response = create_unauthorized_response(error)
         await self._write_error(sink, request.request_id, error_response)
 
     async def _send_error(
@@ -463,9 +458,7 @@
         if error_response.retry_after is not None:
             seconds = error_response.retry_after.total_seconds()
             headers.append((b"retry-after", b"%.2f" % seconds))
-        if error_response.status == _UNAUTHORIZED_STATUS:
-            headers.append((b"www-authenticate", b"Bearer"))
-        return headers
+        return headers + error_response.list_challenges()
 
     # Logs and metrics.
 
--- a/dotterelbridge/routes/active_routes.py
+++ b/dotterelbridge/routes/active_routes.py
@@ -12,7 +12,7 @@
 from dotterelbridge.routes.model import Route
 from dotterelbridge.routes.model import RouteSet
 from dotterelbridge.routes.model import Service
-from dotterelbridge.teams.directory import TeamDirectory
+from dotterelbridge.teams.directory import create_team_directory
 
 _log = structlog.get_logger(__name__)
 
@@ -23,7 +23,7 @@
     def __init__(self, routes_format: RoutesFormat) -> None:
         self.packed = NO_ROUTES
         self.route_set: RouteSet | None = None
-        self.teams = TeamDirectory()
+        self.teams = create_team_directory(())
         """The teams of the active version, by their keys."""
         self._format = routes_format
         self._by_host: dict[str, dict[str, Route]] = {}
@@ -49,7 +49,7 @@
             by_host.setdefault(route.host.lower(), {})[route.prefix] = route
         self._by_host = by_host
         self._services = {s.name: s for s in route_set.services}
-        self.teams = TeamDirectory(route_set.teams)
+        self.teams = create_team_directory(route_set.teams)
         self.route_set = route_set
         self.packed = packed
         events.log(
--- a/dotterelbridge/serving/callers.py
+++ b/dotterelbridge/serving/callers.py
@@ -41,6 +41,7 @@
 from dotterelbridge.serving.errors import RequestMalformed
 from dotterelbridge.serving.errors import RequestTooLarge
 from dotterelbridge.serving.errors import ResponseIncomplete
+from dotterelbridge.serving.errors import create_unauthorized_response
 from dotterelbridge.serving.events import ServingEvent
 from dotterelbridge.serving.keyed_calls import ClaimRefused
 from dotterelbridge.serving.keyed_calls import KeyedCall
@@ -58,10 +59,14 @@
 from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.serving.stop_grace import StopGrace
 from dotterelbridge.serving.stream import StreamRelay
+from dotterelbridge.serving.teams import CallerTeams
+from dotterelbridge.serving.teams import create_team_headers
+from dotterelbridge.serving.teams import replace_key
 from dotterelbridge.sheet.rows import SheetRow
 from dotterelbridge.targets.client import ExchangeRequest
 from dotterelbridge.targets.prefix import list_prompt_blocks
 from dotterelbridge.targets.prefix import list_prompt_prefixes
+from dotterelbridge.teams.authorization import KeyRefused
 
 INFERENCE_PATHS = ("/v1/chat/completions", "/v1/completions")
 MODELS_PATH = "/v1/models"
@@ -94,9 +99,11 @@
         settings: ServingSettings,
         routing_settings: RoutingSettings,
         rng: random.Random,
+        teams: CallerTeams,
     ) -> None:
         super().__init__(StopGrace(settings, clock))
         self._router = router
+        self._teams = teams
         self._clock = clock
         self._settings = settings
         self._routing_settings = routing_settings
@@ -182,6 +189,9 @@
     async def _route(
         self, request: CallerRequest, receive, writer: ResponseWriter
     ) -> None:
+        is_service = request.path.startswith(SERVICES_PREFIX)
+        if request.path in (*INFERENCE_PATHS, MODELS_PATH) or is_service:
+            request.team = self._teams.authenticate(request.headers)
         if request.path in INFERENCE_PATHS:
             if request.method != "POST":
                 await writer.send_error(_METHOD_ERROR)
@@ -189,7 +199,7 @@
             await self._serve_inference(request, receive, writer)
         elif request.path == MODELS_PATH and request.method == "GET":
             await self._serve_models(writer)
-        elif request.path.startswith(SERVICES_PREFIX):
+        elif is_service:
             await self._serve_service(request, receive, writer)
         else:
             await writer.send_error(_UNKNOWN_PATH_ERROR)
@@ -253,7 +263,9 @@
             request_id=request.request_id,
             row=row,
             version=version,
-            priority=request.priority or row.priority,
+            priority=self._teams.get_priority(request.team)
+            or request.priority
+            or row.priority,
             started_at=now,
             deadline_at=now + deadline.total_seconds(),
             body_size=len(request.body),
@@ -386,6 +398,7 @@
             headers=[
                 (b"content-type", b"application/json"),
                 (b"x-priority", slot.call.priority.value.encode()),
+                *create_team_headers(request.team),
             ],
             body=inference.encode_for(slot.model),
             fresh_connection=_needs_new_connection(slot.call),
@@ -417,17 +430,18 @@
 def _create_service_request(
     request: CallerRequest, path: str, call: Call, attempt: AttemptId
 ) -> ExchangeRequest:
+    headers = [
+        (name, value)
+        for name, value in request.headers
+        if name not in _UNFORWARDED_HEADERS
+        and not name.startswith(b"dotterelbridge-")
+    ]
     query = "?" + request.query.decode("latin-1") if request.query else ""
     return ExchangeRequest(
         attempt=attempt,
         method=request.method,
         path=f"/{path}{query}",
-        headers=[
-            (name, value)
-            for name, value in request.headers
-            if name not in _UNFORWARDED_HEADERS
-            and not name.startswith(b"dotterelbridge-")
-        ],
+        headers=replace_key(headers, request.team),
         body=request.body,
         fresh_connection=_needs_new_connection(call),
     )
@@ -536,6 +550,8 @@
     error: RequestRefused, run: RunStatus = RunStatus.NO
 ) -> ErrorResponse:
     status, kind = 503, "not_run"
+    if isinstance(error, KeyRefused):
+        return create_unauthorized_response(error)
     if isinstance(error, RequestTooLarge):
         status, kind = 413, "too_large"
     elif isinstance(error, RequestMalformed):
@@ -582,6 +598,18 @@
     settings: ServingSettings,
     routing_settings: RoutingSettings,
     rng: random.Random,
+    teams: CallerTeams | None = None,
 ) -> CallerApp:
-    """Return the ASGI application for callers."""
-    return CallerApp(router, claims, clock, settings, routing_settings, rng)
+    """Return the ASGI application for callers.
+
+    :param teams: those that may call; by default everybody may.
+    """
+    return CallerApp(
+        router,
+        claims,
+        clock,
+        settings,
+        routing_settings,
+        rng,
+        teams or CallerTeams({}),
+    )
--- a/dotterelbridge/serving/errors.py
+++ b/dotterelbridge/serving/errors.py
@@ -1,6 +1,7 @@
 """Errors of the callers' API, and their HTTP responses."""
 
 from datetime import timedelta
+from http import HTTPStatus
 import math
 
 import msgspec
@@ -8,6 +9,7 @@
 from dotterelbridge.errors import DotterelbridgeError
 from dotterelbridge.errors import RequestRefused
 from dotterelbridge.ids import RunStatus
+from dotterelbridge.teams.authorization import KeyRefused
 
 
 class RequestMalformed(RequestRefused):
@@ -51,8 +53,25 @@
             }
         )
 
+    def list_challenges(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that say how a caller authenticates."""
+        if self.status != HTTPStatus.UNAUTHORIZED:
+            return []
+        return [(b"www-authenticate", b"Bearer")]
+
     def retry_after_s(self) -> int | None:
         """Return the Retry-After header's value, at least 1 second."""
         if self.retry_after is None:
             return None
         return max(1, math.ceil(self.retry_after.total_seconds()))
+
+
+def create_unauthorized_response(error: KeyRefused) -> ErrorResponse:
+    """Return the response to a request without a valid key."""
+    return ErrorResponse(
+        status=HTTPStatus.UNAUTHORIZED.value,
+        kind="unauthorized",
+        message=error.problem,
+        remedy=error.remedy,
+        run=RunStatus.NO,
+    )
--- a/dotterelbridge/serving/request.py
+++ b/dotterelbridge/serving/request.py
@@ -15,6 +15,7 @@
 from dotterelbridge.serving.errors import CallerDisconnected
 from dotterelbridge.serving.errors import RequestMalformed
 from dotterelbridge.serving.errors import RequestTooLarge
+from dotterelbridge.teams.model import Team
 
 PRIORITY_HEADER = b"dotterelbridge-priority"
 DEADLINE_HEADER = b"dotterelbridge-deadline"
@@ -35,6 +36,8 @@
     priority: Priority | None = None
     deadline: timedelta | None = None
     key: IdempotencyKey | None = None
+    team: Team | None = None
+    """The team whose key the caller sent; None without teams."""
 
     @property
     def credentials(self) -> bytes:
--- a/dotterelbridge/serving/response.py
+++ b/dotterelbridge/serving/response.py
@@ -100,6 +100,7 @@
         seconds = error_response.retry_after_s()
         if seconds is not None:
             headers.append((b"retry-after", b"%d" % seconds))
+        headers += error_response.list_challenges()
         body = error_response.encode_body()
         await self.send_response(
             error_response.status, headers, body, error_response.run
--- a/dotterelbridge/settings.py
+++ b/dotterelbridge/settings.py
@@ -5,6 +5,7 @@
 import enum
 import ipaddress
 import os
+import re
 from typing import Annotated
 from typing import TypeVar
 
@@ -34,8 +35,11 @@
 from dotterelbridge.settings_schema import read_section
 from dotterelbridge.sheet.settings import SheetSettings
 from dotterelbridge.targets.settings import TargetsSettings
+from dotterelbridge.teams.settings import TeamSection
+from dotterelbridge.teams.validation import is_header_text
 
 MAX_PORT = 65535
+_SHA256_DIGITS = re.compile("[0-9a-fA-F]{64}")
 LOOPBACK_ADDRESS = "127.0.0.1"
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
@@ -148,6 +152,7 @@
     "failure_domain": FailureDomainSettings,
     "vm": VmSettings,
     "target": TargetSettings,
+    "team": TeamSection,
 }
 """Sections that appear once per name, as [KIND:NAME]."""
 
@@ -181,6 +186,10 @@
         """Return all failure domains by name."""
         return self._named_sections["failure_domain"]
 
+    def get_teams(self) -> dict[str, TeamSection]:
+        """Return the teams of the listener for callers, by name."""
+        return self._named_sections["team"]
+
     def list_vms(self) -> list[VmInfo]:
         """Return all entry VMs, including this one."""
         return [
@@ -364,6 +373,7 @@
     yield from _check_service_names(named_sections)
     yield from _check_voters(settings, named_sections)
     yield from _check_data_folder(settings)
+    yield from _check_teams(settings)
 
 
 def _check_own_vm(settings: Settings, named_sections) -> Iterator[Fault]:
@@ -455,3 +465,33 @@
             found=f"{folder}, which is not a folder",
             allowed="a folder, or a path where one can be created",
         )
+
+
+def _check_teams(settings: Settings) -> Iterator[Fault]:
+    """Check names and keys; a value that may be a key is not shown."""
+    section_by_digest: dict[str, str] = {}
+    for name, team in settings.get_teams().items():
+        section = f"team:{name}"
+        if not is_header_text(name):
+            yield Fault(
+                section=section,
+                option="",
+                found="a name that a header value cannot carry",
+                allowed="up to 256 Latin-1 characters",
+            )
+        for digest in team.keys:
+            if _SHA256_DIGITS.fullmatch(digest) is None:
+                yield Fault(
+                    section=section,
+                    option="keys",
+                    found="a value that is not a digest",
+                    allowed="SHA-256 digests in 64 hexadecimal digits each",
+                )
+            other = section_by_digest.setdefault(digest.lower(), section)
+            if other != section:
+                yield Fault(
+                    section=section,
+                    option="keys",
+                    found=f"a key of [{other}]",
+                    allowed="keys that no other team has",
+                )
--- a/dotterelbridge/teams/validation.py
+++ b/dotterelbridge/teams/validation.py
@@ -46,6 +46,11 @@
             _check_quota(team.quota, entry)
 
 
+def is_header_text(text: str) -> bool:
+    """Return whether a header value may carry the text unchanged."""
+    return len(text) <= _MAX_LENGTH and bool(_HEADER_TEXT.fullmatch(text))
+
+
 def drop_unlimited_quotas(teams: Iterable[Team]) -> tuple[Team, ...]:
     """Remove quotas whose rate is 0, which means no limit."""
     return tuple(
--- a/tests/serving/fakes.py
+++ b/tests/serving/fakes.py
@@ -37,6 +37,7 @@
 from dotterelbridge.serving.callers import create_caller_app
 from dotterelbridge.serving.listener import create_caller_listener
 from dotterelbridge.serving.settings import ServingSettings
+from dotterelbridge.serving.teams import CallerTeams
 from dotterelbridge.sheet.rows import SheetRevision
 from dotterelbridge.sheet.rows import SheetRow
 from dotterelbridge.sheet.source import SheetSource
@@ -418,6 +419,7 @@
     serving: ServingSettings | None = None,
     targets: TargetsSettings | None = None,
     seed: int = 1,
+    teams: CallerTeams | None = None,
 ):
     """Run router and listener over sockets, on the system clock."""
     clock = SystemClock()
@@ -439,7 +441,9 @@
         create_lone_crash_guard(clock),
     )
     claims = FakeClaims()
-    app = create_caller_app(router, claims, clock, serving, routing, rng)
+    app = create_caller_app(
+        router, claims, clock, serving, routing, rng, teams
+    )
     listener = create_caller_listener(app, serving, clock)
     harness = ServingHarness(
         membership, router, app, listener, claims, clock, {}
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -93,3 +93,31 @@
 def test_missing_file_raises_error_with_remedy():
     with pytest.raises(SettingsError, match="name a file that exists"):
         load_settings("/nowhere/settings.ini")
+
+
+DIGEST = "ab" * 32
+
+
+def test_teams_are_read_with_the_digests_of_their_keys(write_settings_file):
+    text = VALID_SETTINGS + f"[team:norte]\nkeys = {DIGEST}, {'01' * 32}\n"
+    text += "priority = urgent\n[team:sur]\n"
+    teams = load_settings(write_settings_file(text)).get_teams()
+    assert teams["norte"].keys == (DIGEST, "01" * 32)
+    assert teams["norte"].priority.value == "urgent"
+    assert teams["sur"].keys == ()
+
+
+@pytest.mark.parametrize(
+    ("sections", "expected_message"),
+    [
+        ("[team:norte]\nkeys = secret-key", "64 hexadecimal digits"),
+        (f"[team:a]\nkeys = {DIGEST}\n[team:b]\nkeys = {DIGEST}", "[team:a]"),
+        (f"[team:{'n' * 257}]", "Latin-1"),
+    ],
+)
+def test_faults_of_teams_never_show_what_may_be_a_key(
+    write_settings_file, sections, expected_message
+):
+    faults = find_faults(write_settings_file(VALID_SETTINGS + sections))
+    assert any(expected_message in fault for fault in faults), faults
+    assert "secret-key" not in "".join(faults)
