--- /dev/null
+++ b/tests/hostile_callers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of callers that send what no ordinary caller sends."""
