Serve the daemon's operators' API with the callers' listener

Cause: hypercorn neither drops trailers nor counts what all connections hold, and takes requests before the token is checked.

Change: OperatorListener is a Listener with the daemon's memory account.

--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -67,6 +67,7 @@
 from dotterelbridge.sheet.store import create_sheet_store
 from dotterelbridge.targets.engine import Engine
 from dotterelbridge.targets.http_engine import create_engine
+from dotterelbridge.targets.memory_account import create_memory_account
 from dotterelbridge.targets.settings import TargetsSettings
 
 RunFunction = Callable[[], Awaitable[None]]
@@ -372,8 +373,9 @@
         self._caller_app.add_readiness_condition(self._sheet_store.is_synced)
         self._caller_app.add_readiness_condition(self._is_not_leaving)
         self._dump_registry.add("serving", self._caller_app)
+        self._memory_account = create_memory_account(serving.memory_limit_mb)
         self._caller_listener = create_caller_listener(
-            self._caller_app, serving, self._clock
+            self._caller_app, serving, self._clock, self._memory_account
         )
         self._run_functions.append(self._caller_listener.run)
 
@@ -411,7 +413,11 @@
         )
         daemon = self._settings.daemon
         self._operator_listener = create_operator_listener(
-            app, daemon.operator_address, daemon.operator_port
+            app,
+            daemon.operator_address,
+            daemon.operator_port,
+            self._clock,
+            self._memory_account,
         )
         self._run_functions.append(self._operator_listener.run)
 
