Bound what peers send before they are authenticated

Cause: an unknown peer could make a VM buffer a frame or fragments of up to message_limit_mb, and answer pings without end, on each connection.

Change: a link's connection counts what arrives before the library parses it and closes at 16 KB until the peer is authenticated, on both ends. The WebSocket upgrade has the handshake's time limit instead of 10 s.

--- a/dotterelbridge/peers/websocket_network.py
+++ b/dotterelbridge/peers/websocket_network.py
@@ -33,6 +33,8 @@
 from dotterelbridge.peers.events import PeerEvent
 from dotterelbridge.peers.frames import FrameKind
 from dotterelbridge.peers.handshake import Identity
+from dotterelbridge.peers.handshake_limit import LimitedClientConnection
+from dotterelbridge.peers.handshake_limit import LimitedServerConnection
 from dotterelbridge.peers.link import Link
 from dotterelbridge.peers.link import compute_backoff
 from dotterelbridge.peers.messages import Message
@@ -171,6 +173,8 @@
             sock=listening,
             compression=None,
             ping_interval=None,
+            open_timeout=self._settings.handshake_timeout_ms / 1000,
+            create_connection=LimitedServerConnection,
             max_size=self._settings.message_limit_mb * _BYTES_PER_MIB,
         )
         self.listening.set()
@@ -261,6 +265,7 @@
                     compression=None,
                     ping_interval=None,
                     open_timeout=timeout_s,
+                    create_connection=LimitedClientConnection,
                     proxy=None,
                     max_size=self._settings.message_limit_mb * _BYTES_PER_MIB,
                 )
@@ -268,6 +273,7 @@
                     identity = await handshake.run_client_handshake(
                         connection, self._identity, peer, self._secret
                     )
+                    connection.is_authenticated = True
                 except BaseException:
                     connection.transport.abort()
                     raise
@@ -301,6 +307,7 @@
                     None if self._accept_unknown else set(self._vms),
                     self._secret,
                 )
+                connection.is_authenticated = True
         except PeerError as error:
             self._log_refusal(str(address), error)
             await connection.close(_POLICY_VIOLATION_CODE, "refused")
