Balance requests by the work that they cause

Cause: targets were compared by their number of requests. On engines of uneven speed, the slow ones got nearly their share, and streams there paused for more than 200 ms, mostly during the prefill of other prompts.

Change: with [gateway] balance = work, or auto where speeds differ by 1.3 or requests carry the key of a team, a request goes to a target by what streams will suffer there: the time between two events at the target's speed, stretched by the prompts that are expected meanwhile, and waits beyond slots and memory. cost.py predicts a request from responses and the length hint, workload.py reads a target's remaining work from its reports and from what this VM sent since, and balance.py distributes what all VMs send between two reports by water-filling, as before, in units of work. Reports carry the tokens of running requests and the events that these have made. A prompt larger than an engine's memory is refused. With balance = requests, nothing changes.

--- a/dotterelbridge/fleet/records.py
+++ b/dotterelbridge/fleet/records.py
@@ -53,6 +53,11 @@
     means that a step takes 1.6 times as long."""
     error_percent: int = 0
     """Share of requests that ended with a server error, over all VMs."""
+    kv_tokens_running: int = 0
+    """Tokens in memory of the running requests, without those that are only
+    cached; 0 while unknown."""
+    events_made: int = 0
+    """Events that the running requests have generated so far."""
 
 
 class FleetTarget(msgspec.Struct, frozen=True, array_like=True):
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -19,6 +19,7 @@
 from dotterelbridge.gateway.errors import SignatureMissing
 from dotterelbridge.gateway.errors import UnavailableReason
 from dotterelbridge.gateway.event_stream import EventStreamParser
+from dotterelbridge.gateway.event_stream import count_events
 from dotterelbridge.gateway.events import GatewayEvent
 from dotterelbridge.gateway.headers import HeaderNames
 from dotterelbridge.gateway.outcomes import AttemptOutcome
@@ -330,8 +331,9 @@
                 return True
             exchange.record_progress()
             self._record_chunk()
-            if self.slot.first_event_at is None:
-                self.slot.first_event_at = self._clock.monotonic()
+            self.slot.record_events(
+                count_events(events_data), self._clock.monotonic()
+            )
             if not self.call.has_response_started:
                 self._start_stream(exchange)
             return self._write_body(events_data, more=True)
--- a/dotterelbridge/gateway/balance.py
+++ b/dotterelbridge/gateway/balance.py
@@ -1,10 +1,17 @@
 """Load balancing across many VMs that act on the same delayed reports."""
 
+import bisect
 from collections.abc import Sequence
+import math
 import random
 
 import msgspec
 
+_MIN_STAYS = 0.05
+"""Shortest stay that is distinguished, in times between two reports."""
+_LEVEL_BISECTIONS = 24
+"""Halvings of the range of levels; the rest is far below one request."""
+
 
 class Candidate(msgspec.Struct, frozen=True):
     """A target that a request may go to."""
@@ -57,6 +64,169 @@
     return _choose_least_loaded(candidates, rng)
 
 
+class PressureCurve:
+    """Increasing function from the work at a target to what streams suffer.
+
+    Work is counted in mean requests. What a stream suffers is the longest
+    time between two of its events that is to be expected, in milliseconds
+    at a target of usual speed.
+    """
+
+    def __init__(self, pressures_ms: Sequence[float]) -> None:
+        """Create a curve.
+
+        :param pressures_ms: strictly increasing values at 0, 1, 2 and so on
+            requests; the last two set the slope beyond.
+        """
+        self._pressures_ms = pressures_ms
+        self._last_slope = pressures_ms[-1] - pressures_ms[-2]
+
+    def read_ms(self, units: float) -> float:
+        """Return the pressure at an amount of work."""
+        last = len(self._pressures_ms) - 1
+        if units >= last:
+            beyond = units - last
+            return self._pressures_ms[-1] + beyond * self._last_slope
+        index = int(units)
+        low, high = self._pressures_ms[index : index + 2]
+        return low + (units - index) * (high - low)
+
+    def find_units(self, pressure_ms: float) -> float:
+        """Return the work at which a pressure is reached."""
+        values = self._pressures_ms
+        if pressure_ms <= values[0]:
+            return 0.0
+        if pressure_ms >= values[-1]:
+            beyond_ms = pressure_ms - values[-1]
+            return len(values) - 1 + beyond_ms / self._last_slope
+        index = bisect.bisect_right(values, pressure_ms) - 1
+        low, high = values[index : index + 2]
+        return index + (pressure_ms - low) / (high - low)
+
+
+class WorkCandidate(msgspec.Struct, frozen=True, kw_only=True):
+    """A target that a request may go to, with its remaining work."""
+
+    units: float
+    """Work by the last report, in mean requests."""
+    sent_units: float = 0.0
+    """Work that this VM has sent since."""
+    speed: float = 1.0
+    """Time of a step, as a multiple of the usual one."""
+    own_ms: float = 0.0
+    """What this request causes there at any load, at usual speed: its
+    prompt delays the streams there, and it may have to be far away."""
+    free_tokens: float = math.inf
+    """Free memory, by the pessimistic reading of the last report."""
+
+    def read_pressure_ms(self, curve: PressureCurve, units: float) -> float:
+        """Return what a stream suffers there at an amount of work."""
+        return self.speed * (curve.read_ms(units) + self.own_ms)
+
+    def find_units(self, curve: PressureCurve, pressure_ms: float) -> float:
+        """Return the work at which a stream suffers that much there."""
+        return curve.find_units(pressure_ms / self.speed - self.own_ms)
+
+
+class WorkDemand(msgspec.Struct, frozen=True, kw_only=True):
+    """One more request, and what all VMs send until the next report."""
+
+    units: float
+    """Work of the request, in mean requests."""
+    memory_tokens: float
+    expected_units: float
+    """Work that all VMs send between two reports."""
+    vm_count: int
+    stays: float
+    """Time for which a request stays at a target of usual speed, as a
+    multiple of the time between two reports."""
+
+
+def choose_by_work(
+    candidates: Sequence[WorkCandidate],
+    curve: PressureCurve,
+    demand: WorkDemand,
+    rng: random.Random,
+) -> int:
+    """Return the index of the target for one more request.
+
+    As in ``choose_candidate``, what all VMs send between two reports is
+    distributed by water-filling, and a target is chosen at random, weighted
+    by the share that it has yet to get. Here the level is what streams
+    suffer at a target, so that a slow target gets none before the streams
+    at the others suffer as much, and a fast one gets more. What was
+    reported drains meanwhile, faster at a fast target. Targets whose memory
+    may be used up are left out while there is another one.
+    """
+    if len(candidates) == 1:
+        return 0
+    roomy = [
+        index
+        for index, candidate in enumerate(candidates)
+        if demand.memory_tokens <= candidate.free_tokens
+    ] or list(range(len(candidates)))
+    if len(roomy) == 1:
+        return roomy[0]
+    shares = _share_work([candidates[i] for i in roomy], curve, demand)
+    weights = [
+        max(0.0, share - demand.vm_count * candidates[i].sent_units)
+        for i, share in zip(roomy, shares, strict=True)
+    ]
+    if any(weights):
+        return rng.choices(roomy, weights=weights)[0]
+    return min(
+        roomy,
+        key=lambda i: (
+            candidates[i].read_pressure_ms(
+                curve, candidates[i].units + candidates[i].sent_units
+            ),
+            rng.random(),
+        ),
+    )
+
+
+def _share_work(
+    candidates: Sequence[WorkCandidate],
+    curve: PressureCurve,
+    demand: WorkDemand,
+) -> list[float]:
+    """Return the work that each target gets until its next report.
+
+    With exponential draining, a target gets what leaves it with the work of
+    the common level at its next report.
+    """
+    own_units = sum(c.sent_units for c in candidates)
+    total_units = demand.units + max(
+        demand.expected_units, demand.vm_count * own_units
+    )
+    low_ms = min(c.read_pressure_ms(curve, 0.0) for c in candidates)
+    high_ms = min(
+        c.read_pressure_ms(curve, c.units + total_units) for c in candidates
+    )
+    remaining_units, inflow_factors = [], []
+    for candidate in candidates:
+        lifetimes = 1 / max(_MIN_STAYS, demand.stays * candidate.speed)
+        left = math.exp(-lifetimes)
+        remaining_units.append(candidate.units * left)
+        inflow_factors.append(lifetimes / (1 - left))
+
+    def fill(level_ms: float) -> list[float]:
+        return [
+            max(0.0, c.find_units(curve, level_ms) - remaining) * factor
+            for c, remaining, factor in zip(
+                candidates, remaining_units, inflow_factors, strict=True
+            )
+        ]
+
+    for _ in range(_LEVEL_BISECTIONS):
+        middle_ms = (low_ms + high_ms) / 2
+        if sum(fill(middle_ms)) < total_units:
+            low_ms = middle_ms
+        else:
+            high_ms = middle_ms
+    return fill(high_ms)
+
+
 def _choose_least_loaded(
     candidates: Sequence[Candidate], rng: random.Random
 ) -> int:
--- a/dotterelbridge/gateway/errors.py
+++ b/dotterelbridge/gateway/errors.py
@@ -24,6 +24,8 @@
     RATE_LIMITED = "rate_limited"
     """Every target that could take the request has named a rate limit, which
     other requests use up."""
+    TOO_LARGE = "too_large"
+    """Its prompt alone exceeds the memory of any target."""
     QUARANTINED = "quarantined"
     """Targets crash under such requests."""
 
--- a/dotterelbridge/gateway/event_stream.py
+++ b/dotterelbridge/gateway/event_stream.py
@@ -77,6 +77,11 @@
         self.last_id = value.strip()
 
 
+def count_events(events: bytes) -> int:
+    """Return the number of complete events."""
+    return sum(events.count(mark) for mark in _EVENT_ENDS)
+
+
 def _has_field(events: bytes) -> bool:
     return any(
         line and not line.startswith(_COMMENT_START)
--- a/dotterelbridge/gateway/headers.py
+++ b/dotterelbridge/gateway/headers.py
@@ -15,6 +15,8 @@
     """Requested item, as MODEL or MODEL/ADAPTER."""
     tokens: bytes = b"dotterelbridge-tokens"
     """IN,OUT: tokens of the prompt, and the most tokens of the response."""
+    length_hint: bytes = b"dotterelbridge-length-hint"
+    """Expected tokens of the response, as the caller guesses them."""
     prompt_parts: bytes = b"dotterelbridge-prompt-parts"
     """ID:TOKENS for each part of the prompt, in order."""
     last_event_id: bytes = b"last-event-id"
--- a/dotterelbridge/gateway/request.py
+++ b/dotterelbridge/gateway/request.py
@@ -40,6 +40,9 @@
     adapter: str = ""
     tokens_in: int = 0
     tokens_out: int = 0
+    """Maximum; 0 if unknown."""
+    length_hint: int = 0
+    """Tokens of the response as the caller guesses them; 0 if unknown."""
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: bytes | None = None
 
@@ -114,6 +117,8 @@
         adapter=adapter,
         tokens_in=tokens_in,
         tokens_out=tokens_out,
+        length_hint=_read_number(_read_text(values, header_names.length_hint))
+        or 0,
         prompt_parts=_read_prompt_parts(
             _read_text(values, header_names.prompt_parts)
         ),
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -32,6 +32,8 @@
 from dotterelbridge.gateway.target import Slot
 from dotterelbridge.gateway.target_table import TargetTable
 from dotterelbridge.gateway.waiting import WaitPolicy
+from dotterelbridge.gateway.work_balancer import WorkBalancer
+from dotterelbridge.gateway.workload import REPORT_LIFETIME_S
 from dotterelbridge.ids import FailureDomain
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import Region
@@ -52,9 +54,6 @@
 another region, as a share of the target's slots. The traffic of a stream
 that crosses regions costs a few hundredths of the stream's value; a gap in
 a stream at a busy engine costs two thirds of it."""
-_REPORT_LIFETIME_S = 0.75
-"""Time during which VMs act on one load report: the interval of reports plus
-the time for which the control VMs batch them."""
 _ANSWERS = (AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR)
 
 
@@ -109,6 +108,13 @@
             clock,
             lambda: self.missing_item_event.set(),
         )
+        self._work_balancer = WorkBalancer(
+            settings.balance,
+            clock,
+            rng,
+            count_entry_vms,
+            _DISTANCE_COST_SHARES,
+        )
         self._queue: list[QueuedRequest] = []
         self._retry_budgets: dict[ItemName, RetryBudget] = {}
         self._arrivals: Counter[ItemKey] = Counter()
@@ -169,6 +175,7 @@
         :raises NoTargetAvailable: no slot is free in time; nothing was sent.
         """
         self._check_quarantine(call)
+        self._work_balancer.check_memory(call)
         now = self._clock.monotonic()
         queued = QueuedRequest(call, now)
         slot = self._try_acquire_slot(call)
@@ -262,6 +269,9 @@
         """Release a slot and record the outcome of its attempt."""
         target = slot.gateway_target
         target.in_flight -= 1
+        self._work_balancer.record_ended(
+            slot, outcome is AttemptOutcome.ANSWERED
+        )
         instruments.attempts.add(
             1,
             {
@@ -407,11 +417,17 @@
         self._limiter.record_request(target.incarnation, call.is_interactive)
         if call.item is not None:
             self._running[call.item] += 1
-        return target.acquire_slot(call, self._clock.monotonic())
+        slot = target.acquire_slot(call, self._clock.monotonic())
+        self._work_balancer.record_sent(slot)
+        return slot
 
     def _choose_target(
         self, call: GatewayCall, targets: list[GatewayTarget]
     ) -> GatewayTarget:
+        if self._work_balancer.is_active(call, self._targets.values()):
+            return self._work_balancer.choose(
+                call, targets, self._estimate_requests(call)
+            )
         now = self._clock.monotonic()
         chosen = choose_candidate(
             [
@@ -435,7 +451,7 @@
         requests_per_s = (
             self._arrival_rates.get_rate(call.item) * self._count_entry_vms()
         )
-        return requests_per_s * _REPORT_LIFETIME_S
+        return requests_per_s * REPORT_LIFETIME_S
 
     def _log_waiting(self, call: GatewayCall) -> None:
         targets = list(self._table.list_eligible(call))
--- a/dotterelbridge/gateway/target.py
+++ b/dotterelbridge/gateway/target.py
@@ -1,6 +1,7 @@
 """A target as the gateway of one VM sees it."""
 
 import random
+import statistics
 
 from dotterelbridge import invariants
 from dotterelbridge.clock import Clock
@@ -8,8 +9,10 @@
 from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.gateway.balance import Candidate
 from dotterelbridge.gateway.call import GatewayCall
+from dotterelbridge.gateway.cost import RequestCost
 from dotterelbridge.gateway.rates import ResponseTime
 from dotterelbridge.gateway.settings import GatewaySettings
+from dotterelbridge.gateway.workload import Workload
 from dotterelbridge.ids import Business
 from dotterelbridge.ids import Incarnation
 from dotterelbridge.ids import Region
@@ -40,6 +43,10 @@
 _RESPONSE_TIME_HALF_LIFE_S = 5.0
 """Half-life of a target's mean response time while it gets no requests, so
 that a slow target is tried again."""
+_MIN_MEASURED_GAPS = 2
+_MAX_MEASURED_GAPS = 64
+"""Bounds the memory of a long stream."""
+_MS_PER_S = 1000
 
 
 class _MissingItem:
@@ -83,6 +90,7 @@
         self._reported_requests = 0
         self._in_flight_at_report = 0
         self._response_time = ResponseTime(_RESPONSE_TIME_HALF_LIFE_S)
+        self.workload = Workload()
 
     def update(self, target: FleetTarget, now: float) -> None:
         """Replace the view by a newer one of the same incarnation."""
@@ -90,6 +98,7 @@
             self._has_report = True
             self._reported_requests = target.load.running + target.load.waiting
             self._in_flight_at_report = self.in_flight
+            self.workload.record_report(target.load, now)
         for item in list(self._missing_items):
             was_held = self.view.holds(item.model, item.adapter)
             if not was_held and target.holds(item.model, item.adapter):
@@ -98,6 +107,11 @@
             self.ejection.schedule_probe(now)
         self.view = target
 
+    @property
+    def has_report(self) -> bool:
+        """Whether the target has reported its load."""
+        return self._has_report
+
     @property
     def incarnation(self) -> Incarnation:
         """The target's name and the time of its start."""
@@ -171,10 +185,16 @@
         # The next request ends as late as on an engine of usual speed with
         # this many requests.
         load = (load + 1) * self.slowness - 1
-        if not self.client.has_idle_connections:
-            load += _NEW_ENGINE_CONNECTION_COST
+        load += self.connection_cost
         return Candidate(distance_cost + load, self._sent_since_report)
 
+    @property
+    def connection_cost(self) -> float:
+        """Cost of the connection that a request needs, in requests."""
+        if self.client.has_idle_connections:
+            return 0.0
+        return _NEW_ENGINE_CONNECTION_COST
+
     def has_free_slot(self) -> bool:
         """Whether the estimated load is below the target's limit."""
         limit = self.view.slots + self._settings.overfill_requests
@@ -246,6 +266,28 @@
         """Monotonic time in seconds."""
         self.first_event_at: float | None = None
         """Monotonic time of the first event of a stream."""
+        self.cost: RequestCost | None = None
+        """What the request was expected to cost; None if targets are not
+        compared by their work."""
+        self.event_count = 0
+        self._last_event_at = 0.0
+        self._gaps_ms: list[float] = []
+
+    def record_events(self, count: int, now: float) -> None:
+        """Record events of a stream that have arrived together."""
+        if self.first_event_at is None:
+            self.first_event_at = now
+        elif len(self._gaps_ms) < _MAX_MEASURED_GAPS:
+            gap_ms = (now - self._last_event_at) * _MS_PER_S / max(1, count)
+            self._gaps_ms.append(gap_ms)
+        self.event_count += count
+        self._last_event_at = now
+
+    def find_median_gap_ms(self) -> float | None:
+        """Return the median time between two events, if there are enough."""
+        if len(self._gaps_ms) < _MIN_MEASURED_GAPS:
+            return None
+        return statistics.median(self._gaps_ms)
 
     @property
     def view(self) -> FleetTarget:
--- /dev/null
+++ b/dotterelbridge/gateway/work_balancer.py
@@ -0,0 +1,247 @@
+"""Balances a service's requests by the work that they cause."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+from datetime import timedelta
+import random
+from typing import Any
+
+import msgspec
+
+from dotterelbridge.clock import Clock
+from dotterelbridge.gateway.balance import WorkDemand
+from dotterelbridge.gateway.balance import choose_by_work
+from dotterelbridge.gateway.call import GatewayCall
+from dotterelbridge.gateway.cost import CostEstimator
+from dotterelbridge.gateway.cost import MeanRequest
+from dotterelbridge.gateway.cost import RequestCost
+from dotterelbridge.gateway.errors import NoTargetAvailable
+from dotterelbridge.gateway.errors import UnavailableReason
+from dotterelbridge.gateway.settings import BalanceMode
+from dotterelbridge.gateway.target import GatewayTarget
+from dotterelbridge.gateway.target import Slot
+from dotterelbridge.gateway.workload import REPORT_LIFETIME_S
+from dotterelbridge.gateway.workload import create_pressure_curve
+from dotterelbridge.gateway.workload import differ_in_speed
+from dotterelbridge.ids import ItemName
+
+_SPEED_RATIO = 1.3
+"""Ratio of the 90th to the 10th percentile of the targets' speeds from which
+a service is balanced by work."""
+_SPEED_RATIO_BACK = 1.15
+"""Ratio below which it is balanced by requests again; lower, so that noise
+does not switch it."""
+_MODE_INTERVAL_S = 1.0
+"""Time between two comparisons of the speeds."""
+_TEAM_RETENTION_S = 60.0
+"""Time after the last request with a team's key for which the deployment
+counts as one with teams."""
+_RELAXED_GAP_SHARE = 0.25
+"""Weight of the time between events for a route without an objective for
+it, so that its requests take the slow targets."""
+_MS_PER_S = 1000
+_TOO_LARGE_RETRY_AFTER = timedelta(seconds=1)
+
+
+class _Mode(msgspec.Struct):
+    """Whether a service is balanced by work."""
+
+    is_by_work: bool = False
+    compared_at: float = float("-inf")
+
+
+class WorkBalancer:
+    """Chooses targets by predicted work, where the settings say so."""
+
+    def __init__(
+        self,
+        mode: BalanceMode,
+        clock: Clock,
+        rng: random.Random,
+        count_entry_vms: Callable[[], int],
+        distance_cost_shares: Sequence[float],
+    ) -> None:
+        """Create a balancer.
+
+        :param distance_cost_shares: costs of a target by its distance, as
+            shares of its slots.
+        """
+        self._mode = mode
+        self._clock = clock
+        self._random = rng
+        self._count_entry_vms = count_entry_vms
+        self._distance_cost_shares = distance_cost_shares
+        self._estimator = CostEstimator(clock)
+        self._modes: dict[ItemName, _Mode] = {}
+        self._team_seen_at = float("-inf")
+
+    @property
+    def is_enabled(self) -> bool:
+        """Whether any service may be balanced by work."""
+        return self._mode is not BalanceMode.REQUESTS
+
+    def is_active(
+        self, call: GatewayCall, targets: Iterable[GatewayTarget]
+    ) -> bool:
+        """Whether a request's service is balanced by work now.
+
+        :param targets: all targets.
+        """
+        if not self.is_enabled or call.service.engine is None:
+            return False
+        if self._mode is BalanceMode.WORK:
+            return True
+        now = self._clock.monotonic()
+        if call.team is not None:
+            self._team_seen_at = now
+        if now - self._team_seen_at <= _TEAM_RETENTION_S:
+            return True
+        mode = self._modes.setdefault(call.service.name, _Mode())
+        if now - mode.compared_at >= _MODE_INTERVAL_S:
+            mode.compared_at = now
+            ratio = _SPEED_RATIO_BACK if mode.is_by_work else _SPEED_RATIO
+            mode.is_by_work = differ_in_speed(
+                [
+                    target.workload.read_speed(now)
+                    for target in targets
+                    if target.view.service == call.service.name
+                ],
+                ratio,
+            )
+        return mode.is_by_work
+
+    def check_memory(self, call: GatewayCall) -> None:
+        """Check that an engine's whole memory suffices for the prompt.
+
+        The length of the response is only an estimate, so that it is no
+        reason to refuse a request.
+
+        :raises NoTargetAvailable: no engine can ever run the request.
+        """
+        engine = call.service.engine
+        if not self.is_enabled or engine is None or engine.kv_tokens <= 0:
+            return
+        if call.request.tokens_in > engine.kv_tokens:
+            raise NoTargetAvailable(
+                UnavailableReason.TOO_LARGE,
+                f"the prompt of {call.request.tokens_in} tokens exceeds the "
+                f"memory of an engine, {engine.kv_tokens} tokens",
+                "send a shorter prompt",
+                _TOO_LARGE_RETRY_AFTER,
+            )
+
+    def choose(
+        self,
+        call: GatewayCall,
+        targets: Sequence[GatewayTarget],
+        expected_requests: float,
+    ) -> GatewayTarget:
+        """Return the target for one more request.
+
+        :param expected_requests: requests of all VMs for the item between
+            two reports.
+        """
+        if len(targets) == 1:
+            return targets[0]
+        now = self._clock.monotonic()
+        cost = self._estimator.predict(call)
+        mean = self._get_mean(call, cost)
+        slots = call.service.engine.slots
+        gap_ms = cost.gap_ms
+        if call.route.gap_aim_ms is None:
+            gap_ms *= _RELAXED_GAP_SHARE
+        curve = create_pressure_curve(
+            mean, gap_ms, slots, call.service.engine.kv_tokens
+        )
+        unit_ms = (curve.read_ms(slots) - curve.read_ms(0)) / slots
+        candidates = [
+            target.workload.create_candidate(
+                target.view,
+                cost,
+                mean,
+                self._estimator.count_held_tokens(call, target.incarnation),
+                call.service.engine.kv_tokens,
+                unit_ms
+                * (
+                    self._distance_cost_shares[target.distance] * slots
+                    + target.connection_cost
+                ),
+                now,
+            )
+            for target in targets
+        ]
+        units = _compute_units(cost, mean, slots)
+        demand = WorkDemand(
+            units=units,
+            memory_tokens=cost.memory_tokens,
+            expected_units=expected_requests,
+            vm_count=max(1, self._count_entry_vms()),
+            stays=mean.stay_ms / _MS_PER_S / REPORT_LIFETIME_S,
+        )
+        return targets[choose_by_work(candidates, curve, demand, self._random)]
+
+    def record_sent(self, slot: Slot) -> None:
+        """Count a request at the target that it is sent to."""
+        call, target = slot.call, slot.gateway_target
+        if not self.is_enabled or call.service.engine is None:
+            return
+        cost = self._estimator.predict(call)
+        mean = self._get_mean(call, cost)
+        slot.cost = cost
+        slots = call.service.engine.slots
+        target.workload.record_sent(
+            id(slot), cost, _compute_units(cost, mean, slots), slot.acquired_at
+        )
+        held = self._estimator.count_held_tokens(call, target.incarnation)
+        self._estimator.record_request(call, cost, held)
+
+    def record_ended(self, slot: Slot, is_answered: bool) -> None:
+        """Stop counting a request, and learn from a complete stream."""
+        if slot.cost is None:
+            return
+        target, call = slot.gateway_target, slot.call
+        now = self._clock.monotonic()
+        target.workload.record_ended(id(slot))
+        if slot.first_event_at is not None:
+            self._estimator.record_prompt(call, target.incarnation)
+        gap_ms = slot.find_median_gap_ms()
+        speed = target.workload.read_speed(now)
+        if gap_ms:
+            usual_ms = self._estimator.predict_gap_ms(call, now)
+            target.workload.record_gap(gap_ms, usual_ms, now)
+        if is_answered and slot.event_count:
+            self._estimator.record(
+                call,
+                # A resumed stream has events from other targets.
+                slot.event_count if call.attempts == 1 else 0,
+                gap_ms,
+                speed,
+            )
+
+    def read_mean_request(self, name: ItemName) -> MeanRequest | None:
+        """Return the mean request of a service; None before the first."""
+        return self._estimator.get_mean_request(name)
+
+    def _get_mean(self, call: GatewayCall, cost: RequestCost) -> MeanRequest:
+        mean = self._estimator.get_mean_request(call.service.name)
+        if mean is not None:
+            return mean
+        self._estimator.record_request(call, cost, 0)
+        return self._estimator.get_mean_request(call.service.name)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the settings in force and the sizes of the tables."""
+        return {
+            "mode": self._mode.value,
+            "by_work": sorted(
+                name for name, mode in self._modes.items() if mode.is_by_work
+            ),
+            **self._estimator.dump(),
+        }
+
+
+def _compute_units(cost: RequestCost, mean: MeanRequest, slots: int) -> float:
+    """Return the work of a request in mean requests."""
+    mean_ms = max(0.1, mean.compute_engine_ms(slots))
+    return cost.compute_engine_ms(slots) / mean_ms
