Hand over quota buckets to a new leader, and leave a detached minority sooner

Change: a detached VM connects to all control VMs. Answers of the leader carry the level of each bucket; the control VM that becomes leader starts from it, as far as the tolerated excess covers that both leaders issue it. A control VM's part without a leader follows the number of entry VMs that ask it.

--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -246,11 +246,17 @@
             self._routes,
             self._get_led_term,
             self._replicated_log.get_leader,
-            lambda: len(self.list_control_vms()),
+            self._find_entry_vm_share,
             self._rng,
         )
         self._registry.add("quotas", self._credit_service)
 
+    def _find_entry_vm_share(self) -> float:
+        """Return the part of all entry VMs that follow this VM."""
+        followers = self._fleet_feed.count_entry_vms()
+        total = max(followers, self._fleet_feed.deployment_entry_vm_count, 1)
+        return followers / total
+
     def _get_led_term(self) -> Term | None:
         """Return the term that this VM leads, or None."""
         if not self._replicated_log.has_leader_lease():
--- a/dotterelbridge/nodes/directory.py
+++ b/dotterelbridge/nodes/directory.py
@@ -11,7 +11,7 @@
 from dotterelbridge.nodes.settings import parse_vm_id
 from dotterelbridge.peers.websocket_network import WebsocketNetwork
 
-_UPDATE_INTERVAL = timedelta(seconds=1)
+_UPDATE_INTERVAL = timedelta(milliseconds=250)
 _UNKNOWN_DISTANCE = 3
 
 
@@ -30,11 +30,14 @@
         list_known_vms: Callable[[], Iterable[VmId]],
         clock: Clock,
         links_kept: int | None = None,
+        is_detached: Callable[[], bool] = lambda: False,
     ) -> None:
         """Create a directory.
 
         :param links_kept: number of links that are kept while all of them
             are up; None keeps a link to each control VM.
+        :param is_detached: whether what this VM knows is outdated, so that
+            all linked control VMs may be cut off from the others.
         """
         self._network = network
         self._own_vm = own_vm
@@ -42,6 +45,7 @@
         self._list_known_vms = list_known_vms
         self._clock = clock
         self._links_kept = links_kept
+        self._is_detached = is_detached
         self._distances: dict[VmId, int] = {}
         """Distances of the control VMs that were connected before."""
 
@@ -64,13 +68,17 @@
         ]
 
     def _select_links(self, known_vms: list[VmId]) -> list[VmId]:
-        """Return the VMs to keep a link to: all unless enough are up.
+        """Return the VMs to keep a link to: all unless enough are of use.
 
         The links of all entry VMs would cost a control VM more with each
         of them. One link more than the failure domain's own and its
         region's goes to another region.
         """
-        if self._links_kept is None or len(known_vms) <= self._links_kept:
+        if (
+            self._links_kept is None
+            or len(known_vms) <= self._links_kept
+            or self._is_detached()
+        ):
             return known_vms
         nearest = sorted(known_vms, key=self._create_link_key)
         kept = nearest[: self._links_kept]
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -58,6 +58,7 @@
             lambda: self._fleet_follower.control_vms,
             clock,
             settings.discovery.links_kept,
+            lambda: self._get_detached_ms() > settings.fleet.detached_limit_ms,
         )
         self._key_permission = KeyPermission(clock, settings.teams)
         self._fleet_follower = FleetFollower(
--- a/dotterelbridge/quotas/issuer.py
+++ b/dotterelbridge/quotas/issuer.py
@@ -1,9 +1,12 @@
 """Issues credit to teams at the rate of their quotas, on the leader."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import math
 from typing import Any
 
+import msgspec
+
 from dotterelbridge.clock import Clock
 from dotterelbridge.ids import TeamName
 from dotterelbridge.quotas.limits import AHEAD_LIFETIME_S
@@ -29,14 +32,34 @@
 _MS_PER_S = 1000
 
 
+class KnownLevel(msgspec.Struct, frozen=True):
+    """What the bucket of an earlier leader held."""
+
+    units: float
+    at: float
+    """Monotonic time of the answer that told it."""
+
+
 class _Bucket:
     """Credit of one team."""
 
     def __init__(
-        self, limits: QuotaLimits, settings: QuotasSettings, now: float
+        self,
+        limits: QuotaLimits,
+        settings: QuotasSettings,
+        now: float,
+        known: KnownLevel | None,
     ) -> None:
         self._limits = limits
         self._level = limits.first_units
+        if known is not None:
+            # The predecessor may have issued what was left, but nothing of
+            # what the bucket would have gained since.
+            gained = (now - known.at) * limits.units_per_s
+            self._level = min(
+                limits.capacity,
+                min(known.units, limits.inherited_units) + gained,
+            )
         """Negative while credit is issued for use in the near future."""
         self._backlog = 0.0
         """Units of refused callers that are expected to come back."""
@@ -66,10 +89,12 @@
             )
         self._book_overdraft(demand.overdrawn_units, now)
         waits_ms = tuple(self._meet(need, now) for need in demand.needs)
+        ahead_units = self._issue_ahead(demand.ahead_units, now)
         return TeamCredit(
             team=demand.team,
             waits_ms=waits_ms,
-            ahead_units=self._issue_ahead(demand.ahead_units, now),
+            ahead_units=ahead_units,
+            level_units=self._level,
         )
 
     def dump(self) -> dict[str, float]:
@@ -156,11 +181,18 @@
         self._find_quota = find_quota
         self._is_known = is_known
         self._buckets: dict[TeamName, _Bucket] = {}
+        self._known_levels: dict[TeamName, KnownLevel] = {}
         self._started_at = clock.monotonic()
 
-    def restart(self) -> None:
-        """Start as a new leader, with a part of each bucket."""
+    def restart(
+        self, known_levels: Mapping[TeamName, KnownLevel] | None = None
+    ) -> None:
+        """Start as a new leader, with a part of each bucket.
+
+        :param known_levels: what this VM knows of the predecessor's buckets.
+        """
         self._buckets.clear()
+        self._known_levels = dict(known_levels or {})
         self._started_at = self._clock.monotonic()
 
     def decide(self, demand: TeamDemand) -> TeamCredit:
@@ -178,7 +210,12 @@
         limits = derive_limits(quota, self._settings)
         bucket = self._buckets.get(demand.team)
         if bucket is None:
-            bucket = _Bucket(limits, self._settings, self._started_at)
+            bucket = _Bucket(
+                limits,
+                self._settings,
+                self._started_at,
+                self._known_levels.get(demand.team),
+            )
             self._buckets[demand.team] = bucket
         bucket.set_limits(limits, now)
         return bucket.decide(demand, now)
--- a/dotterelbridge/quotas/limits.py
+++ b/dotterelbridge/quotas/limits.py
@@ -19,6 +19,8 @@
 _NEW_LEADER_PART = 0.125
 """Part of the tolerated excess that a new leader may issue at once, as its
 predecessor may have issued all it had just before."""
+_INHERITED_PART = 0.35
+"""Part of the tolerated excess that may be issued twice, by two leaders."""
 _NEW_LEADER_SHARE = 0.25
 """Part of the bucket with which a new leader starts."""
 
@@ -36,7 +38,10 @@
     ahead_units: float
     """The most credit that is out ahead of requests."""
     first_units: float
-    """Content of the bucket of a new leader."""
+    """Content of the bucket of a new leader that knows nothing."""
+    inherited_units: float
+    """The most that a new leader takes over of its predecessor's bucket, as
+    the predecessor may have issued it as well."""
 
 
 def is_limited(quota: Quota | None) -> bool:
@@ -72,6 +77,7 @@
         capacity=capacity,
         window_units=window_units + capacity,
         ahead_units=tolerated * _AHEAD_PART,
+        inherited_units=tolerated * _INHERITED_PART,
         first_units=min(
             capacity * _NEW_LEADER_SHARE, tolerated * _NEW_LEADER_PART
         ),
--- a/dotterelbridge/quotas/messages.py
+++ b/dotterelbridge/quotas/messages.py
@@ -47,6 +47,8 @@
     """For each need, the time until its credit is usable. A negative number
     refuses it and states the time until it might be granted."""
     ahead_units: float = 0.0
+    level_units: float = 0.0
+    """What the leader's bucket holds afterwards, for the next leader."""
 
 
 @register_message("quotas.request")
--- a/dotterelbridge/quotas/service.py
+++ b/dotterelbridge/quotas/service.py
@@ -19,6 +19,7 @@
 from dotterelbridge.peers.network import PeerNetwork
 from dotterelbridge.quotas.events import QuotaEvent
 from dotterelbridge.quotas.issuer import CreditIssuer
+from dotterelbridge.quotas.issuer import KnownLevel
 from dotterelbridge.quotas.messages import CreditReply
 from dotterelbridge.quotas.messages import CreditRequest
 from dotterelbridge.quotas.messages import TeamCredit
@@ -38,6 +39,8 @@
 _LEADER_PATIENCE = timedelta(milliseconds=70)
 """Time without an answer of the leader after which this VM issues credit by
 itself; an answer from another region takes 40 ms."""
+_LEVEL_LIFETIME_S = 4.0
+"""Age up to which the level of a predecessor's bucket is of use."""
 _PROBE_INTERVAL = timedelta(milliseconds=50)
 _BATCH_INTERVAL = timedelta(milliseconds=10)
 """Time between two messages to the leader, which bounds its load by the
@@ -95,13 +98,15 @@
         routes: ActiveRoutes,
         get_led_term: Callable[[], Term | None],
         get_leader: Callable[[], VmId | None],
-        count_control_vms: Callable[[], int],
+        get_share: Callable[[], float],
         rng: random.Random,
     ) -> None:
         """Create the service of a control VM.
 
         :param get_led_term: returns the term that this VM leads, with a
             valid lease, or None.
+        :param get_share: returns the part of all entry VMs, from 0 to 1,
+            that ask this VM.
         """
         self._network = network
         self._clock = clock
@@ -112,9 +117,10 @@
             clock, settings, quotas.find_quota, quotas.is_known
         )
         self._standby = StandbyIssuer(
-            clock, rng, settings, quotas.find_quota, count_control_vms
+            clock, rng, settings, quotas.find_quota, get_share
         )
         self._issuing_term: Term | None = None
+        self._levels: dict[TeamName, KnownLevel] = {}
         self._pending: list[_Pending] = []
         self._has_pending = anyio.Event()
         network.register_handler(CreditRequest, self._handle_request)
@@ -187,10 +193,25 @@
             with anyio.move_on_after(_LEADER_PATIENCE.total_seconds()):
                 reply = await self._send_to_leader(request)
         if reply.is_available:
+            self._record_levels(reply)
             return reply
         self._standby.start()
         return self._standby.decide(request)
 
+    def _record_levels(self, reply: CreditReply) -> None:
+        """Note what the leader's buckets hold, should this VM succeed it."""
+        now = self._clock.monotonic()
+        for credit in reply.credits:
+            self._levels[credit.team] = KnownLevel(credit.level_units, now)
+
+    def _list_recent_levels(self) -> dict[TeamName, KnownLevel]:
+        oldest = self._clock.monotonic() - _LEVEL_LIFETIME_S
+        return {
+            team: level
+            for team, level in self._levels.items()
+            if level.at >= oldest
+        }
+
     async def _send_to_leader(self, request: CreditRequest) -> CreditReply:
         leader = self._get_leader()
         if leader is None or leader == self._network.own_id:
@@ -226,7 +247,7 @@
         """Return whether this VM leads; a new leader starts anew."""
         term = self._get_led_term()
         if term is not None and term != self._issuing_term:
-            self._issuer.restart()
+            self._issuer.restart(self._list_recent_levels())
             events.log(_log, QuotaEvent.ISSUING_STARTED, term=term)
         self._issuing_term = term
         return term is not None
--- a/dotterelbridge/quotas/standby.py
+++ b/dotterelbridge/quotas/standby.py
@@ -23,8 +23,13 @@
 STANDBY_LIMIT_S = 2.5
 """Time without a leader for which credit is issued; an election is over by
 then, unless this VM is cut off from the majority."""
-_RATE_PART = 0.5
-"""Part of the rate that is issued. The leader may still issue all of it to
+_ELECTION_S = 1.2
+"""Time in which mostly a new leader is elected."""
+_ELECTION_RATE_PART = 0.8
+"""Part of the rate that is issued in this time: usual demand is about half
+of it."""
+_LATER_RATE_PART = 0.3
+"""The same after this time: the leader may still issue all of the rate to
 other VMs, if only this one is cut off."""
 _FIRST_PART = 0.125
 """Part of the tolerated excess that is issued at once."""
@@ -51,13 +56,18 @@
         rng: random.Random,
         settings: QuotasSettings,
         find_quota: Callable[[TeamName], Quota | None],
-        count_control_vms: Callable[[], int],
+        get_share: Callable[[], float],
     ) -> None:
+        """Create an inactive issuer.
+
+        :param get_share: returns the part of all entry VMs, from 0 to 1,
+            that ask this VM.
+        """
         self._clock = clock
         self._random = rng
         self._settings = settings
         self._find_quota = find_quota
-        self._count_control_vms = count_control_vms
+        self._get_share = get_share
         self._pools: dict[TeamName, _Pool] = {}
         self._started_at: float | None = None
         self._filled_at = 0.0
@@ -124,10 +134,9 @@
 
     def _open_pool(self, team: TeamName, quota: Quota) -> _Pool:
         limits = derive_limits(quota, self._settings)
-        share = 1 / max(1, self._count_control_vms())
         known = self._pools.get(team)
         pool = _Pool(
-            limits.tolerated_units * _FIRST_PART * share,
+            limits.tolerated_units * _FIRST_PART * self._get_share(),
             self._random.random(),
             known.issued if known else 0.0,
         )
@@ -143,10 +152,13 @@
         return True
 
     def _fill(self, now: float) -> None:
+        part = _ELECTION_RATE_PART
+        if now - self._started_at > _ELECTION_S:
+            part = _LATER_RATE_PART
         elapsed_s = now - self._filled_at
         self._filled_at = now
-        share = _RATE_PART / max(1, self._count_control_vms())
         for team, pool in self._pools.items():
             quota = self._find_quota(team)
             if is_limited(quota):
-                pool.level += quota.units_per_s * share * elapsed_s
+                gained = quota.units_per_s * part * elapsed_s
+                pool.level += gained * self._get_share()
--- a/tests/nodes/test_directory.py
+++ b/tests/nodes/test_directory.py
@@ -79,3 +79,24 @@
     assert set(directory.list_control_vms()) == set(CONTROL_VMS)
     network.identities = known
     assert len(directory.list_control_vms()) == LINKS_KEPT
+
+
+# Seen on a day on which the core was cut in two: entry VMs whose three linked
+# control VMs stood in the minority stayed with them for 3.6 s.
+def test_detached_vm_connects_to_all_control_vms():
+    is_detached = False
+    own_vm = msgspec.structs.replace(
+        parse_vm_id("10.9.0.1:7380"), failure_domain="00", region="0"
+    )
+    directory = ControlVmDirectory(
+        connect_all(),
+        own_vm,
+        (),
+        lambda: CONTROL_VMS,
+        ManualClock(),
+        LINKS_KEPT,
+        lambda: is_detached,
+    )
+    assert len(directory.list_control_vms()) == LINKS_KEPT
+    is_detached = True
+    assert set(directory.list_control_vms()) == set(CONTROL_VMS)
--- a/tests/quotas/test_issuer.py
+++ b/tests/quotas/test_issuer.py
@@ -7,6 +7,7 @@
 from dotterelbridge.clock import ManualClock
 from dotterelbridge.ids import TeamName
 from dotterelbridge.quotas.issuer import CreditIssuer
+from dotterelbridge.quotas.issuer import KnownLevel
 from dotterelbridge.quotas.limits import derive_limits
 from dotterelbridge.quotas.messages import CreditNeed
 from dotterelbridge.quotas.messages import CreditPart
@@ -131,3 +132,17 @@
 
 def test_team_that_the_leader_does_not_know_gets_nothing():
     assert Harness().ask(1, team=TeamName("x")).waits_ms[0] < 0
+
+
+# A new leader that started with a nearly empty bucket refused requests of
+# teams that used half of their quota.
+@pytest.mark.parametrize(
+    ("known_units", "expected"),
+    [(0, 100), (LIMITS.capacity, LIMITS.inherited_units + 100)],
+)
+def test_new_leader_takes_over_what_it_knows(known_units, expected):
+    harness = Harness()
+    level = KnownLevel(known_units, harness.clock.monotonic())
+    harness.advance(1)
+    harness.issuer.restart({TEAM.name: level})
+    assert harness.drain() == int(min(LIMITS.capacity, expected))
