Keep long prompts and shared prompt parts together

Cause: with work as the measure, long prompts were spread over all engines and delayed the streams of each, and a VM did not know which engine holds a prompt part that other VMs have sent.

Change: the delay that a prompt causes no longer enters the common level but scales a target's weight. All VMs rank the targets alike for long prompts, and find the same home of a shared part by rendezvous hashing.

--- a/dotterelbridge/gateway/balance.py
+++ b/dotterelbridge/gateway/balance.py
@@ -16,6 +16,9 @@
 _CORRECTION = 0.4
 """Part of a deviation from the common level that is corrected within one
 report. Reports are late, so that a full correction overshoots."""
+_PROMPT_SCALE_MS = 20.0
+"""Difference of the delay by a prompt for which a target's weight falls by a
+factor of e; about that of a prompt of usual length."""
 _MAX_CREDIT = 2.0
 """Bounds what a target collects while other requests cannot go there."""
 _CREDIT_LIMIT = 4096
@@ -124,19 +127,21 @@
     """Work that this VM has sent since."""
     speed: float = 1.0
     """Time of a step, as a multiple of the usual one."""
-    own_ms: float = 0.0
-    """What this request causes there at any load, at usual speed: its
-    prompt delays the streams there, and it may have to be far away."""
+    extra_ms: float = 0.0
+    """Cost at any load and usual speed, for example of the distance."""
+    prompt_ms: float = 0.0
+    """Delay that the prompt of this request causes there, weighted by whom
+    it delays."""
     free_tokens: float = math.inf
     """Free memory, by the pessimistic reading of the last report."""
 
     def read_pressure_ms(self, curve: PressureCurve, units: float) -> float:
         """Return what a stream suffers there at an amount of work."""
-        return self.speed * (curve.read_ms(units) + self.own_ms)
+        return self.speed * (curve.read_ms(units) + self.extra_ms)
 
     def find_units(self, curve: PressureCurve, pressure_ms: float) -> float:
         """Return the work at which a stream suffers that much there."""
-        return curve.find_units(pressure_ms / self.speed - self.own_ms)
+        return curve.find_units(pressure_ms / self.speed - self.extra_ms)
 
 
 class WorkDemand(msgspec.Struct, frozen=True, kw_only=True):
@@ -214,9 +219,13 @@
     ] or list(range(len(candidates)))
     shares = _share_work([candidates[i] for i in roomy], curve, demand)
     weights = [0.0] * len(candidates)
+    least_prompt_ms = min(candidates[i].prompt_ms for i in roomy)
     for index, share in zip(roomy, shares, strict=True):
         sent_units = demand.vm_count * candidates[index].sent_units
-        weights[index] = max(0.0, share - sent_units)
+        preference = math.exp(
+            (least_prompt_ms - candidates[index].prompt_ms) / _PROMPT_SCALE_MS
+        )
+        weights[index] = max(0.0, share - sent_units) * preference
     if not any(weights):
         least = min(
             roomy,
--- a/dotterelbridge/gateway/cost.py
+++ b/dotterelbridge/gateway/cost.py
@@ -56,6 +56,9 @@
 _PART_LIFETIME_S = 20.0
 """Time for which a target is assumed to hold a prompt part. The whole cache
 of a busy engine is replaced within about this time."""
+_HOME_PROBABILITY = 0.5
+"""Probability that a target holds a part which all VMs prefer to send there,
+when this VM has not sent it lately."""
 _MEAN_GAIN = 0.05
 """Weight of the latest request in the mean request of a service."""
 
@@ -330,8 +333,17 @@
         while len(self._held_parts) > _PART_LIMIT:
             self._held_parts.popitem(last=False)
 
-    def count_held_tokens(self, call: GatewayCall, target: Incarnation) -> int:
-        """Return the tokens at the start of a prompt that a target holds."""
+    def count_held_tokens(
+        self,
+        call: GatewayCall,
+        target: Incarnation,
+        is_home: bool = False,
+    ) -> float:
+        """Return the tokens at the start of a prompt that a target holds.
+
+        :param is_home: whether all VMs prefer the target for the prompt's
+            first part, so that it probably holds that part.
+        """
         now = self._clock.monotonic()
         tokens = 0
         for part in call.request.prompt_parts:
@@ -340,6 +352,8 @@
             if now - held_at > _PART_LIFETIME_S:
                 break
             tokens += part.tokens
+        if is_home and not tokens:
+            tokens = call.request.prompt_parts[0].tokens * _HOME_PROBABILITY
         return min(tokens, _count_prompt_tokens(call))
 
     def dump(self) -> dict[str, object]:
--- a/dotterelbridge/gateway/work_balancer.py
+++ b/dotterelbridge/gateway/work_balancer.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import msgspec
+import xxhash
 
 from dotterelbridge.clock import Clock
 from dotterelbridge.gateway.balance import SmoothPicker
@@ -156,18 +157,28 @@
             mean, gap_ms, slots, call.service.engine.kv_tokens
         )
         unit_ms = (curve.read_ms(slots) - curve.read_ms(0)) / slots
+        home = find_home(call, targets)
+        ranks = {
+            name: position / len(targets)
+            for position, name in enumerate(
+                sorted(t.view.target for t in targets)
+            )
+        }
         candidates = [
             target.workload.create_candidate(
                 target.view,
                 cost,
                 mean,
-                self._estimator.count_held_tokens(call, target.incarnation),
+                self._estimator.count_held_tokens(
+                    call, target.incarnation, target is home
+                ),
                 call.service.engine.kv_tokens,
                 unit_ms
                 * (
                     self._distance_cost_shares[target.distance] * slots
                     + target.connection_cost
                 ),
+                ranks[target.view.target],
                 now,
             )
             for target in targets
@@ -245,6 +256,26 @@
         }
 
 
+def find_home(
+    call: GatewayCall, targets: Sequence[GatewayTarget]
+) -> GatewayTarget | None:
+    """Return the target where all VMs prefer to keep a shared prompt part.
+
+    A VM knows only what it has sent itself. By rendezvous hashing of the
+    first part, all VMs find the same target without messages, and most
+    parts keep theirs when a target comes or goes.
+    """
+    if not call.request.shared_parts:
+        return None
+    part = call.request.shared_parts[0]
+    return max(
+        targets,
+        key=lambda t: xxhash.xxh3_64_intdigest(
+            f"{part} {t.view.target}".encode()
+        ),
+    )
+
+
 def _compute_units(cost: RequestCost, mean: MeanRequest, slots: int) -> float:
     """Return the work of a request in mean requests."""
     mean_ms = max(0.1, mean.compute_engine_ms(slots))
--- a/dotterelbridge/gateway/workload.py
+++ b/dotterelbridge/gateway/workload.py
@@ -39,9 +39,6 @@
 _PROMPT_RATIO_RANGE = (1.0, 4.0)
 """Range of the mean prompt at a target, relative to that of the service.
 Shorter prompts than usual are mostly chance."""
-_OWN_PREFILL_WEIGHT = 0.5
-"""Weight of a request's own prefill against the same delay of all others:
-it delays only the first event, whose objective is twice that of pauses."""
 _SPEED_PRIOR_WEIGHT = 3.0
 """Own measurements that the published speed counts as."""
 _SPEED_RANGE = (0.2, 10.0)
@@ -210,6 +207,7 @@
         held_tokens: int,
         capacity: int,
         extra_ms: float,
+        rank: float,
         now: float,
     ) -> WorkCandidate:
         """Return the target as a candidate for a request.
@@ -218,8 +216,12 @@
             holds.
         :param capacity: memory of the target in tokens.
         :param extra_ms: cost of its distance and of a new connection.
+        :param rank: position among the candidates from 0 to 1, the same at
+            all VMs; long prompts go to the first, so that they delay the
+            streams of few targets.
         """
         slots = max(1, view.slots)
+        speed = self.read_speed(now)
         units = self.estimate_units(mean, slots, now)
         sent_units = self.read_sent_units(now)
         new_tokens = max(0.0, cost.prompt_tokens - held_tokens)
@@ -232,10 +234,9 @@
         return WorkCandidate(
             units=units,
             sent_units=sent_units,
-            speed=self.read_speed(now),
-            own_ms=prefill_ms * _OWN_PREFILL_WEIGHT
-            + excess_ms * occupied
-            + extra_ms,
+            speed=speed,
+            extra_ms=extra_ms,
+            prompt_ms=speed * (prefill_ms + excess_ms * (occupied + rank)),
             free_tokens=self.estimate_free_tokens(mean, capacity, now),
         )
 
