--- a/dotterelbridge/gateway/work_balancer.py
+++ b/dotterelbridge/gateway/work_balancer.py
@@ -8,10 +8,12 @@
 from typing import Any
 
 import msgspec
+import xxhash
 
 from dotterelbridge.clock import Clock
+from dotterelbridge.gateway.balance import SmoothPicker
 from dotterelbridge.gateway.balance import WorkDemand
-from dotterelbridge.gateway.balance import choose_by_work
+from dotterelbridge.gateway.balance import weigh_by_work
 from dotterelbridge.gateway.call import GatewayCall
 from dotterelbridge.gateway.cost import CostEstimator
 from dotterelbridge.gateway.cost import MeanRequest
@@ -69,7 +71,7 @@
         """
         self._mode = mode
         self._clock = clock
-        self._random = rng
+        self._picker = SmoothPicker(rng)
         self._count_entry_vms = count_entry_vms
         self._distance_cost_shares = distance_cost_shares
         self._estimator = CostEstimator(clock)
@@ -155,18 +157,28 @@
             mean, gap_ms, slots, call.service.engine.kv_tokens
         )
         unit_ms = (curve.read_ms(slots) - curve.read_ms(0)) / slots
+        home = find_home(call, targets)
+        ranks = {
+            name: position / len(targets)
+            for position, name in enumerate(
+                sorted(t.view.target for t in targets)
+            )
+        }
         candidates = [
             target.workload.create_candidate(
                 target.view,
                 cost,
                 mean,
-                self._estimator.count_held_tokens(call, target.incarnation),
+                self._estimator.count_held_tokens(
+                    call, target.incarnation, target is home
+                ),
                 call.service.engine.kv_tokens,
                 unit_ms
                 * (
                     self._distance_cost_shares[target.distance] * slots
                     + target.connection_cost
                 ),
+                ranks[target.view.target],
                 now,
             )
             for target in targets
@@ -174,12 +186,15 @@
         units = _compute_units(cost, mean, slots)
         demand = WorkDemand(
             units=units,
-            memory_tokens=cost.memory_tokens,
+            memory_tokens=cost.expected_memory_tokens,
             expected_units=expected_requests,
             vm_count=max(1, self._count_entry_vms()),
             stays=mean.stay_ms / _MS_PER_S / REPORT_LIFETIME_S,
         )
-        return targets[choose_by_work(candidates, curve, demand, self._random)]
+        weights = weigh_by_work(candidates, curve, demand)
+        return targets[
+            self._picker.pick([t.incarnation for t in targets], weights)
+        ]
 
     def record_sent(self, slot: Slot) -> None:
         """Count a request at the target that it is sent to."""
@@ -241,6 +256,26 @@
         }
 
 
+def find_home(
+    call: GatewayCall, targets: Sequence[GatewayTarget]
+) -> GatewayTarget | None:
+    """Return the target where all VMs prefer to keep a shared prompt part.
+
+    A VM knows only what it has sent itself. By rendezvous hashing of the
+    first part, all VMs find the same target without messages, and most
+    parts keep theirs when a target comes or goes.
+    """
+    if not call.request.shared_parts:
+        return None
+    part = call.request.shared_parts[0]
+    return max(
+        targets,
+        key=lambda t: xxhash.xxh3_64_intdigest(
+            f"{part} {t.view.target}".encode()
+        ),
+    )
+
+
 def _compute_units(cost: RequestCost, mean: MeanRequest, slots: int) -> float:
     """Return the work of a request in mean requests."""
     mean_ms = max(0.1, mean.compute_engine_ms(slots))
