Measure the gaps of streams and derive the speeds of engines

Change: where a setting uses it, an entry VM takes the median time between the events of each stream (of each 16 gaps of a longer one) and reports it by target incarnation and model. The leader fits gap = speed x pace to a lower quantile of the last 6 s, by weighted least squares in logarithms with Huber weights and a prior at the usual speed. It remembers paces for some 20 s, which shows an engine that turns slow although its models are on no other engine. Speeds are published in steps of 10%, once they differ by more than 10%.

--- a/dotterelbridge/fleet/target_evidence.py
+++ b/dotterelbridge/fleet/target_evidence.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from dotterelbridge.clock import Clock
+from dotterelbridge.fleet.engine_speeds import EngineSpeeds
 from dotterelbridge.fleet.error_shares import ErrorShares
 from dotterelbridge.fleet.fleet_state import FleetState
 from dotterelbridge.fleet.messages import DemandReport
@@ -33,21 +34,26 @@
         self._clock = clock
         self._is_controller = is_controller
         self._error_shares = ErrorShares(clock)
+        self.speeds = EngineSpeeds(clock)
 
     def add_report(self, report: DemandReport) -> None:
         """Add the measurements of one entry VM."""
         for answers in report.answers:
             self._error_shares.add(answers)
+        for gap in report.stream_gaps:
+            target = self._fleet_state.targets.get(gap.target)
+            if target is not None and target.born == gap.born:
+                self.speeds.add(target.service, gap)
 
     def complete_load(
         self, target: FleetTarget, load: TargetLoad
     ) -> TargetLoad:
         """Return a load with what has been measured at its target."""
+        incarnation = (target.target, target.born)
         return msgspec.structs.replace(
             load,
-            error_percent=self._error_shares.find_percent(
-                (target.target, target.born)
-            ),
+            speed_percent=self.speeds.find_percent(incarnation),
+            error_percent=self._error_shares.find_percent(incarnation),
         )
 
     async def run(self) -> None:
@@ -55,6 +61,8 @@
         while True:
             await self._clock.sleep(_INTERVAL)
             if self._is_controller():
+                for _ in self.speeds.update_in_steps():
+                    await self._clock.sleep(timedelta(0))
                 self._publish()
 
     def _publish(self) -> None:
--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -27,6 +27,7 @@
 from dotterelbridge.gateway.request import read_gateway_request
 from dotterelbridge.gateway.router import GatewayRouter
 from dotterelbridge.gateway.settings import GatewaySettings
+from dotterelbridge.gateway.stream_gaps import StreamGaps
 from dotterelbridge.ids import RunStatus
 from dotterelbridge.routes.active_routes import ActiveRoutes
 from dotterelbridge.routes.model import Repeatability
@@ -66,8 +67,10 @@
         serving: ServingSettings,
         clock: Clock,
         rng: random.Random,
+        stream_gaps: StreamGaps | None = None,
     ) -> None:
         super().__init__(StopGrace(serving, clock))
+        self._stream_gaps = stream_gaps
         self._routes = routes
         self._router = router
         self._header_names = header_names
@@ -199,6 +202,7 @@
             self._clock,
             self._random,
             self._stop_grace,
+            self._stream_gaps,
         )
         try:
             await self._run_attempts(call, runner, receive)
@@ -494,8 +498,19 @@
     serving: ServingSettings,
     clock: Clock,
     rng: random.Random,
+    stream_gaps: StreamGaps | None = None,
 ) -> GatewayApp:
-    """Return the ASGI application for callers."""
+    """Return the ASGI application for callers.
+
+    :param stream_gaps: measures the streams; None if nothing needs it.
+    """
     return GatewayApp(
-        routes, router, header_names, settings, serving, clock, rng
+        routes,
+        router,
+        header_names,
+        settings,
+        serving,
+        clock,
+        rng,
+        stream_gaps,
     )
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -24,6 +24,8 @@
 from dotterelbridge.gateway.outcomes import AttemptOutcome
 from dotterelbridge.gateway.router import GatewayRouter
 from dotterelbridge.gateway.settings import GatewaySettings
+from dotterelbridge.gateway.stream_gaps import StreamGapMeter
+from dotterelbridge.gateway.stream_gaps import StreamGaps
 from dotterelbridge.gateway.target import Slot
 from dotterelbridge.ids import AttemptId
 from dotterelbridge.routes.model import Repeatability
@@ -96,8 +98,12 @@
         clock: Clock,
         rng: random.Random,
         stop_grace: StopGrace,
+        stream_gaps: StreamGaps | None = None,
     ) -> None:
         self._stop_grace = stop_grace
+        self._stream_gaps = stream_gaps
+        self._gap_meter: StreamGapMeter | None = None
+        """Meter of the latest attempt's stream; None if not measured."""
         self.status = 0
         """Status of the response to the caller; 0 before it starts."""
         self.slot: Slot | None = None
@@ -169,6 +175,7 @@
     async def _run_attempt(self, slot: Slot) -> None:
         outcome = AttemptOutcome.CANCELLED
         self._exchange = None
+        self._gap_meter = None
         self.call.attempts += 1
         if self.call.attempts > 1:
             self._router.get_retry_budget(self.call).record_retry()
@@ -177,6 +184,7 @@
                 self._exchange = exchange
                 self._check_response(slot, exchange)
                 if self._is_event_stream(exchange):
+                    self._gap_meter = self._create_gap_meter(slot)
                     await self._forward_stream(exchange)
                 else:
                     await self._forward_response(exchange)
@@ -185,6 +193,8 @@
             outcome = _classify_error(error)
             raise
         finally:
+            if self._gap_meter is not None:
+                self._gap_meter.finish()
             self._router.release(slot, outcome)
 
     @contextlib.asynccontextmanager
@@ -329,7 +339,7 @@
             if not events_data:
                 return True
             exchange.record_progress()
-            self._record_chunk()
+            self._record_chunk(events_data)
             if self.slot.first_event_at is None:
                 self.slot.first_event_at = self._clock.monotonic()
             if not self.call.has_response_started:
@@ -380,8 +390,18 @@
                 "resume the stream",
             )
 
-    def _record_chunk(self) -> None:
+    def _create_gap_meter(self, slot: Slot) -> StreamGapMeter | None:
+        if self._stream_gaps is None or self.call.item is None:
+            return None
+        target = slot.view
+        return self._stream_gaps.measure(
+            (target.target, target.born), self.call.item.model
+        )
+
+    def _record_chunk(self, events_data: bytes) -> None:
         now = self._clock.monotonic()
+        if self._gap_meter is not None:
+            self._gap_meter.record(now, events_data)
         if self._last_chunk_at is not None:
             gap_s = now - self._last_chunk_at
             self.longest_chunk_gap_s = max(
--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -83,8 +83,27 @@
             lambda: int(self._replicated_log.has_leader_lease()),
             "1 while this VM leads the replicated log",
         )
+        self._register_speed_gauges()
         self._registry.add("replication", self._replicated_log)
 
+    def _register_speed_gauges(self) -> None:
+        speeds = self._target_evidence.speeds
+        metrics.register_gauge(
+            "dotterelbridge.fleet.engines_with_speed",
+            lambda: len(speeds.list_speeds()),
+            "Engines whose speed is known on this VM",
+        )
+        metrics.register_gauge(
+            "dotterelbridge.fleet.fastest_step",
+            lambda: min(speeds.list_speeds(), default=1.0),
+            "Time of a step on the fastest engine, relative to the usual one",
+        )
+        metrics.register_gauge(
+            "dotterelbridge.fleet.slowest_step",
+            lambda: max(speeds.list_speeds(), default=1.0),
+            "Time of a step on the slowest engine, relative to the usual one",
+        )
+
     def list_control_vms(self) -> tuple[VmId, ...]:
         """Return the VMs that hold the replicated log, as known locally."""
         members = self._replicated_log.configuration.members
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -9,11 +9,14 @@
 from dotterelbridge.errors import PeerError
 from dotterelbridge.fleet.feed import FleetFollower
 from dotterelbridge.fleet.messages import DemandReport
+from dotterelbridge.fleet.messages import StreamGap
 from dotterelbridge.fleet.messages import TargetAnswers
 from dotterelbridge.fleet.permit_channel import SourceChannel
 from dotterelbridge.gateway.app import create_gateway_app
 from dotterelbridge.gateway.headers import HeaderNames
 from dotterelbridge.gateway.router import create_gateway_router
+from dotterelbridge.gateway.settings import BalanceMode
+from dotterelbridge.gateway.stream_gaps import StreamGaps
 from dotterelbridge.nodes.directory import ControlVmDirectory
 from dotterelbridge.nodes.node import FLUSH_TIMEOUT
 from dotterelbridge.nodes.node import Node
@@ -87,6 +90,7 @@
             self._quarantine,
             self._limiter,
         )
+        self._stream_gaps = _create_stream_gaps(settings)
         self._app = create_gateway_app(
             self._routes,
             self._router,
@@ -95,6 +99,7 @@
             settings.serving,
             clock,
             rng,
+            self._stream_gaps,
         )
         self._app.add_readiness_condition(
             lambda: self._routes.route_set is not None
@@ -179,7 +184,10 @@
             source = self._fleet_follower.source
             answered_traits = self._router.crash_watch.read_answered_traits()
             answers = self._read_answers()
-            if source is not None and (items or answered_traits or answers):
+            stream_gaps = self._read_stream_gaps()
+            if source is not None and (
+                items or answered_traits or answers or stream_gaps
+            ):
                 self._network.send(
                     source,
                     DemandReport(
@@ -187,6 +195,7 @@
                         items=items,
                         answered_traits=answered_traits,
                         answers=answers,
+                        stream_gaps=stream_gaps,
                     ),
                 )
             await self._clock.sleep(min_interval)
@@ -196,6 +205,10 @@
         error_watch = self._router.error_watch
         return () if error_watch is None else error_watch.read_counts()
 
+    def _read_stream_gaps(self) -> tuple[StreamGap, ...]:
+        """Return what streams measured since the previous report."""
+        return () if self._stream_gaps is None else self._stream_gaps.read()
+
     async def _report_crashes(self) -> None:
         """Send reports of crashed targets, each until the leader has it."""
         while True:
@@ -219,6 +232,15 @@
         return isinstance(reply, CrashRecorded) and reply.is_recorded
 
 
+def _create_stream_gaps(settings: NodeSettings) -> StreamGaps | None:
+    """Return the measurement of streams, if a setting uses it."""
+    is_used = (
+        settings.fleet.place_by_speed
+        or settings.gateway.balance is not BalanceMode.REQUESTS
+    )
+    return StreamGaps() if is_used else None
+
+
 def create_entry_node(
     settings: NodeSettings,
     settings_path: str,
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -13,6 +13,7 @@
 from dotterelbridge.gateway.headers import HeaderNames
 from dotterelbridge.gateway.router import create_gateway_router
 from dotterelbridge.gateway.settings import GatewaySettings
+from dotterelbridge.gateway.stream_gaps import StreamGaps
 from dotterelbridge.ids import TargetId
 from dotterelbridge.routes.model import Repeatability
 from dotterelbridge.routes.model import TrafficShare
@@ -78,6 +79,7 @@
         )
         self.targets: dict[str, FakeTarget] = {}
         self.quarantine = create_quarantine()
+        self.stream_gaps = StreamGaps()
         self.router = create_gateway_router(
             self.fleet_state,
             self.clock,
@@ -101,6 +103,7 @@
             serving,
             self.clock,
             rng,
+            self.stream_gaps,
         )
         self.listener = create_caller_listener(self.app, serving, self.clock)
 
