Place busy heavy models on fast engines

Change: with [fleet] place_by_speed, the work of an engine counts by its speed for models that gain from fast engines, and their further copies go there. Moves by speed load such a model on a fast engine, one at a time, in place of a model of which another copy serves, after giving that one a second copy if needed. The fit of speeds now compares an engine with its own mean instead of remembered paces: these tied engines to the speed that was assumed at first.

Equal speeds change no decision.

--- a/bench/fleet_planning.py
+++ b/bench/fleet_planning.py
@@ -15,6 +15,7 @@
 from dotterelbridge.fleet.demand import Demand
 from dotterelbridge.fleet.engine import EngineReport
 from dotterelbridge.fleet.engine_state import EngineState
+from dotterelbridge.fleet.placement_speeds import PlacementSpeeds
 from dotterelbridge.fleet.plan import ServicePlan
 from dotterelbridge.fleet.policy import plan_service
 from dotterelbridge.fleet.records import FleetTarget
@@ -22,6 +23,7 @@
 from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.fleet.records import TargetLoad
 from dotterelbridge.fleet.records import TargetPhase
+from dotterelbridge.fleet.speed_moves import SpeedMoves
 from dotterelbridge.ids import FailureDomain
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import TargetId
@@ -45,6 +47,7 @@
     engine: EngineInfo
     accounts: list[EngineState]
     demand: dict[ItemKey, Demand]
+    speeds: PlacementSpeeds | None = None
 
     def plan(self) -> ServicePlan:
         """Return the plan of a service that was asked for long ago."""
@@ -56,6 +59,8 @@
             STORE_LOADS,
             NOW,
             NOW,
+            self.speeds,
+            SpeedMoves(),
         )
 
 
--- a/dotterelbridge/fleet/controller.py
+++ b/dotterelbridge/fleet/controller.py
@@ -26,6 +26,8 @@
 from dotterelbridge.fleet.events import FleetEvent
 from dotterelbridge.fleet.fleet_state import FleetState
 from dotterelbridge.fleet.model_placement import estimate_load_s
+from dotterelbridge.fleet.placement_speeds import PlacementSpeeds
+from dotterelbridge.fleet.placement_speeds import create_placement_speeds
 from dotterelbridge.fleet.plan import ServicePlan
 from dotterelbridge.fleet.plan import Step
 from dotterelbridge.fleet.plan_reporter import PlanReporter
@@ -34,12 +36,14 @@
 from dotterelbridge.fleet.sender import OrderSender
 from dotterelbridge.fleet.sender import get_item_kind
 from dotterelbridge.fleet.settings import FleetSettings
+from dotterelbridge.fleet.speed_moves import SpeedMoves
 from dotterelbridge.fleet.store_limiter import StoreLoadLimiter
 from dotterelbridge.fleet.target_evidence import TargetEvidence
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import VmId
 from dotterelbridge.replication.recovering_log import RecoveringLog
 from dotterelbridge.routes.active_routes import ActiveRoutes
+from dotterelbridge.routes.model import Service
 
 _log = structlog.get_logger(__name__)
 
@@ -68,7 +72,10 @@
         demand: DemandTracker,
         settings: FleetSettings,
         clock: Clock,
+        evidence: TargetEvidence | None = None,
     ) -> None:
+        self._evidence = evidence
+        self._speed_moves: dict[ItemName, SpeedMoves] = {}
         self._authority = authority
         self._engines = engines
         self._sender = sender
@@ -102,6 +109,7 @@
         self._store_limiter = StoreLoadLimiter(
             self._settings, self._authority.elected_at
         )
+        self._speed_moves.clear()
         try:
             async with anyio.create_task_group() as group:
                 while self.can_send_orders:
@@ -148,6 +156,8 @@
                 store_loads,
                 self._demand.get_time_since_first_request_s(service.name),
                 now,
+                self._find_speeds(service, states),
+                self._speed_moves.setdefault(service.name, SpeedMoves()),
             )
             self._plan_reporter.record(
                 service.name,
@@ -161,6 +171,25 @@
             for step in plan.steps:
                 self._start_step(group, step, now)
 
+    def _find_speeds(
+        self, service: Service, states: list[EngineState]
+    ) -> PlacementSpeeds | None:
+        """Return the speeds of a service's engines, if placement uses them."""
+        routes = self._routes.route_set
+        if (
+            not self._settings.place_by_speed
+            or self._evidence is None
+            or routes is None
+        ):
+            return None
+        return create_placement_speeds(
+            service.name,
+            [state.target for state in states],
+            [model.name for model in service.engine.models],
+            routes,
+            self._evidence.speeds,
+        )
+
     def _log_items_without_room(
         self,
         service: ItemName,
@@ -315,4 +344,5 @@
         demand,
         settings,
         clock,
+        evidence,
     )
--- a/dotterelbridge/fleet/engine_speeds.py
+++ b/dotterelbridge/fleet/engine_speeds.py
@@ -1,10 +1,13 @@
 """The speeds of engines, from the gaps between events that entry VMs measure.
 
-A gap is about the speed of the engine times the pace of the model. Both
-factors are fitted to the logarithms of the gaps, by weighted least squares
-with the weights of Huber's estimator and a prior that pulls speeds to the
-usual one. Models that are on several engines connect them. A model that is on
-one engine tells nothing of its speed, unless its pace is remembered.
+A gap is about the speed of the engine times the pace of the model. The two
+are found from logarithms in two steps:
+
+- The gaps of the last tens of seconds give usual speeds and paces, through the
+  models that are or were on several engines, by weighted least squares with
+  the weights of Huber's estimator and a prior that pulls speeds to 1.0.
+- The gaps of the last seconds, compared with those on the same engine before,
+  give what has changed. This needs no model on two engines.
 """
 
 from collections import deque
@@ -57,23 +60,26 @@
 _SPEED_DEVIATION = 0.5
 """Standard deviation of speeds, as a logarithm: of 0.6, 1.0 and 1.6."""
 _PRIOR_WEIGHT = 1 / _SPEED_DEVIATION**2
+_CHANGE_PRIOR_WEIGHT = 4.0
+"""Weight of the assumption that an engine is as fast as before."""
 _OUTLIER_RESIDUAL = 0.3
 """Residual from which a cell's weight falls."""
-_PACE_WEIGHT = 6.0
-"""Weight of a model's remembered pace, as that of a cell. It shows that an
-engine has turned slow whose models are on no other engine."""
-_PACE_MEMORY_S = 20.0
-"""Time constant of remembered paces."""
-_PACE_FORGET_S = 120.0
+_MEAN_S = 20.0
+"""Time constant of a cell's mean gap. Placement uses the speeds that follow
+from it: an engine that is slower by 2.5 for three seconds appears slower by
+1.14."""
+_CELL_KEPT_S = 60.0
+"""Time without measurements after which a cell is forgotten: a model that has
+moved connects the engines that it was on."""
+_PACE_KEPT_S = 120.0
+_MAX_CELLS = 20_000
+"""Twice the pairs of an engine and a model at the target size."""
 _MAX_LOG_SPEED = math.log(4.0)
 _STEP_PERCENT = 10
 """Rounding of published speeds: each change is sent to all VMs."""
 _HYSTERESIS = 0.1
 """Part of the published speed by which the fitted one has to differ."""
 _USUAL_PERCENT = 100
-_LASTING_HALF_LIFE_S = 8.0
-"""Half-life of the mean that placement uses: an engine that is slower by 2.5
-for three seconds appears slower by 1.25."""
 _LASTING_MIN_AGE_S = 4.0
 """Time for which an engine is measured before placement uses its speed."""
 
@@ -81,14 +87,29 @@
 class _Cell:
     """Measurements of one model on one engine."""
 
-    def __init__(self) -> None:
+    def __init__(self, engine: "_Engine", model: ItemKey) -> None:
+        self.engine = engine
+        self.model = model
         self.samples: deque[tuple[float, float, int]] = deque(
             maxlen=_MAX_SAMPLES_PER_CELL
         )
-        """Entries of (monotonic time, gap in ms, streams)."""
-
-    def summarize(self, now: float) -> tuple[float, float]:
-        """Return the logarithm of the gap, and its weight."""
+        """Latest ones as (monotonic time, gap in ms, streams)."""
+        self.log_gap = 0.0
+        """Logarithm of the latest gap."""
+        self.weight = 0.0
+        """Weight of the latest gap; 0 without recent measurements."""
+        self.mean_log_gap = 0.0
+        self.mean_weight = 0.0
+        self.last_at = -math.inf
+        """Monotonic time of the last measurement."""
+        self._mean_streams = 0.0
+        """Streams that the mean is of, fading."""
+
+    def summarize(self, now: float, elapsed_s: float) -> None:
+        """Update the gap and its mean."""
+        self.weight = 0.0
+        if not self.samples:
+            return
         samples = sorted(
             (gap_ms, streams * 0.5 ** ((now - at) / _HALF_LIFE_S))
             for at, gap_ms, streams in self.samples
@@ -99,11 +120,22 @@
             for share in (0.25, _QUANTILE, 0.75)
         )
         variance = (
-            _CELL_DEVIATION**2
-            + (_SPREAD_RATIO * math.log(high / low)) ** 2
-            + _STREAM_DEVIATION**2 / streams
+            _CELL_DEVIATION**2 + (_SPREAD_RATIO * math.log(high / low)) ** 2
+        )
+        self.log_gap = math.log(gap_ms)
+        self.weight = 1 / (variance + _STREAM_DEVIATION**2 / streams)
+        new_streams = sum(
+            streams for at, _, streams in self.samples if at > now - elapsed_s
+        )
+        if not new_streams:
+            return
+        self._mean_streams *= math.exp(-elapsed_s / _MEAN_S)
+        self._mean_streams += new_streams
+        gain = new_streams / self._mean_streams
+        self.mean_log_gap += gain * (self.log_gap - self.mean_log_gap)
+        self.mean_weight = 1 / (
+            variance + _STREAM_DEVIATION**2 / self._mean_streams
         )
-        return math.log(gap_ms), 1 / variance
 
 
 def _find_quantile(samples: list[tuple[float, float]], rank: float) -> float:
@@ -115,29 +147,23 @@
     return samples[-1][0]
 
 
-class _Engine(msgspec.Struct):
+class _Engine(msgspec.Struct, kw_only=True):
     service: ItemName
     measured_since: float
+    measured_at: float
+    usual_log_speed: float = 0.0
+    """Speed over tens of seconds."""
     log_speed: float = 0.0
-    lasting_log_speed: float | None = None
+    """Present speed."""
     percent: int = _USUAL_PERCENT
     """Published speed."""
 
 
 class _Pace(msgspec.Struct):
-    """Remembered pace of a model."""
-
     log_gap: float
     seen_at: float
 
 
-class _Observation(msgspec.Struct, frozen=True):
-    engine: _Engine
-    model: ItemKey
-    log_gap: float
-    weight: float
-
-
 class EngineSpeeds:
     """Fits the speeds of engines and the paces of models.
 
@@ -146,10 +172,9 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._cells: dict[tuple[Incarnation, ItemKey], _Cell] = {}
+        self._cells: dict[tuple[Incarnation, str], _Cell] = {}
         self._sample_count = 0
         self._engines: dict[Incarnation, _Engine] = {}
-        """Engines that have measurements."""
         self._paces: dict[ItemKey, _Pace] = {}
         self._fitted_at = -math.inf
         self._next_fit_at = -math.inf
@@ -161,10 +186,20 @@
         if self._sample_count >= _MAX_SAMPLES:
             return
         now = self._clock.monotonic()
-        cell_key = ((gap.target, gap.born), ItemKey(service, gap.model))
-        cell = self._cells.get(cell_key)
+        incarnation = (gap.target, gap.born)
+        cell = self._cells.get((incarnation, gap.model))
         if cell is None:
-            cell = self._cells[cell_key] = _Cell()
+            if len(self._cells) >= _MAX_CELLS:
+                return
+            engine = self._engines.get(incarnation)
+            if engine is None:
+                engine = _Engine(
+                    service=service, measured_since=now, measured_at=now
+                )
+                self._engines[incarnation] = engine
+            cell = _Cell(engine, ItemKey(service, gap.model))
+            self._cells[incarnation, gap.model] = cell
+        cell.last_at = cell.engine.measured_at = now
         self._sample_count += len(cell.samples) < _MAX_SAMPLES_PER_CELL
         cell.samples.append((now, gap.gap_ms, gap.streams))
 
@@ -188,16 +223,19 @@
     def find_percent(self, incarnation: Incarnation) -> int:
         """Return the speed to publish: the time of a step in percent."""
         engine = self._engines.get(incarnation)
-        return _USUAL_PERCENT if engine is None else engine.percent
+        if engine is None or not self._is_measured(engine):
+            return _USUAL_PERCENT
+        return engine.percent
 
     def find_lasting_speed(self, incarnation: Incarnation) -> float | None:
         """Return a speed that placement may rely on; None if unknown."""
         engine = self._engines.get(incarnation)
-        if engine is None or engine.lasting_log_speed is None:
+        if (
+            engine is None
+            or self._fitted_at - engine.measured_since < _LASTING_MIN_AGE_S
+        ):
             return None
-        if self._fitted_at - engine.measured_since < _LASTING_MIN_AGE_S:
-            return None
-        return math.exp(engine.lasting_log_speed)
+        return math.exp(engine.usual_log_speed)
 
     def find_gap_ms(self, model: ItemKey) -> float | None:
         """Return a model's gap on an engine of usual speed, if known."""
@@ -205,151 +243,132 @@
         return None if pace is None else math.exp(pace.log_gap)
 
     def list_speeds(self) -> list[float]:
-        """Return the fitted speed of each engine with measurements."""
-        return [math.exp(e.log_speed) for e in self._engines.values()]
+        """Return the present speed of each engine with measurements."""
+        return [
+            math.exp(engine.log_speed)
+            for engine in self._engines.values()
+            if self._is_measured(engine)
+        ]
+
+    def _is_measured(self, engine: _Engine) -> bool:
+        return engine.measured_at > self._clock.monotonic() - _WINDOW_S
 
     def _forget_old(self, now: float) -> None:
-        oldest = now - _WINDOW_S
         self._sample_count = 0
+        for incarnation, engine in list(self._engines.items()):
+            if now - engine.measured_at > _CELL_KEPT_S:
+                del self._engines[incarnation]
         for cell_key, cell in list(self._cells.items()):
             samples = cell.samples
-            while samples and samples[0][0] < oldest:
+            while samples and samples[0][0] < now - _WINDOW_S:
                 samples.popleft()
-            if not samples:
+            if now - cell.last_at > _CELL_KEPT_S:
                 del self._cells[cell_key]
             self._sample_count += len(samples)
-        measured = {incarnation for incarnation, _ in self._cells}
-        for incarnation in self._engines.keys() - measured:
-            del self._engines[incarnation]
         for model, pace in list(self._paces.items()):
-            if now - pace.seen_at > _PACE_FORGET_S:
+            if now - pace.seen_at > _PACE_KEPT_S:
                 del self._paces[model]
 
     # Fit.
 
     def _fit(self, now: float) -> Iterator[None]:
-        observations: list[_Observation] = []
-        for number, cell_key in enumerate(list(self._cells)):
-            observations.append(self._observe(cell_key, now))
+        cells = list(self._cells.values())
+        for number, cell in enumerate(cells):
+            cell.summarize(now, now - self._fitted_at)
             if number % _STEP_CELLS == _STEP_CELLS - 1:
                 yield
-        by_model: dict[ItemKey, list[_Observation]] = {}
-        by_engine: dict[int, list[_Observation]] = {}
-        for observation in observations:
-            by_model.setdefault(observation.model, []).append(observation)
-            by_engine.setdefault(id(observation.engine), []).append(
-                observation
-            )
-        paces = dict.fromkeys(by_model, 0.0)
-        sweeps = _MAX_VISITS // max(1, len(observations))
+        by_model: dict[ItemKey, list[_Cell]] = {}
+        by_engine: dict[int, list[_Cell]] = {}
+        for cell in cells:
+            if cell.mean_weight:
+                by_model.setdefault(cell.model, []).append(cell)
+                by_engine.setdefault(id(cell.engine), []).append(cell)
+        yield from self._fit_usual_speeds(by_model, by_engine)
+        for entries in by_engine.values():
+            engine = entries[0].engine
+            engine.log_speed = engine.usual_log_speed + _fit_change(entries)
+        self._center()
+        for engine in self._engines.values():
+            if self._is_measured(engine):
+                _publish(engine)
+
+    def _fit_usual_speeds(
+        self,
+        by_model: dict[ItemKey, list[_Cell]],
+        by_engine: dict[int, list[_Cell]],
+    ) -> Iterator[None]:
+        now = self._clock.monotonic()
+        paces = {model: pace.log_gap for model, pace in self._paces.items()}
+        sweeps = _MAX_VISITS // max(1, sum(map(len, by_engine.values())))
         for _ in range(max(_MIN_SWEEPS, min(_MAX_SWEEPS, sweeps))):
-            for model, entries in by_model.items():
-                paces[model] = self._fit_pace(model, entries, paces[model])
             yield
+            for model, entries in by_model.items():
+                paces[model] = _fit_pace(entries, paces.get(model))
             change = 0.0
             for entries in by_engine.values():
                 engine = entries[0].engine
-                log_speed = self._fit_speed(entries, by_model, paces)
-                change = max(change, abs(log_speed - engine.log_speed))
-                engine.log_speed = log_speed
+                log_speed = _fit_usual_speed(entries, by_model, paces)
+                change = max(change, abs(log_speed - engine.usual_log_speed))
+                engine.usual_log_speed = log_speed
             if change < _CONVERGED:
                 break
-            yield
-        self._center(by_engine, paces)
-        elapsed_s = now - self._fitted_at
-        for model, log_gap in paces.items():
-            self._remember_pace(model, log_gap, elapsed_s, now)
-        for engine in self._engines.values():
-            _publish(engine, elapsed_s)
+        for model in by_model:
+            self._paces[model] = _Pace(paces[model], now)
 
-    def _observe(
-        self, cell_key: tuple[Incarnation, ItemKey], now: float
-    ) -> _Observation:
-        incarnation, model = cell_key
-        engine = self._engines.get(incarnation)
-        if engine is None:
-            engine = _Engine(service=model.service, measured_since=now)
-            self._engines[incarnation] = engine
-        log_gap, weight = self._cells[cell_key].summarize(now)
-        return _Observation(engine, model, log_gap, weight)
-
-    def _fit_pace(
-        self,
-        model: ItemKey,
-        entries: list[_Observation],
-        current: float,
-    ) -> float:
-        memory = self._paces.get(model)
-        total = weights = 0.0
-        if memory is not None:
-            total, weights = _PACE_WEIGHT * memory.log_gap, _PACE_WEIGHT
-        for entry in entries:
-            value = entry.log_gap - entry.engine.log_speed
-            weight = entry.weight
-            if current and len(entries) > 1:
-                weight *= _reduce_weight(value - current)
-            total += weight * value
-            weights += weight
-        return total / weights
-
-    def _fit_speed(
-        self,
-        entries: list[_Observation],
-        by_model: dict[ItemKey, list[_Observation]],
-        paces: dict[ItemKey, float],
-    ) -> float:
-        total, weights = 0.0, _PRIOR_WEIGHT
-        for entry in entries:
-            weight = entry.weight
-            pace = paces[entry.model]
-            if len(by_model[entry.model]) == 1:
-                # Its fitted pace follows this engine; only the remembered
-                # one is evidence.
-                memory = self._paces.get(entry.model)
-                if memory is None:
-                    continue
-                pace = memory.log_gap
-                weight *= _PACE_WEIGHT / (weight + _PACE_WEIGHT)
-            value = entry.log_gap - pace
-            weight *= _reduce_weight(value - entry.engine.log_speed)
-            total += weight * value
-            weights += weight
-        return max(-_MAX_LOG_SPEED, min(_MAX_LOG_SPEED, total / weights))
-
-    def _center(
-        self,
-        by_engine: dict[int, list[_Observation]],
-        paces: dict[ItemKey, float],
-    ) -> None:
-        """Make the mean of each service's speeds the usual one.
+    def _center(self) -> None:
+        """Make the mean of each service's present speeds the usual one.
 
         Load that stretches the gaps of all engines alike does not make them
         slow compared with each other.
         """
         engines: dict[ItemName, list[_Engine]] = {}
-        for entries in by_engine.values():
-            engine = entries[0].engine
-            engines.setdefault(engine.service, []).append(engine)
-        means = {
-            service: sum(e.log_speed for e in members) / len(members)
-            for service, members in engines.items()
-        }
+        for engine in self._engines.values():
+            if self._is_measured(engine):
+                engines.setdefault(engine.service, []).append(engine)
         for members in engines.values():
+            mean = sum(e.log_speed for e in members) / len(members)
             for engine in members:
-                engine.log_speed -= means[engine.service]
-        for model in paces:
-            paces[model] += means[model.service]
+                engine.log_speed -= mean
+
+
+def _fit_pace(cells: list[_Cell], current: float | None) -> float:
+    """Return the logarithm of a model's gap at the usual speed."""
+    total = weights = 0.0
+    for cell in cells:
+        value = cell.mean_log_gap - cell.engine.usual_log_speed
+        weight = cell.mean_weight
+        if current is not None and len(cells) > 2:
+            weight *= _reduce_weight(value - current)
+        total += weight * value
+        weights += weight
+    return total / weights
+
+
+def _fit_usual_speed(
+    cells: list[_Cell],
+    by_model: dict[ItemKey, list[_Cell]],
+    paces: dict[ItemKey, float],
+) -> float:
+    """Return the logarithm of an engine's speed over tens of seconds."""
+    total, weights = 0.0, _PRIOR_WEIGHT
+    for cell in cells:
+        if len(by_model[cell.model]) > 1:
+            value = cell.mean_log_gap - paces[cell.model]
+            weight = cell.mean_weight * _reduce_weight(
+                value - cell.engine.usual_log_speed
+            )
+            total += weight * value
+            weights += weight
+    return max(-_MAX_LOG_SPEED, min(_MAX_LOG_SPEED, total / weights))
 
-    def _remember_pace(
-        self, model: ItemKey, log_gap: float, elapsed_s: float, now: float
-    ) -> None:
-        pace = self._paces.get(model)
-        if pace is None:
-            self._paces[model] = _Pace(log_gap, now)
-            return
-        gain = 1 - math.exp(-elapsed_s / _PACE_MEMORY_S)
-        pace.log_gap += gain * (log_gap - pace.log_gap)
-        pace.seen_at = now
+
+def _fit_change(cells: list[_Cell]) -> float:
+    """Return by how much an engine is slower now than it usually is."""
+    total, weights = 0.0, _CHANGE_PRIOR_WEIGHT
+    for cell in cells:
+        total += cell.weight * (cell.log_gap - cell.mean_log_gap)
+        weights += cell.weight
+    return total / weights
 
 
 def _reduce_weight(residual: float) -> float:
@@ -360,15 +379,8 @@
     return _OUTLIER_RESIDUAL / distance
 
 
-def _publish(engine: _Engine, elapsed_s: float) -> None:
-    """Update what others use of a fitted speed."""
-    if engine.lasting_log_speed is None:
-        engine.lasting_log_speed = engine.log_speed
-    else:
-        gain = 1 - 0.5 ** (elapsed_s / _LASTING_HALF_LIFE_S)
-        engine.lasting_log_speed += gain * (
-            engine.log_speed - engine.lasting_log_speed
-        )
+def _publish(engine: _Engine) -> None:
+    """Update the published speed, if it has changed enough."""
     percent = _USUAL_PERCENT * math.exp(engine.log_speed)
     if abs(percent - engine.percent) > _HYSTERESIS * engine.percent:
         engine.percent = _STEP_PERCENT * round(percent / _STEP_PERCENT)
--- a/dotterelbridge/fleet/events.py
+++ b/dotterelbridge/fleet/events.py
@@ -78,6 +78,13 @@
         "The load of an item on an engine was planned; the line names the "
         "reason, the item that is evicted for it, and the expected duration.",
     )
+    MOVED_BY_SPEED = (
+        5538,
+        logging.INFO,
+        "A load because of the speeds of engines was planned; the line names "
+        "the model whose streams are late, both engines and speeds, and how "
+        "many streams a second the load is expected to make punctual.",
+    )
     ENGINE_KNOWN = (
         5535,
         logging.INFO,
--- a/dotterelbridge/fleet/model_placement.py
+++ b/dotterelbridge/fleet/model_placement.py
@@ -4,9 +4,13 @@
 rate that each engine gets if all get the same.
 """
 
+from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterator
 import enum
+import heapq
 import math
+import statistics
 
 import msgspec
 
@@ -84,6 +88,12 @@
 _UNACCEPTED_MOVE_S = 1.5
 """Assumed time left of a move whose order is not accepted yet: half of a
 load from disk, with its unload."""
+_LATE_STREAM_COST = 10.0
+"""Cost of each stream a second that an engine's speed makes late: a copy stays
+for tens of seconds."""
+_FAST_ENGINE_COST = 1.0
+"""Cost of a copy that gains nothing from an engine of twice the usual speed,
+where other models would gain."""
 _MISSING_ADAPTER_SHARE = 0.05
 """Share of requests with an adapter whose adapter is not loaded yet."""
 _UNKNOWN_EVICTION_COST = 0.5
@@ -119,6 +129,8 @@
     one second per copy."""
     model: ModelInfo
     reason: str
+    max_speed: float = math.inf
+    """Slowest engine that relieves the model's other engines."""
 
 
 class ModelPlacement:
@@ -151,10 +163,23 @@
                 LONG_LOAD_MIN_SHARE,
                 max(BUSY_LONG_LOAD_MIN_SHARE, slot_limit_share),
             )
-        self._underloaded_engine_found: bool | None = None
-        """Whether an engine is underloaded; None until computed."""
+        self._underloaded_engine_found: dict[
+            Callable[[EngineState], float], bool
+        ] = {}
+        """Whether an engine is underloaded, by how its load counts."""
         self._engines_by_cost: list[EngineState] | None = None
         """Engines by the approximate cost of a load from the store there."""
+        self.barred_copies: Collection[tuple[TargetId, str]] = ()
+        """Engines and models that a move by speed has just separated; only a
+        first copy may be loaded there."""
+        self._speed_gain_known: bool | None = None
+        """Whether a busy model gains from fast engines; None until known."""
+        self._speed_range: tuple[float, float] | None = None
+        """Lowest and highest known speed."""
+        if index.speeds is not None and index.speeds.speeds:
+            known = index.speeds.speeds.values()
+            self._speed_range = (min(known), max(known))
+        self._fastest_engines: list[EngineState] | None = None
         self._rejected_copy: _WantedCopy | None = None
         """The latest first copy that found no room; one for fewer requests
         and no less memory finds none either."""
@@ -186,7 +211,13 @@
             ):
                 request_weight = demand.arrivals_per_s / max(1, copies)
                 reason = f"{copies} of {wanted_count} copies"
-                yield _WantedCopy(_Urgency.NOW, request_weight, model, reason)
+                yield _WantedCopy(
+                    _Urgency.NOW,
+                    request_weight,
+                    model,
+                    reason,
+                    self._find_max_speed(model.name, copies),
+                )
             elif not copies and demand.arrivals_per_s > 0.05:
                 yield _WantedCopy(
                     _Urgency.RECENTLY_REQUESTED,
@@ -208,27 +239,60 @@
             return min(copies + 1, self._count_copies_to_keep(model, copies))
         return wanted_count
 
+    def _find_max_speed(self, model: str, copies: int) -> float:
+        """Return the slowest engine for a further copy.
+
+        A copy that only relieves overloaded engines makes more streams late
+        on an engine slower than those.
+        """
+        if not copies or not self._gains_from_speed(model):
+            return math.inf
+        if copies < self._count_copies_for_load(
+            model, copies, MAX_COPY_LOAD_SHARE
+        ):
+            return math.inf
+        speeds = self._index.speeds
+        return statistics.fmean(
+            speeds.find_speed(state.target.target)
+            for state in self._index.list_holders(model)
+        )
+
     def _is_overloaded(self, model: str) -> bool:
         """Whether all engines that serve a model are overloaded.
 
         Only true while engines are busy and another engine is underloaded.
+        While busy models gain from fast engines, only they get such copies:
+        others would fill the fast engines, and take them from each other.
         """
+        if not self._gains_from_speed(model) and self._does_any_model_gain():
+            return False
+        get_share = self._find_share_function(model)
         return (
             self._are_engines_busy
             and all(
-                self._index.get_load_share(state) > OVERLOADED_SHARE
+                get_share(state) > OVERLOADED_SHARE
                 for state in self._index.list_holders(model)
             )
-            and self._has_underloaded_engine()
+            and self._has_underloaded_engine(get_share)
         )
 
-    def _has_underloaded_engine(self) -> bool:
-        if self._underloaded_engine_found is None:
-            self._underloaded_engine_found = any(
-                self._index.get_load_share(state) < UNDERLOADED_SHARE
+    def _find_share_function(
+        self, model: str
+    ) -> Callable[[EngineState], float]:
+        """Return how the load of engines counts for a model."""
+        if self._gains_from_speed(model):
+            return self._index.get_load_share
+        return self._index.get_arrival_share
+
+    def _has_underloaded_engine(
+        self, get_share: Callable[[EngineState], float]
+    ) -> bool:
+        if get_share not in self._underloaded_engine_found:
+            self._underloaded_engine_found[get_share] = any(
+                get_share(state) < UNDERLOADED_SHARE
                 for state in self._index.states
             )
-        return self._underloaded_engine_found
+        return self._underloaded_engine_found[get_share]
 
     def _count_copies_to_keep(self, model: str, copies: int) -> int:
         """Return how many copies are kept: more than would be loaded.
@@ -266,13 +330,14 @@
         """
         count = 1
         engines = len(self._index.states)
-        arrivals_per_s = self._index.get_demand(model).arrivals_per_s
-        if self._is_hot(arrivals_per_s):
+        if self._is_hot(self._index.get_demand(model).arrivals_per_s):
             # Spread the load: an engine that processes prompts delays its
             # running streams long before all of its slots are in use.
-            expected_per_s = self._estimate_arrivals_per_s(model)
-            share = expected_per_s / self._index.arrivals_per_s
-            count = math.ceil(share * engines / load)
+            needed = self._compute_needed_capacity(model, load)
+            held = self._index.count_copies(model)
+            if held and self._gains_from_speed(model):
+                needed /= self._index.sum_capacity(model) / held
+            count = math.ceil(needed)
             if self._engine.find_model(model).adapters:
                 # An engine cannot load adapters while it loads a model.
                 count = max(count, 2)
@@ -282,6 +347,39 @@
             count = max(count, min(copies, STARTUP_COPY_COUNT))
         return min(count, engines)
 
+    def _compute_needed_capacity(self, model: str, load: float) -> float:
+        """Return the capacity that gets the given load, in mean engines."""
+        expected_per_s = self._estimate_arrivals_per_s(model)
+        share = expected_per_s / self._index.arrivals_per_s
+        return share * len(self._index.states) / load
+
+    def suffices_without(self, model: str, state: EngineState) -> bool:
+        """Whether a model would get no further copy without the one there.
+
+        With a margin, so that chance does not bring it back.
+        """
+        rest = [s for s in self._index.list_holders(model) if s is not state]
+        if not any(s.serves(model) for s in rest):
+            return False
+        if not self._is_hot(self._index.get_demand(model).arrivals_per_s):
+            return True
+        if len(rest) < 2 and self._engine.find_model(model).adapters:
+            return False
+        get_share = self._find_share_function(model)
+        if self._gains_from_speed(model):
+            held = self._index.sum_capacity(model)
+            capacity = held - self._index.get_capacity(state)
+        else:
+            held, capacity = len(rest) + 1, len(rest)
+        arrivals_per_s = self._index.get_demand(model).arrivals_per_s
+        added_per_s = arrivals_per_s / capacity - arrivals_per_s / held
+        added_share = added_per_s / self._index.equal_share_per_s
+        if self._are_engines_busy and all(
+            get_share(s) + added_share > OVERLOADED_SHARE for s in rest
+        ):
+            return False
+        return capacity >= self._compute_needed_capacity(model, 1.0)
+
     def _is_hot(self, arrivals_per_s: float) -> bool:
         min_arrivals_per_s = HOT_LOAD_SHARE * self._index.equal_share_per_s
         return arrivals_per_s >= max(HOT_ARRIVALS_PER_S, min_arrivals_per_s)
@@ -350,6 +448,10 @@
         if self._index.count_copies(copy.model.name):
             # A further copy is useless on an engine with a high load.
             engines = engines[:FURTHER_COPY_ENGINE_COUNT]
+        if self._gains_from_speed(copy.model.name):
+            fast = self._list_fastest_engines()
+            max_count += len(fast)
+            engines = dict.fromkeys((*fast, *engines))
         for state in engines:
             if len(candidates) >= max_count:
                 return
@@ -375,6 +477,17 @@
             )
         return self._engines_by_cost
 
+    def _list_fastest_engines(self) -> list[EngineState]:
+        """Return a few engines, the fastest and then the cheapest first."""
+        if self._fastest_engines is None:
+            speeds = self._index.speeds
+            self._fastest_engines = heapq.nsmallest(
+                COMPARED_ENGINE_COUNT,
+                self._list_engines_by_cost(),
+                key=lambda state: speeds.find_speed(state.target.target),
+            )
+        return self._fastest_engines
+
     def _compute_base_cost(self, state: EngineState) -> tuple[float, TargetId]:
         """Return the cost of a load on an engine, whatever the model."""
         cost = self._index.get_load_share(state) * _EQUAL_SHARE_COST
@@ -417,6 +530,15 @@
         model = copy.model
         if not state.has_report or model.name in state.models:
             return None
+        if not math.isinf(copy.max_speed) and (
+            self._index.speeds.find_speed(state.target.target) > copy.max_speed
+        ):
+            return None
+        if (
+            state.target.target,
+            model.name,
+        ) in self.barred_copies and self._index.count_copies(model.name):
+            return None
         if not self._is_cached(state, model) and self._store_loads <= 0:
             return None
         eviction_cost = 0.0
@@ -446,11 +568,50 @@
         if not state.takes_model_moves:
             wait_s += self._estimate_move_time_left_s(state)
         cost = eviction_cost + blocking_cost + load_share * _EQUAL_SHARE_COST
+        cost += self._compute_speed_cost(state, model.name)
         cost += (
             wait_s + load_s
         ) * _WAIT_COST_PER_S + load_s * _BLOCKING_COST_PER_S
         return (cost, wait_s + load_s)
 
+    # Speeds of engines.
+
+    def _compute_speed_cost(self, state: EngineState, model: str) -> float:
+        """Return the cost of a copy because of the engine's speed."""
+        speeds = self._index.speeds
+        if speeds is None:
+            return 0.0
+        speed = speeds.find_speed(state.target.target)
+        if not self._gains_from_speed(model):
+            if speed < 1.0 and self._does_any_model_gain():
+                return _FAST_ENGINE_COST * (1 / speed - 1)
+            return 0.0
+        arrivals_per_s = self._index.get_demand(model).arrivals_per_s
+        copies = self._index.count_copies(model) + 1
+        late_share = speeds.find_late_share(model, speed)
+        return _LATE_STREAM_COST * late_share * arrivals_per_s / copies
+
+    def _gains_from_speed(self, model: str) -> bool:
+        """Whether more streams of a model are late on slow engines."""
+        if self._speed_range is None:
+            return False
+        fastest, slowest = self._speed_range
+        speeds = self._index.speeds
+        return speeds.find_late_share(model, slowest) > (
+            speeds.find_late_share(model, fastest)
+        )
+
+    def _does_any_model_gain(self) -> bool:
+        if self._index.speeds is None:
+            return False
+        if self._speed_gain_known is None:
+            self._speed_gain_known = any(
+                self._gains_from_speed(model)
+                and self._is_hot(self._index.get_demand(model).arrivals_per_s)
+                for model in self._index.speeds.gaps_ms
+            )
+        return self._speed_gain_known
+
     def _estimate_move_time_left_s(self, state: EngineState) -> float:
         """Return the expected time left of an engine's current move."""
         if (
@@ -480,11 +641,32 @@
             for state in holders
         )
 
+    @property
+    def store_loads_left(self) -> int:
+        """Loads from the weight store that may still start now."""
+        return self._store_loads
+
+    @property
+    def is_demand_known(self) -> bool:
+        """Whether the arrival rates of models are known."""
+        return self._is_demand_known
+
     def _add_step(self, state: EngineState, copy: _WantedCopy) -> None:
-        model = copy.model
-        evicted = None
-        if not state.has_room(model.name):
+        victim = None
+        if not state.has_room(copy.model.name):
             victim = self._find_victim(state, copy)
+        self.add_load(state, copy.model, victim, copy.reason)
+
+    def add_load(
+        self,
+        state: EngineState,
+        model: ModelInfo,
+        victim: str | None,
+        reason: str,
+    ) -> None:
+        """Add the load of a model to the plan, after an eviction."""
+        evicted = None
+        if victim is not None:
             evicted = ItemKey(self._index.service, victim)
             # Update the index now, so that the next wanted copy does not
             # rely on the evicted one.
@@ -498,7 +680,7 @@
                 target=state.target.target,
                 item=ItemKey(self._index.service, model.name),
                 evicted=evicted,
-                reason=copy.reason,
+                reason=reason,
                 from_store=from_store,
             )
         )
--- a/dotterelbridge/fleet/placement_index.py
+++ b/dotterelbridge/fleet/placement_index.py
@@ -5,6 +5,7 @@
 
 from dotterelbridge.fleet.demand import Demand
 from dotterelbridge.fleet.engine_state import EngineState
+from dotterelbridge.fleet.placement_speeds import PlacementSpeeds
 from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import TargetId
@@ -24,8 +25,14 @@
         service: ItemName,
         states: list[EngineState],
         demand: dict[ItemKey, Demand],
+        speeds: PlacementSpeeds | None = None,
     ) -> None:
+        """Index the engines that are available.
+
+        :param speeds: None if all engines count as equally fast.
+        """
         self.service = service
+        self.speeds = speeds
         self.states = [
             state
             for state in states
@@ -48,6 +55,10 @@
         self._caching_engines: dict[str, list[EngineState]] = defaultdict(list)
         self._adapter_holders: dict[tuple[str, str], int] = defaultdict(int)
         self._adapters_in_transit: set[tuple[str, str]] = set()
+        self._capacities: dict[TargetId, float] = {}
+        """Relative capacity of each engine; empty if all are equal."""
+        if speeds is not None and speeds.speeds:
+            self._capacities = _compute_capacities(self.states, speeds)
         self._load_shares: dict[TargetId, float] = {}
         self._adapter_arrivals: dict[str, float] = defaultdict(float)
         for state in self.states:
@@ -96,11 +107,42 @@
             if state.serves(model) or model == state.incoming_model:
                 yield model
 
-    def get_load_share(self, state: EngineState) -> float:
+    def get_capacity(self, state: EngineState) -> float:
+        """Return an engine's part of the work, relative to the mean."""
+        if not self._capacities:
+            return 1.0
+        return self._capacities[state.target.target]
+
+    def sum_capacity(self, model: str) -> float:
+        """Return the capacity of the engines that hold a model."""
+        if not self._capacities:
+            return self.count_copies(model)
+        return sum(
+            self._capacities[target] for target in self._holders.get(model, ())
+        )
+
+    def get_arrival_share(self, state: EngineState) -> float:
         """Return an engine's arrival rate relative to an equal share.
 
         1.0 means what each engine gets if all get the same.
         """
+        if not self._capacities:
+            return self.get_load_share(state)
+        if not self.equal_share_per_s:
+            return 0.0
+        arrivals_per_s = sum(
+            self.get_demand(model).arrivals_per_s / self.count_copies(model)
+            for model in self.list_models(state)
+        )
+        return arrivals_per_s / self.equal_share_per_s
+
+    def get_load_share(self, state: EngineState) -> float:
+        """Return an engine's work relative to an equal share.
+
+        Without speeds, this is the arrival share. With speeds, it is the
+        engine's time for the arrivals, which are divided among copies by
+        speed, relative to the time if all engines are busy alike.
+        """
         name = state.target.target
         if name not in self._load_shares:
             self._load_shares[name] = self._compute_load_share(state)
@@ -110,7 +152,7 @@
         if not self.equal_share_per_s:
             return 0.0
         arrivals_per_s = sum(
-            self.get_demand(model).arrivals_per_s / self.count_copies(model)
+            self.get_demand(model).arrivals_per_s / self.sum_capacity(model)
             for model in self.list_models(state)
         )
         return arrivals_per_s / self.equal_share_per_s
@@ -160,6 +202,18 @@
         self._adapters_in_transit.add((model, adapter))
 
 
+def _compute_capacities(
+    states: list[EngineState], speeds: PlacementSpeeds
+) -> dict[TargetId, float]:
+    """Return capacities with a mean of 1.0."""
+    rates = {
+        state.target.target: 1 / speeds.find_speed(state.target.target)
+        for state in states
+    }
+    mean = sum(rates.values()) / max(1, len(rates))
+    return {target: rate / mean for target, rate in rates.items()}
+
+
 def _sum_by_model(demand: dict[ItemKey, Demand]) -> dict[str, Demand]:
     """Return the demand for each model, including all of its adapters."""
     totals: dict[str, Demand] = {}
--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -140,6 +140,7 @@
             if any(s.serves(request.model) for s in self._engines):
                 self.served_counts[request.model] += 1
                 self._running.append((now + REQUEST_DURATION_S, request.model))
+                self._record_served(request.model)
             elif request.times_out_at > now:
                 if self._is_rejected(request):
                     self._schedule_retry(request)
@@ -148,6 +149,9 @@
         self._waiting = still_waiting
         self._running = [run for run in self._running if run[0] > now]
 
+    def _record_served(self, model: str) -> None:
+        """Record a request that begins to run."""
+
     def _is_rejected(self, request: _Waiting) -> bool:
         waited_s = self._clock.monotonic() - request.waiting_since
         return waited_s > ABSENT_GRACE_S and not any(
@@ -182,11 +186,16 @@
             self._store_limiter.count_allowed(self._engine, loading, now),
             self._demand.get_time_since_first_request_s(LLM),
             now,
+            *self._list_speed_arguments(),
         )
         for step in plan.steps:
             if not step.item.adapter:
                 self._start_step(step)
 
+    def _list_speed_arguments(self) -> tuple:
+        """Return the arguments of the planner that concern speeds."""
+        return ()
+
     def _start_step(self, step: Step) -> None:
         state = next(
             s for s in self._engines if s.target.target == step.target
--- a/tests/fleet/test_controller.py
+++ b/tests/fleet/test_controller.py
@@ -4,6 +4,8 @@
 import time
 
 import anyio
+import msgspec
+import pytest
 import structlog
 
 from dotterelbridge.clock import SystemClock
@@ -20,11 +22,13 @@
 from dotterelbridge.fleet.messages import DemandReport
 from dotterelbridge.fleet.messages import ItemDemand
 from dotterelbridge.fleet.settings import FleetSettings
+from dotterelbridge.fleet.target_evidence import TargetEvidence
 from standins.virtual_time import LoopClock
 from standins.virtual_time import run_in_virtual_time
 from tests.fleet.support import create_report
 from tests.fleet.support import create_target
 from tests.fleet.support import key
+from tests.routes.support import LLM
 from tests.routes.support import activate_route_set
 from tests.routes.support import create_engine
 from tests.routes.support import create_route_set
@@ -105,7 +109,7 @@
 class ControllerHarness:
     """A control VM that may send orders to one engine."""
 
-    def __init__(self, tasks, table=None, vm="c1") -> None:
+    def __init__(self, tasks, table=None, vm="c1", settings=SETTINGS) -> None:
         clock = LoopClock()
         self.table = table or AuthorityTable()
         self.log = FakeLog(self.table)
@@ -124,9 +128,11 @@
             routes,
             self.demand,
             self.engine,
-            SETTINGS,
+            settings,
             clock,
+            TargetEvidence(self.fleet_state, clock, lambda: True),
         )
+        self.service = routes.find_service(LLM)
         tasks.start_soon(self.controller.run)
 
     def report_waiting_request(self, model) -> None:
@@ -362,6 +368,16 @@
     run_controller_test(test)
 
 
+@pytest.mark.parametrize("is_on", [False, True])
+def test_placement_knows_speeds_only_with_the_setting(is_on):
+    async def test(harness):
+        speeds = harness.controller._find_speeds(harness.service, [])
+        assert (speeds is not None) == is_on
+
+    settings = msgspec.structs.replace(SETTINGS, place_by_speed=is_on)
+    run_controller_test(test, settings=settings)
+
+
 def test_a_repeated_claim_in_one_term_gets_the_same_answer():
     table = AuthorityTable()
     table.apply(1, encode_claim("c0", 1))
--- a/tests/fleet/test_plan_cost.py
+++ b/tests/fleet/test_plan_cost.py
@@ -6,6 +6,7 @@
 
 from bench.fleet_planning import PlanningWorld
 from bench.fleet_planning import create_world
+from dotterelbridge.fleet.placement_speeds import PlacementSpeeds
 
 SEEDS = (1, 2, 3)
 GROWTH_FACTOR = 4
@@ -52,6 +53,29 @@
     assert large <= small * GROWTH_FACTOR * GROWTH_TOLERANCE_RATIO
 
 
+# Guards against a search for moves between engines of different speed that
+# compares all pairs of engines.
+def test_plan_cost_grows_linearly_with_speeds():
+    small = count_calls(create_world_with_speeds(12, 50))
+    large = count_calls(
+        create_world_with_speeds(12 * GROWTH_FACTOR, 50 * GROWTH_FACTOR)
+    )
+    assert large <= small * GROWTH_FACTOR * GROWTH_TOLERANCE_RATIO
+
+
+def create_world_with_speeds(engines: int, models: int) -> PlanningWorld:
+    world = create_world(engines, models, SEEDS[0])
+    world.speeds = PlacementSpeeds(
+        speeds={
+            state.target.target: (0.6, 1.0, 1.6)[number % 3]
+            for number, state in enumerate(world.accounts)
+        },
+        gaps_ms={model.name: 60.0 for model in world.engine.models},
+        gap_aim_ms=200.0,
+    )
+    return world
+
+
 def create_world_with_waiting_callers(
     engines: int, models: int
 ) -> PlanningWorld:
