--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -29,6 +29,7 @@
 from dotterelbridge.gateway.request import read_gateway_request
 from dotterelbridge.gateway.router import GatewayRouter
 from dotterelbridge.gateway.settings import GatewaySettings
+from dotterelbridge.gateway.stream_gaps import StreamGaps
 from dotterelbridge.ids import RunStatus
 from dotterelbridge.quotas.account import QuotaAccounts
 from dotterelbridge.quotas.errors import QuotaExceeded
@@ -81,8 +82,10 @@
         rng: random.Random,
         key_permission: KeyPermission,
         quota_gate: QuotaGate,
+        stream_gaps: StreamGaps | None = None,
     ) -> None:
         super().__init__(StopGrace(serving, clock))
+        self._stream_gaps = stream_gaps
         self._routes = routes
         self._router = router
         self._header_names = header_names
@@ -239,6 +242,7 @@
             self._random,
             self._stop_grace,
             self._key_permission,
+            self._stream_gaps,
         )
         try:
             await self._run_attempts(call, runner, receive)
@@ -617,6 +621,7 @@
     rng: random.Random,
     key_permission: KeyPermission | None = None,
     quota_accounts: QuotaAccounts | None = None,
+    stream_gaps: StreamGaps | None = None,
 ) -> GatewayApp:
     """Return the ASGI application for callers.
 
@@ -624,6 +629,7 @@
         default always.
     :param quota_accounts: charges requests to the quotas of teams; None if
         quotas are not enforced.
+    :param stream_gaps: measures the streams; None if nothing needs it.
     """
     return GatewayApp(
         routes,
@@ -635,4 +641,5 @@
         rng,
         key_permission or KeyPermission(clock, TeamsSettings()),
         QuotaGate(quota_accounts),
+        stream_gaps,
     )
--- a/dotterelbridge/gateway/quota_gate.py
+++ b/dotterelbridge/gateway/quota_gate.py
@@ -9,7 +9,7 @@
 from dotterelbridge.teams.model import Quota
 from dotterelbridge.teams.model import QuotaUnit
 
-_WAIT_SHARE = 0.2
+_WAIT_SHARE = 0.35
 """Longest wait for credit, as a part of the latency objective."""
 
 
