--- a/tests/teams/test_documents.py
+++ b/tests/teams/test_documents.py
@@ -44,6 +44,10 @@
             {"rate_per_s": 5, "burst": None, "plain_tokens": 9},
             {"quota": Quota(units_per_s=5, burst=0)},
         ),
+        (
+            {"quota": {"rate_per_s": 5, "burst": 1}},
+            {"quota": Quota(units_per_s=5, burst=1)},
+        ),
         (
             {"rate_per_s": 1900, "burst": 10.5, "unit": "tokens"},
             {
