Count responses of targets in the account of all connections

Cause: responses that are received had a budget of their own (64 MB), so that a process could hold both limits in full.

Change: each share of the budget is a holder of the process's account as well; the largest incomplete ones go first. memory_limit_mb is 24 instead of 32, as the resident memory grows by up to 1.8 times what is counted.

--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -374,6 +374,7 @@
         self._caller_app.add_readiness_condition(self._is_not_leaving)
         self._dump_registry.add("serving", self._caller_app)
         self._memory_account = create_memory_account(serving.memory_limit_mb)
+        self._router.buffer_budget.attach(self._memory_account)
         self._caller_listener = create_caller_listener(
             self._caller_app, serving, self._clock, self._memory_account
         )
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -87,6 +87,7 @@
             self._quarantine,
             self._limiter,
         )
+        self._router.buffer_budget.attach(self._memory_account)
         self._app = create_gateway_app(
             self._routes,
             self._router,
--- a/dotterelbridge/routing/router.py
+++ b/dotterelbridge/routing/router.py
@@ -93,7 +93,7 @@
         self._settings = settings
         self._random = rng
         self._targets_settings = targets_settings
-        self._buffer_budget = create_buffer_budget(targets_settings)
+        self.buffer_budget = create_buffer_budget(targets_settings)
         self._failure_domain = failure_domain
         self._region = region
         self.cache = CacheIndex()
@@ -567,7 +567,7 @@
             self._clock,
             self._random,
             record_answer,
-            self._buffer_budget,
+            self.buffer_budget,
         )
 
     def _remove_target(self, name: TargetId) -> None:
--- a/dotterelbridge/serving/settings.py
+++ b/dotterelbridge/serving/settings.py
@@ -34,10 +34,11 @@
     """Limit on the size of one server-sent event."""
     write_buffer_kb: _Positive = 64
     """Data buffered for a slow caller before the relay pauses."""
-    memory_limit_mb: _Positive = 32
+    memory_limit_mb: _Positive = 24
     """Limit on what all connections together hold: heads, bodies, pipelined
-    requests and unsent responses. Beyond it, idle connections and the
-    largest holders are closed."""
+    requests, responses that are received, and unsent responses. Beyond it,
+    idle connections and the largest holders are closed. The memory of the
+    process grows by up to twice as much."""
     stall_limit_s: _Positive = 60
     """Time without progress after which a slow caller is disconnected."""
     stop_grace_s: Annotated[float, msgspec.Meta(ge=0)] = 0
--- a/dotterelbridge/targets/buffer_budget.py
+++ b/dotterelbridge/targets/buffer_budget.py
@@ -11,6 +11,9 @@
 from dotterelbridge import events
 from dotterelbridge.targets.errors import AnswerEvicted
 from dotterelbridge.targets.events import TargetEvent
+from dotterelbridge.targets.memory_account import EvictionClass
+from dotterelbridge.targets.memory_account import Holder
+from dotterelbridge.targets.memory_account import MemoryAccount
 from dotterelbridge.targets.settings import TargetsSettings
 
 _log = structlog.get_logger(__name__)
@@ -21,7 +24,7 @@
 """Ends the reception of an answer."""
 
 
-class BufferShare:
+class BufferShare(Holder):
     """What one answer holds of the budget."""
 
     def __init__(self, budget: "BufferBudget") -> None:
@@ -55,12 +58,24 @@
         """
         if self.is_evicted:
             raise _create_eviction(self._budget.limit_bytes)
-        self._budget.change(size_bytes - self.size_bytes)
-        self.size_bytes = size_bytes
+        self._set_size(size_bytes)
+        if self.is_evicted:
+            raise _create_eviction(self._budget.limit_bytes)
         self._budget.evict_largest(self)
 
-    def evict(self) -> None:
+    def classify(self) -> EvictionClass:
+        if self.can_be_evicted and self.size_bytes:
+            return EvictionClass.INCOMPLETE
+        return EvictionClass.KEPT
+
+    def evict(self, eviction_class=EvictionClass.INCOMPLETE) -> None:
         """Release what is held and end the reception."""
+        events.log(
+            _log,
+            TargetEvent.ANSWER_EVICTED,
+            size_bytes=self.size_bytes,
+            used_bytes=self._budget.used_bytes,
+        )
         self.is_evicted = True
         evict, self._evict = self._evict, None
         self.close()
@@ -68,8 +83,12 @@
 
     def close(self) -> None:
         """Release everything."""
-        self._budget.change(-self.size_bytes)
-        self.size_bytes = 0
+        self._set_size(0)
+
+    def _set_size(self, size_bytes: int) -> None:
+        self._budget.change(size_bytes - self.size_bytes)
+        self.size_bytes = size_bytes
+        self._budget.update_account(self)
 
 
 class BufferBudget:
@@ -83,22 +102,39 @@
         self.limit_bytes = limit_bytes
         self.used_bytes = 0
         self._shares: set[BufferShare] = set()
+        self._account: MemoryAccount | None = None
+
+    def attach(self, account: MemoryAccount) -> None:
+        """Count answers also in the account of the process.
+
+        Called before the first share is opened.
+        """
+        self._account = account
 
     def open_share(self) -> BufferShare:
         """Return an empty share; ``release`` ends it."""
         share = BufferShare(self)
         self._shares.add(share)
+        if self._account is not None:
+            self._account.add(share)
         return share
 
     def release(self, share: BufferShare) -> None:
         """End a share."""
         share.close()
         self._shares.discard(share)
+        if self._account is not None:
+            self._account.remove(share)
 
     def change(self, difference_bytes: int) -> None:
         """Record that shares hold more or less."""
         self.used_bytes += difference_bytes
 
+    def update_account(self, share: BufferShare) -> None:
+        """Record what a share holds; it may be evicted."""
+        if self._account is not None:
+            self._account.resize(share, share.size_bytes)
+
     def evict_largest(self, growing: BufferShare) -> None:
         """Evict the largest incomplete answers while too much is held.
 
@@ -109,12 +145,6 @@
             if not candidates:
                 return
             largest = max(candidates, key=lambda share: share.size_bytes)
-            events.log(
-                _log,
-                TargetEvent.ANSWER_EVICTED,
-                size_bytes=largest.size_bytes,
-                used_bytes=self.used_bytes,
-            )
             largest.evict()
             if largest is growing:
                 raise _create_eviction(self.limit_bytes)
@@ -127,8 +157,8 @@
 
 def _create_eviction(limit_bytes: int) -> AnswerEvicted:
     return AnswerEvicted(
-        f"answers that are being received exceed {limit_bytes} bytes, and "
-        "this is the largest",
-        "raise answers_limit_mb in [targets], or report the target to its "
-        "owner",
+        f"answers that are being received exceed {limit_bytes} bytes, or all "
+        "connections the memory limit, and this is among the largest",
+        "raise answers_limit_mb in [targets] or memory_limit_mb in "
+        "[serving], or report the target to its owner",
     )
