--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -104,6 +104,7 @@
             self._limiter,
         )
         self._stream_gaps = _create_stream_gaps(settings)
+        self._router.buffer_budget.attach(self._memory_account)
         self._app = create_gateway_app(
             self._routes,
             self._router,
