--- a/dotterelbridge/gateway/cost.py
+++ b/dotterelbridge/gateway/cost.py
@@ -51,8 +51,9 @@
 _DISTRIBUTION_LIMIT = 4096
 """Distributions that are kept: those in use among 1,600 models, 16 teams and
 some routes. They take about 1 MB."""
-_PART_LIMIT = 20_000
-"""Prompt parts that are remembered over all targets."""
+_PART_LIMIT = 4_000
+"""Prompt parts that are remembered over all targets: an entry VM sends some
+hundred within their lifetime."""
 _PART_LIFETIME_S = 20.0
 """Time for which a target is assumed to hold a prompt part. The whole cache
 of a busy engine is replaced within about this time."""
--- a/dotterelbridge/gateway/events.py
+++ b/dotterelbridge/gateway/events.py
@@ -79,3 +79,11 @@
         logging.INFO,
         "The streams of a slow target advance at the usual speed again.",
     )
+    COST_ACCURACY = (
+        8520,
+        logging.INFO,
+        "What was seen of a service's complete streams as a multiple of what "
+        "was predicted: the 10th, 50th and 90th percentile of the time to "
+        "the first event, the number of events and the whole time. Written "
+        "at most every 10 s for a service.",
+    )
--- a/dotterelbridge/gateway/instruments.py
+++ b/dotterelbridge/gateway/instruments.py
@@ -27,3 +27,25 @@
     "dotterelbridge.gateway.wait",
     "Time that a request waited for a place, by service and outcome",
 )
+prediction_ratios = metrics.meter.create_histogram(
+    "dotterelbridge.gateway.prediction_ratio",
+    description="What was seen of complete streams as a multiple of what was "
+    "predicted, by service and quantity",
+    explicit_bucket_boundaries_advisory=(
+        0.1,
+        0.25,
+        0.5,
+        0.7,
+        0.9,
+        1.1,
+        1.4,
+        2.0,
+        4.0,
+        10.0,
+    ),
+)
+predicted_streams = metrics.meter.create_counter(
+    "dotterelbridge.gateway.predicted_streams",
+    description="Complete streams whose length was predicted, by service and "
+    "by whether it exceeded the predicted 90th percentile",
+)
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -351,6 +351,7 @@
     def dump(self) -> dict[str, Any]:
         return {
             "waiting": len(self._queue),
+            "balance": self._work_balancer.dump(),
             "quarantine": {
                 "version": self._quarantine.version,
                 "traits": [e.trait for e in self._quarantine.snapshot.traits],
@@ -367,6 +368,7 @@
                     "ejection": target.ejection.state.value,
                     "is_unreachable": target.is_unreachable,
                     "connections": target.client.count_connections(),
+                    **self._work_balancer.dump_target(target),
                 }
                 for name, target in self._targets.items()
             },
--- a/dotterelbridge/gateway/target.py
+++ b/dotterelbridge/gateway/target.py
@@ -8,8 +8,9 @@
 from dotterelbridge.fleet.records import FleetTarget
 from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.gateway.balance import Candidate
+from dotterelbridge.gateway.calibration import Observation
+from dotterelbridge.gateway.calibration import Prediction
 from dotterelbridge.gateway.call import GatewayCall
-from dotterelbridge.gateway.cost import RequestCost
 from dotterelbridge.gateway.rates import ResponseTime
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.gateway.workload import Workload
@@ -266,8 +267,8 @@
         """Monotonic time in seconds."""
         self.first_event_at: float | None = None
         """Monotonic time of the first event of a stream."""
-        self.cost: RequestCost | None = None
-        """What the request was expected to cost; None if targets are not
+        self.prediction: Prediction | None = None
+        """What was predicted of the request; None if targets are not
         compared by their work."""
         self.event_count = 0
         self._last_event_at = 0.0
@@ -283,6 +284,16 @@
         self.event_count += count
         self._last_event_at = now
 
+    def observe(self) -> Observation | None:
+        """Return what was seen of a stream; None without an event."""
+        if self.first_event_at is None:
+            return None
+        first_ms = (self.first_event_at - self.acquired_at) * _MS_PER_S
+        stay_ms = (self._last_event_at - self.acquired_at) * _MS_PER_S
+        return Observation(
+            first_event_ms=first_ms, events=self.event_count, stay_ms=stay_ms
+        )
+
     def find_median_gap_ms(self) -> float | None:
         """Return the median time between two events, if there are enough."""
         if len(self._gaps_ms) < _MIN_MEASURED_GAPS:
--- a/dotterelbridge/gateway/work_balancer.py
+++ b/dotterelbridge/gateway/work_balancer.py
@@ -14,7 +14,10 @@
 from dotterelbridge.gateway.balance import SmoothPicker
 from dotterelbridge.gateway.balance import WorkDemand
 from dotterelbridge.gateway.balance import weigh_by_work
+from dotterelbridge.gateway.calibration import Calibration
+from dotterelbridge.gateway.calibration import Prediction
 from dotterelbridge.gateway.call import GatewayCall
+from dotterelbridge.gateway.cost import PREFILL_TOKENS_PER_MS
 from dotterelbridge.gateway.cost import CostEstimator
 from dotterelbridge.gateway.cost import MeanRequest
 from dotterelbridge.gateway.cost import RequestCost
@@ -27,6 +30,7 @@
 from dotterelbridge.gateway.workload import create_pressure_curve
 from dotterelbridge.gateway.workload import differ_in_speed
 from dotterelbridge.ids import ItemName
+from dotterelbridge.routes.model import EngineInfo
 
 _SPEED_RATIO = 1.3
 """Ratio of the 90th to the 10th percentile of the targets' speeds from which
@@ -75,6 +79,9 @@
         self._count_entry_vms = count_entry_vms
         self._distance_cost_shares = distance_cost_shares
         self._estimator = CostEstimator(clock)
+        self._calibration = Calibration(clock)
+        self._engines: dict[ItemName, EngineInfo] = {}
+        """Engines of the services that requests were sent to."""
         self._modes: dict[ItemName, _Mode] = {}
         self._team_seen_at = float("-inf")
 
@@ -201,19 +208,29 @@
         call, target = slot.call, slot.gateway_target
         if not self.is_enabled or call.service.engine is None:
             return
+        self._engines[call.service.name] = call.service.engine
         cost = self._estimator.predict(call)
         mean = self._get_mean(call, cost)
-        slot.cost = cost
         slots = call.service.engine.slots
         target.workload.record_sent(
             id(slot), cost, _compute_units(cost, mean, slots), slot.acquired_at
         )
         held = self._estimator.count_held_tokens(call, target.incarnation)
         self._estimator.record_request(call, cost, held)
+        speed = target.workload.read_speed(slot.acquired_at)
+        saved_ms = held / PREFILL_TOKENS_PER_MS
+        tokens_per_event = cost.output_tokens / cost.events
+        slot.prediction = Prediction(
+            # An event is sent when all of its tokens are generated.
+            first_event_ms=speed * (cost.prefill_ms - saved_ms + cost.gap_ms),
+            events=cost.events,
+            events_high=cost.output_tokens_high / tokens_per_event,
+            stay_ms=speed * (cost.stay_ms - saved_ms),
+        )
 
     def record_ended(self, slot: Slot, is_answered: bool) -> None:
         """Stop counting a request, and learn from a complete stream."""
-        if slot.cost is None:
+        if slot.prediction is None:
             return
         target, call = slot.gateway_target, slot.call
         now = self._clock.monotonic()
@@ -225,7 +242,12 @@
         if gap_ms:
             usual_ms = self._estimator.predict_gap_ms(call, now)
             target.workload.record_gap(gap_ms, usual_ms, now)
-        if is_answered and slot.event_count:
+        seen = slot.observe()
+        if is_answered and seen is not None:
+            if call.attempts == 1:
+                self._calibration.record(
+                    call.service.name, slot.prediction, seen
+                )
             self._estimator.record(
                 call,
                 # A resumed stream has events from other targets.
@@ -252,9 +274,30 @@
             "by_work": sorted(
                 name for name, mode in self._modes.items() if mode.is_by_work
             ),
+            "seen_to_predicted": self._calibration.dump(),
             **self._estimator.dump(),
         }
 
+    def dump_target(self, target: GatewayTarget) -> dict[str, float]:
+        """Return the estimates of a target; empty if there are none."""
+        mean = self._estimator.get_mean_request(target.view.service)
+        engine = self._engines.get(target.view.service)
+        if mean is None or engine is None:
+            return {}
+        now = self._clock.monotonic()
+        workload = target.workload
+        units = workload.estimate_units(mean, max(1, target.view.slots), now)
+        speed = workload.read_speed(now)
+        free = workload.estimate_free_tokens(mean, engine.kv_tokens, now)
+        engine_ms = mean.compute_engine_ms(target.view.slots)
+        return {
+            "speed": round(speed, 2),
+            "work_units": round(units, 1),
+            "sent_units": round(workload.read_sent_units(now), 1),
+            "work_s": round(units * speed * engine_ms / _MS_PER_S, 2),
+            "free_tokens": round(free),
+        }
+
 
 def find_home(
     call: GatewayCall, targets: Sequence[GatewayTarget]
