--- a/dotterelbridge/gateway/work_balancer.py
+++ b/dotterelbridge/gateway/work_balancer.py
@@ -104,7 +104,7 @@
         now = self._clock.monotonic()
         if call.team is not None:
             self._team_seen_at = now
-        if now - self._team_seen_at <= _TEAM_RETENTION_S:
+        if self._has_teams(now):
             return True
         mode = self._modes.setdefault(call.service.name, _Mode())
         if now - mode.compared_at >= _MODE_INTERVAL_S:
@@ -120,6 +120,9 @@
             )
         return mode.is_by_work
 
+    def _has_teams(self, now: float) -> bool:
+        return now - self._team_seen_at <= _TEAM_RETENTION_S
+
     def check_memory(self, call: GatewayCall) -> None:
         """Check that an engine's whole memory suffices for the prompt.
 
@@ -271,6 +274,7 @@
         """Return the settings in force and the sizes of the tables."""
         return {
             "mode": self._mode.value,
+            "has_teams": self._has_teams(self._clock.monotonic()),
             "by_work": sorted(
                 name for name, mode in self._modes.items() if mode.is_by_work
             ),
--- a/tests/gateway/test_balance_load.py
+++ b/tests/gateway/test_balance_load.py
@@ -53,8 +53,6 @@
     late, preempted = results["work"]
     assert late <= results["requests"][0]
     assert preempted <= results["requests"][1]
-    assert late < min(
-        results["shortest work"][0], results["two choices"][0]
-    )
+    assert late < min(results["shortest work"][0], results["two choices"][0])
     if name.startswith("uneven"):
         assert late <= results["least outstanding"][0] / 2
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -6,6 +6,7 @@
 import random
 
 import anyio
+import msgspec
 import pytest
 
 from dotterelbridge.fleet.fleet_state import FleetState
@@ -15,6 +16,7 @@
 from dotterelbridge.gateway.outcomes import AttemptOutcome
 from dotterelbridge.gateway.request import GatewayRequest
 from dotterelbridge.gateway.router import create_gateway_router
+from dotterelbridge.gateway.settings import BalanceMode
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.targets.settings import TargetsSettings
 from standins.virtual_time import LoopClock
@@ -38,7 +40,12 @@
     """The router of one entry VM, without a network."""
 
     def __init__(
-        self, vm_count=2, seed=1, fleet_state=None, limiter=None
+        self,
+        vm_count=2,
+        seed=1,
+        fleet_state=None,
+        limiter=None,
+        balance=BalanceMode.REQUESTS,
     ) -> None:
         self.clock = LoopClock()
         self.fleet_state = fleet_state or FleetState(self.clock)
@@ -46,7 +53,7 @@
         self.router = create_gateway_router(
             self.fleet_state,
             self.clock,
-            SETTINGS,
+            msgspec.structs.replace(SETTINGS, balance=balance),
             TargetsSettings(),
             random.Random(seed),
             DOMAIN,
--- a/tests/nodes/test_platform_engines.py
+++ b/tests/nodes/test_platform_engines.py
@@ -60,6 +60,30 @@
     run_async(check)()
 
 
+def test_report_tells_memory_and_progress_of_running_requests(engines):
+    """Cached prompt parts alone would look like a full memory."""
+    body = (
+        b'{"seq": 0, "active": 2, "queued": 1, "kv_used": 9000, "runs": '
+        b'[["r1", 800, 7, 0], ["r2", 400, 0, 4], ["odd"], [1, "x", 2, 3]]}'
+    )
+
+    async def serve(received):
+        await received.answer(body)
+
+    async def check():
+        fake = FakeTarget("e1", serve)
+        await fake.start()
+        target = create_target("e1", port=fake.port)
+        control = engines.PlatformEngines(TargetsSettings(), SystemClock())
+        load = (await control.fetch_report(target, TIMEOUT)).load
+        assert (load.running, load.waiting) == (2, 1)
+        assert load.kv_tokens_used == 9000
+        assert (load.kv_tokens_running, load.events_made) == (1200, 7)
+        await fake.stop()
+
+    run_async(check)()
+
+
 def test_order_is_not_sent_without_permission(engines):
     async def accept(received):
         await received.answer(b"", 202)
