--- a/dotterelbridge/gateway/events.py
+++ b/dotterelbridge/gateway/events.py
@@ -92,3 +92,11 @@
         "A request was refused because its team has used its quota, or "
         "because no leader could be asked; it has not run.",
     )
+    COST_ACCURACY = (
+        8520,
+        logging.INFO,
+        "What was seen of a service's complete streams as a multiple of what "
+        "was predicted: the 10th, 50th and 90th percentile of the time to "
+        "the first event, the number of events and the whole time. Written "
+        "at most every 10 s for a service.",
+    )
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -6,6 +6,7 @@
 import random
 
 import anyio
+import msgspec
 import pytest
 
 from dotterelbridge.fleet.fleet_state import FleetState
@@ -15,6 +16,7 @@
 from dotterelbridge.gateway.outcomes import AttemptOutcome
 from dotterelbridge.gateway.request import GatewayRequest
 from dotterelbridge.gateway.router import create_gateway_router
+from dotterelbridge.gateway.settings import BalanceMode
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.targets.settings import TargetsSettings
 from standins.virtual_time import LoopClock
@@ -44,6 +46,7 @@
         fleet_state=None,
         limiter=None,
         settings=SETTINGS,
+        balance=BalanceMode.REQUESTS,
     ) -> None:
         self.clock = LoopClock()
         self.fleet_state = fleet_state or FleetState(self.clock)
@@ -51,7 +54,7 @@
         self.router = create_gateway_router(
             self.fleet_state,
             self.clock,
-            settings,
+            msgspec.structs.replace(settings, balance=balance),
             TargetsSettings(),
             random.Random(seed),
             DOMAIN,
