Count engines as equally fast unless their speeds differ clearly

Cause: an engine that processes six times as many prompts as others of its speed appears as 1.2. Where all engines are of one speed, such chance could have changed which models get further copies.

Change: speeds between 0.83 and 1.2 count as the usual one for placement, and all do if the slowest engine is not 1.3 times slower than the fastest. A published speed lasts 10 s without measurements, so that an engine with few streams does not change between two values.

--- a/dotterelbridge/fleet/engine_speeds.py
+++ b/dotterelbridge/fleet/engine_speeds.py
@@ -23,8 +23,9 @@
 from dotterelbridge.ids import ItemName
 
 _WINDOW_S = 6.0
-"""Time for which a measurement counts. With the streams that are running and
-the reports on their way, a speed is forgotten within ten seconds."""
+"""Time for which a measurement counts as recent."""
+_PUBLISHED_S = 10.0
+"""Time without measurements after which an engine has the usual speed."""
 _HALF_LIFE_S = 1.5
 """Half-life of a measurement's weight within that time."""
 _QUANTILE = 0.35
@@ -251,7 +252,7 @@
         ]
 
     def _is_measured(self, engine: _Engine) -> bool:
-        return engine.measured_at > self._clock.monotonic() - _WINDOW_S
+        return engine.measured_at > self._clock.monotonic() - _PUBLISHED_S
 
     def _forget_old(self, now: float) -> None:
         self._sample_count = 0
--- a/dotterelbridge/fleet/placement_speeds.py
+++ b/dotterelbridge/fleet/placement_speeds.py
@@ -11,9 +11,12 @@
 from dotterelbridge.ids import TargetId
 from dotterelbridge.routes.model import RouteSet
 
-_EQUAL_SPEEDS = (0.87, 1.15)
-"""Speeds that count as the usual one. Chance and load make engines of the same
-speed differ by that much."""
+_EQUAL_SPEEDS = (0.83, 1.2)
+"""Speeds that count as the usual one: an engine that processes six times as
+many prompts as others of its speed appears as 1.2."""
+_MIN_RATIO = 1.3
+"""Ratio of the slowest engine's speed to the fastest one's, below which all
+count as equal."""
 _SPEED_LIMITS = (0.4, 2.5)
 _SAFE_GAP_SHARE = 0.2
 """Usual gap, as a share of the objective for the longest one, up to which no
@@ -65,6 +68,8 @@
         speed = measured.find_lasting_speed((target.target, target.born))
         if speed is not None:
             speeds[target.target] = _round_speed(speed)
+    if speeds and max(speeds.values()) < _MIN_RATIO * min(speeds.values()):
+        speeds = dict.fromkeys(speeds, 1.0)
     gaps_ms = {}
     for model in models:
         gap_ms = measured.find_gap_ms(ItemKey(service, model))
