Justify long loads of light models by arrivals, not by engine speeds

Cause: with speeds, slow engines counted as overloaded for all models. Where models have adapters, light ones got second copies in place of each other: 50 loads in 60 s of the simulation, none without the setting.

--- a/dotterelbridge/fleet/model_placement.py
+++ b/dotterelbridge/fleet/model_placement.py
@@ -635,9 +635,9 @@
             return True
         growth = self._estimate_growth_per_s(model) / len(holders)
         growth_share = growth / max(self._index.equal_share_per_s, 1e-9)
+        get_share = self._find_share_function(model)
         return all(
-            self._index.get_load_share(state) + growth_share
-            > self._long_load_min_share
+            get_share(state) + growth_share > self._long_load_min_share
             for state in holders
         )
 
--- a/tests/fleet/test_speed_placement.py
+++ b/tests/fleet/test_speed_placement.py
@@ -66,8 +66,8 @@
 class SpeedSimulation(FleetSimulation):
     """Divides requests by speed, and measures their streams."""
 
-    def __init__(self, speeds=SPEEDS, rates=RATES, seed=1, held=HELD):
-        super().__init__(ENGINE, held, create_callers(rates), seed)
+    def __init__(self, speeds=SPEEDS, seed=1, engine=ENGINE):
+        super().__init__(engine, HELD, create_callers(RATES), seed)
         self.speeds = {f"e{n}": speed for n, speed in enumerate(speeds)}
         self.measured = EngineSpeeds(self._clock)
         self.moves = SpeedMoves()
@@ -154,6 +154,20 @@
     assert len(by_speed.steps) <= 6
 
 
+def test_light_models_with_adapters_do_not_evict_each_other():
+    """Guards against slow engines that count as overloaded for all models.
+
+    Each model that has adapters wants two copies, for which there is no room:
+    50 loads in 60 s.
+    """
+    models = tuple(create_model(name) for name in (*HEAVY, *LIGHT))
+    engine = msgspec.structs.replace(ENGINE, models=models)
+    simulation = SpeedSimulation(seed=2, engine=engine)
+    simulation.run(60)
+    assert simulation.moves_by_speed
+    assert len(simulation.steps) <= 25
+
+
 def test_a_move_never_takes_the_only_copy_of_a_model():
     simulation = SpeedSimulation(seed=4)
     start = simulation._start_step
