--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -230,10 +230,12 @@
         self._credit_service = CreditService(
             self._network,
             self._clock,
+            self._rng,
             self._settings.quotas,
             self._routes,
             self._get_led_term,
             self._replicated_log.get_leader,
+            lambda: self._fleet_feed.find_attached_share(0),
         )
         self._registry.add("quotas", self._credit_service)
 
--- a/dotterelbridge/quotas/issuer.py
+++ b/dotterelbridge/quotas/issuer.py
@@ -22,6 +22,8 @@
 _DEBT_LIMIT_S = 1.0
 """Debt that the bucket takes on for units that ran without credit, as a time
 at the team's rate; more would refuse all requests for long."""
+_LEAST_SHARE = 0.05
+"""Least part of the rate that is issued, also while no VM has reported."""
 _BACKLOG_LIMIT_S = 4.0
 """Longest wait that refused callers are told on account of each other."""
 _UNKNOWN_TEAM_WAIT_MS = 500
@@ -36,6 +38,7 @@
         self, limits: QuotaLimits, settings: QuotasSettings, now: float
     ) -> None:
         self._limits = limits
+        self._units_per_s = limits.units_per_s
         self._level = limits.first_units
         """Negative while credit is issued for use in the near future."""
         self._backlog = 0.0
@@ -50,11 +53,18 @@
             return
         self._refill(now)
         self._limits = limits
+        self._units_per_s = limits.units_per_s
         self._level = min(self._level, limits.capacity)
 
-    def decide(self, demand: TeamDemand, now: float) -> TeamCredit:
-        """Take back, then issue credit."""
+    def decide(
+        self, demand: TeamDemand, now: float, share: float
+    ) -> TeamCredit:
+        """Take back, then issue credit.
+
+        :param share: part of the rate that this leader may issue.
+        """
         self._refill(now)
+        self._units_per_s = self._limits.units_per_s * share
         for credit in demand.returned:
             self._issued.add(now - credit.age_ms / _MS_PER_S, -credit.units)
             self._level = min(
@@ -83,7 +93,7 @@
         }
 
     def _refill(self, now: float) -> None:
-        gained = (now - self._updated_at) * self._limits.units_per_s
+        gained = (now - self._updated_at) * self._units_per_s
         self._updated_at = now
         self._level = min(self._limits.capacity, self._level + gained)
         self._backlog = max(0.0, self._backlog - gained)
@@ -97,7 +107,7 @@
 
     def _meet(self, need: CreditNeed, now: float) -> int:
         """Return the time until a need's credit, as in TeamCredit."""
-        rate = self._limits.units_per_s
+        rate = self._units_per_s
         # A request larger than the bucket needs a full one.
         shortfall = min(need.units, self._limits.capacity) - self._level
         wait_s = max(0.0, shortfall / rate)
@@ -145,16 +155,20 @@
         settings: QuotasSettings,
         find_quota: Callable[[TeamName], Quota | None],
         is_known: Callable[[TeamName], bool],
+        get_share: Callable[[], float],
     ) -> None:
         """Create an issuer.
 
         :param find_quota: returns the quota that is in force for a team.
         :param is_known: returns whether a team is configured.
+        :param get_share: returns the part of all entry VMs that this VM hears
+            of; the others use their own part of the rate for a time.
         """
         self._clock = clock
         self._settings = settings
         self._find_quota = find_quota
         self._is_known = is_known
+        self._get_share = get_share
         self._buckets: dict[TeamName, _Bucket] = {}
         self._started_at = clock.monotonic()
 
@@ -181,7 +195,8 @@
             bucket = _Bucket(limits, self._settings, self._started_at)
             self._buckets[demand.team] = bucket
         bucket.set_limits(limits, now)
-        return bucket.decide(demand, now)
+        share = max(_LEAST_SHARE, self._get_share())
+        return bucket.decide(demand, now, share)
 
     def dump(self) -> dict[str, Any]:
         """Return the state of each bucket."""
--- a/dotterelbridge/quotas/limits.py
+++ b/dotterelbridge/quotas/limits.py
@@ -11,8 +11,12 @@
 message that asked for it."""
 AHEAD_LIFETIME_S = 1.5
 """The same for credit that was asked for ahead of requests."""
-_BUCKET_PART = 0.5
-"""Part of the tolerated excess that the leader's bucket may hold."""
+_BUCKET_PART = 0.25
+"""Part of the tolerated excess that the leader's bucket may hold. VMs that
+are cut off use up to another half before the leader leaves out their part."""
+_SLACK_PART = 0.25
+"""Part of the slack that the bucket holds in addition. For small teams the
+slack is most of the excess, and their bucket few requests."""
 _AHEAD_PART = 0.25
 """Part of the tolerated excess that may be out as credit ahead of requests:
 it may be used in a window after the one in which it was issued."""
@@ -64,6 +68,7 @@
         window_units + quota.burst
     ) * settings.excess_fraction + settings.slack_units
     capacity = quota.burst + tolerated * _BUCKET_PART
+    capacity += settings.slack_units * _SLACK_PART
     return QuotaLimits(
         units_per_s=quota.units_per_s,
         capacity=capacity,
--- a/dotterelbridge/quotas/service.py
+++ b/dotterelbridge/quotas/service.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from datetime import timedelta
+import random
 from typing import Any
 
 import anyio
@@ -22,6 +23,8 @@
 from dotterelbridge.quotas.messages import CreditRequest
 from dotterelbridge.quotas.messages import TeamCredit
 from dotterelbridge.quotas.messages import TeamDemand
+from dotterelbridge.quotas.pool import CreditPool
+from dotterelbridge.quotas.pool import PoolAnswer
 from dotterelbridge.quotas.settings import QuotasSettings
 from dotterelbridge.routes.active_routes import ActiveRoutes
 from dotterelbridge.teams.model import Quota
@@ -38,6 +41,8 @@
 number of control VMs. The next message does not wait for the answer to the
 last: an answer from another region takes 40 ms, which is nearly all the time
 that a request may wait for credit."""
+_RENEWAL_INTERVAL_S = 0.25
+"""Longest time until the pool's credit is renewed or given back."""
 _UNAVAILABLE = CreditReply(is_available=False)
 
 
@@ -68,8 +73,11 @@
 class _Pending:
     """A request that waits to be passed on to the leader."""
 
-    def __init__(self, request: CreditRequest) -> None:
-        self.request = request
+    def __init__(self, answers: tuple[PoolAnswer, ...]) -> None:
+        self.answers = answers
+        self.request = CreditRequest(
+            demands=tuple(answer.rest for answer in answers)
+        )
         self.reply = _UNAVAILABLE
         self.answered = anyio.Event()
 
@@ -85,15 +93,19 @@
         self,
         network: PeerNetwork,
         clock: Clock,
+        rng: random.Random,
         settings: QuotasSettings,
         routes: ActiveRoutes,
         get_led_term: Callable[[], Term | None],
         get_leader: Callable[[], VmId | None],
+        get_share: Callable[[], float],
     ) -> None:
         """Create the service of a control VM.
 
         :param get_led_term: returns the term that this VM leads, with a
             valid lease, or None.
+        :param get_share: returns the part of all entry VMs that this VM
+            hears of.
         """
         self._network = network
         self._clock = clock
@@ -101,8 +113,9 @@
         self._get_leader = get_leader
         quotas = TeamQuotas(routes)
         self._issuer = CreditIssuer(
-            clock, settings, quotas.find_quota, quotas.is_known
+            clock, settings, quotas.find_quota, quotas.is_known, get_share
         )
+        self._pool = CreditPool(clock, rng, quotas.find_quota)
         self._issuing_term: Term | None = None
         self._pending: list[_Pending] = []
         self._has_pending = anyio.Event()
@@ -113,7 +126,8 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_term)
             while True:
-                await self._has_pending.wait()
+                with anyio.move_on_after(_RENEWAL_INTERVAL_S):
+                    await self._has_pending.wait()
                 self._has_pending = anyio.Event()
                 batch, self._pending = self._pending, []
                 group.start_soon(self._pass_on, batch)
@@ -136,7 +150,11 @@
         leader = self._get_leader()
         if leader is None or leader in (sender, self._network.own_id):
             return _UNAVAILABLE
-        pending = _Pending(request)
+        answers = tuple(map(self._pool.meet, request.demands))
+        if request.demands and all(a.is_complete for a in answers):
+            credits = tuple(answer.complete(None) for answer in answers)
+            return CreditReply(credits=credits)
+        pending = _Pending(answers)
         self._pending.append(pending)
         self._has_pending.set()
         await pending.answered.wait()
@@ -148,19 +166,29 @@
         )
 
     async def _pass_on(self, batch: list[_Pending]) -> None:
-        demands = merge_demands(pending.request for pending in batch)
+        orders = self._pool.create_orders()
+        requests = [pending.request for pending in batch]
+        requests += [CreditRequest(demands=(o.demand,)) for o in orders]
+        demands = merge_demands(requests)
+        if not (demands or batch):
+            return
         reply = await self._ask_leader(CreditRequest(demands=demands))
         if not reply.is_available or len(reply.credits) != len(demands):
             for pending in batch:
+                for answer in pending.answers:
+                    self._pool.put_back(answer)
                 pending.answer(_UNAVAILABLE)
             return
         splitter = CreditSplitter(demands, reply.credits)
         for pending in batch:
-            pending.answer(
-                CreditReply(
-                    credits=tuple(map(splitter.take, pending.request.demands))
-                )
+            credits = tuple(
+                answer.complete(splitter.take(answer.rest))
+                for answer in pending.answers
             )
+            pending.answer(CreditReply(credits=credits))
+        self._pool.apply(
+            orders, [splitter.take(order.demand) for order in orders]
+        )
 
     async def _ask_leader(self, request: CreditRequest) -> CreditReply:
         if self._check_leads():
--- a/dotterelbridge/quotas/team_account.py
+++ b/dotterelbridge/quotas/team_account.py
@@ -21,10 +21,13 @@
 """Time over which this VM's own demand is measured."""
 _AHEAD_S = 0.5
 """Time for which demand is asked for ahead."""
-_AHEAD_PAUSE_S = 0.25
+_AHEAD_PAUSE_S = 0.1
 """Time between two requests for credit ahead."""
 _SURPLUS_KEPT_S = 0.2
 """Time after which credit that no request took is given back."""
+_REFUND_REUSE_S = 1.0
+"""Age up to which credit that a request gave back is used again here. Older
+credit goes to the leader, which knows what it has issued meanwhile."""
 _AHEAD_KEPT_S = 1.0
 """The same for credit ahead; well before it expires."""
 _OVERDRAFT_S = 0.5
@@ -37,6 +40,9 @@
 share. The sum over all VMs then stays below the team's rate."""
 _OVER_QUOTA_END_S = 5.0
 """Time without a refusal after which the next one is logged again."""
+_MIN_DELAY_S = 0.001
+"""Shortest time until credit is looked for again. A shorter one can vanish in
+the rounding of the clock, so that the time would never come."""
 _MS_PER_S = 1000
 
 
@@ -81,13 +87,23 @@
 class TeamAccount:
     """Credit, waiting requests and overdraft of one team."""
 
-    def __init__(self, rng: random.Random, now: float) -> None:
+    def __init__(
+        self, rng: random.Random, now: float, least_ahead: float = 0.0
+    ) -> None:
+        """Create an account without credit.
+
+        :param least_ahead: credit to hold ahead of requests, however rare
+            they are.
+        """
         self._random = rng
+        self._least_ahead = least_ahead
         self._lots: deque[_Lot] = deque()
         self._waiters: deque[Waiter] = deque()
         self._settled: dict[float, float] = {}
         """Units of credit ahead of requests that were used or given back,
         by the time of issue, which the issuer does not know of yet."""
+        self._late_refunds: list[tuple[float, float]] = []
+        """Units to give back at once, and when they were issued."""
         self._demand = SlidingSum(_PACE_WINDOW_S)
         self._request_count = SlidingSum(_PACE_WINDOW_S)
         self._charged = SlidingSum(_PACE_WINDOW_S)
@@ -113,7 +129,12 @@
 
     def is_idle(self) -> bool:
         """Whether nothing would be lost with this account."""
-        return not (self._lots or self._waiters or self._overdrawn)
+        return not (
+            self._lots
+            or self._waiters
+            or self._overdrawn
+            or self._late_refunds
+        )
 
     def record_demand(self, units: float, now: float) -> None:
         """Count a request that has arrived."""
@@ -145,6 +166,9 @@
 
     def put_back(self, units: float, issued_at: float, now: float) -> None:
         """Add credit of a request that did not run."""
+        if now - issued_at > _REFUND_REUSE_S:
+            self._late_refunds.append((units, issued_at))
+            return
         self._lots.append(
             _Lot(
                 units=units,
@@ -179,7 +203,9 @@
             waiter.issued_at = issued_at
             waiter.decided.set()
         times = [lot.usable_at for lot in self._lots if lot.usable_at > now]
-        return min(times) - now if self._waiters and times else None
+        if not (self._waiters and times):
+            return None
+        return max(min(times) - now, _MIN_DELAY_S)
 
     def overdraw(
         self,
@@ -340,17 +366,17 @@
             self._settled[lot.issued_at] = known + units
 
     def _take_returns(self, now: float) -> tuple[CreditPart, ...]:
-        if self._waiters:
-            return ()
-        due = [lot for lot in self._lots if lot.kept_until <= now]
-        if due:
+        refunds, self._late_refunds = self._late_refunds, []
+        if not self._waiters:
+            for lot in self._lots:
+                if lot.kept_until <= now:
+                    self._settle(lot, lot.units)
+                    refunds.append((lot.units, lot.issued_at))
             self._lots = deque(
                 lot for lot in self._lots if lot.kept_until > now
             )
-        for lot in due:
-            self._settle(lot, lot.units)
         return tuple(
-            _create_part(lot.units, lot.issued_at, now) for lot in due
+            _create_part(units, issued_at, now) for units, issued_at in refunds
         )
 
     def _take_settled(self, now: float) -> tuple[CreditPart, ...]:
@@ -364,8 +390,8 @@
     def _find_ahead(self, now: float) -> float:
         """Return the credit to ask for ahead of requests.
 
-        None where less than a request is expected: the many accounts of a
-        small team would otherwise hold all its credit.
+        No more than the least where less than a request is expected: the
+        many accounts of a small team would otherwise hold all its credit.
         """
         if now - self._ahead_at < _AHEAD_PAUSE_S:
             return 0.0
@@ -373,6 +399,9 @@
         expected = demand / _PACE_WINDOW_S * _AHEAD_S
         request_count = self._request_count.find_total(now)
         if not request_count or expected < demand / request_count:
+            expected = 0.0
+        expected = max(expected, self._least_ahead)
+        if not expected:
             return 0.0
         missing = expected - sum(lot.units for lot in self._lots)
         return missing if missing >= expected / 2 else 0.0
--- a/tests/quotas/support.py
+++ b/tests/quotas/support.py
@@ -43,6 +43,7 @@
             settings,
             lambda name: self.teams[name].quota,
             lambda name: name in self.teams,
+            lambda: 1.0,
         )
 
     async def request(self, request):
--- a/tests/quotas/test_issuer.py
+++ b/tests/quotas/test_issuer.py
@@ -24,11 +24,13 @@
     def __init__(self) -> None:
         self.clock = ManualClock(1000.0)
         self.quotas = {TEAM.name: TEAM.quota}
+        self.share = 1.0
         self.issuer = CreditIssuer(
             self.clock,
             SETTINGS,
             self.quotas.get,
             self.quotas.__contains__,
+            lambda: self.share,
         )
         self.advance(60)
 
@@ -122,6 +124,15 @@
     assert harness.drain() <= derive_limits(lowered, SETTINGS).capacity
 
 
+# VMs that are cut off use their part of the rate on their own.
+def test_leader_leaves_out_the_part_of_vms_that_it_does_not_hear_of():
+    harness = Harness()
+    harness.share = 0.5
+    harness.drain()
+    harness.advance(1)
+    assert harness.drain() == pytest.approx(50, abs=1)
+
+
 # What ran without a leader's credit must not be issued again by the next one.
 def test_overdraft_is_taken_off_the_bucket():
     harness = Harness()
