--- a/dotterelbridge/quotas/issuer.py
+++ b/dotterelbridge/quotas/issuer.py
@@ -1,12 +1,9 @@
 """Issues credit to teams at the rate of their quotas, on the leader."""
 
 from collections.abc import Callable
-from collections.abc import Mapping
 import math
 from typing import Any
 
-import msgspec
-
 from dotterelbridge.clock import Clock
 from dotterelbridge.ids import TeamName
 from dotterelbridge.quotas.limits import AHEAD_LIFETIME_S
@@ -25,6 +22,8 @@
 _DEBT_LIMIT_S = 1.0
 """Debt that the bucket takes on for units that ran without credit, as a time
 at the team's rate; more would refuse all requests for long."""
+_LEAST_SHARE = 0.05
+"""Least part of the rate that is issued, also while no VM has reported."""
 _BACKLOG_LIMIT_S = 4.0
 """Longest wait that refused callers are told on account of each other."""
 _UNKNOWN_TEAM_WAIT_MS = 500
@@ -32,34 +31,15 @@
 _MS_PER_S = 1000
 
 
-class KnownLevel(msgspec.Struct, frozen=True):
-    """What the bucket of an earlier leader held."""
-
-    units: float
-    at: float
-    """Monotonic time of the answer that told it."""
-
-
 class _Bucket:
     """Credit of one team."""
 
     def __init__(
-        self,
-        limits: QuotaLimits,
-        settings: QuotasSettings,
-        now: float,
-        known: KnownLevel | None,
+        self, limits: QuotaLimits, settings: QuotasSettings, now: float
     ) -> None:
         self._limits = limits
+        self._units_per_s = limits.units_per_s
         self._level = limits.first_units
-        if known is not None:
-            # The predecessor may have issued what was left, but nothing of
-            # what the bucket would have gained since.
-            gained = (now - known.at) * limits.units_per_s
-            self._level = min(
-                limits.capacity,
-                min(known.units, limits.inherited_units) + gained,
-            )
         """Negative while credit is issued for use in the near future."""
         self._backlog = 0.0
         """Units of refused callers that are expected to come back."""
@@ -73,11 +53,18 @@
             return
         self._refill(now)
         self._limits = limits
+        self._units_per_s = limits.units_per_s
         self._level = min(self._level, limits.capacity)
 
-    def decide(self, demand: TeamDemand, now: float) -> TeamCredit:
-        """Take back, then issue credit."""
+    def decide(
+        self, demand: TeamDemand, now: float, share: float
+    ) -> TeamCredit:
+        """Take back, then issue credit.
+
+        :param share: part of the rate that this leader may issue.
+        """
         self._refill(now)
+        self._units_per_s = self._limits.units_per_s * share
         for credit in demand.returned:
             self._issued.add(now - credit.age_ms / _MS_PER_S, -credit.units)
             self._level = min(
@@ -89,12 +76,10 @@
             )
         self._book_overdraft(demand.overdrawn_units, now)
         waits_ms = tuple(self._meet(need, now) for need in demand.needs)
-        ahead_units = self._issue_ahead(demand.ahead_units, now)
         return TeamCredit(
             team=demand.team,
             waits_ms=waits_ms,
-            ahead_units=ahead_units,
-            level_units=self._level,
+            ahead_units=self._issue_ahead(demand.ahead_units, now),
         )
 
     def dump(self) -> dict[str, float]:
@@ -108,7 +93,7 @@
         }
 
     def _refill(self, now: float) -> None:
-        gained = (now - self._updated_at) * self._limits.units_per_s
+        gained = (now - self._updated_at) * self._units_per_s
         self._updated_at = now
         self._level = min(self._limits.capacity, self._level + gained)
         self._backlog = max(0.0, self._backlog - gained)
@@ -122,7 +107,7 @@
 
     def _meet(self, need: CreditNeed, now: float) -> int:
         """Return the time until a need's credit, as in TeamCredit."""
-        rate = self._limits.units_per_s
+        rate = self._units_per_s
         # A request larger than the bucket needs a full one.
         shortfall = min(need.units, self._limits.capacity) - self._level
         wait_s = max(0.0, shortfall / rate)
@@ -170,29 +155,26 @@
         settings: QuotasSettings,
         find_quota: Callable[[TeamName], Quota | None],
         is_known: Callable[[TeamName], bool],
+        get_share: Callable[[], float],
     ) -> None:
         """Create an issuer.
 
         :param find_quota: returns the quota that is in force for a team.
         :param is_known: returns whether a team is configured.
+        :param get_share: returns the part of all entry VMs that this VM hears
+            of; the others use their own part of the rate for a time.
         """
         self._clock = clock
         self._settings = settings
         self._find_quota = find_quota
         self._is_known = is_known
+        self._get_share = get_share
         self._buckets: dict[TeamName, _Bucket] = {}
-        self._known_levels: dict[TeamName, KnownLevel] = {}
         self._started_at = clock.monotonic()
 
-    def restart(
-        self, known_levels: Mapping[TeamName, KnownLevel] | None = None
-    ) -> None:
-        """Start as a new leader, with a part of each bucket.
-
-        :param known_levels: what this VM knows of the predecessor's buckets.
-        """
+    def restart(self) -> None:
+        """Start as a new leader, with a part of each bucket."""
         self._buckets.clear()
-        self._known_levels = dict(known_levels or {})
         self._started_at = self._clock.monotonic()
 
     def decide(self, demand: TeamDemand) -> TeamCredit:
@@ -210,15 +192,11 @@
         limits = derive_limits(quota, self._settings)
         bucket = self._buckets.get(demand.team)
         if bucket is None:
-            bucket = _Bucket(
-                limits,
-                self._settings,
-                self._started_at,
-                self._known_levels.get(demand.team),
-            )
+            bucket = _Bucket(limits, self._settings, self._started_at)
             self._buckets[demand.team] = bucket
         bucket.set_limits(limits, now)
-        return bucket.decide(demand, now)
+        share = max(_LEAST_SHARE, self._get_share())
+        return bucket.decide(demand, now, share)
 
     def dump(self) -> dict[str, Any]:
         """Return the state of each bucket."""
--- a/dotterelbridge/quotas/limits.py
+++ b/dotterelbridge/quotas/limits.py
@@ -11,16 +11,18 @@
 message that asked for it."""
 AHEAD_LIFETIME_S = 1.5
 """The same for credit that was asked for ahead of requests."""
-_BUCKET_PART = 0.5
-"""Part of the tolerated excess that the leader's bucket may hold."""
+_BUCKET_PART = 0.25
+"""Part of the tolerated excess that the leader's bucket may hold. VMs that
+are cut off use up to another half before the leader leaves out their part."""
+_SLACK_PART = 0.25
+"""Part of the slack that the bucket holds in addition. For small teams the
+slack is most of the excess, and their bucket few requests."""
 _AHEAD_PART = 0.25
 """Part of the tolerated excess that may be out as credit ahead of requests:
 it may be used in a window after the one in which it was issued."""
 _NEW_LEADER_PART = 0.125
 """Part of the tolerated excess that a new leader may issue at once, as its
 predecessor may have issued all it had just before."""
-_INHERITED_PART = 0.35
-"""Part of the tolerated excess that may be issued twice, by two leaders."""
 _NEW_LEADER_SHARE = 0.25
 """Part of the bucket with which a new leader starts."""
 
@@ -29,8 +31,6 @@
     """Limits of one team, in its units."""
 
     units_per_s: float
-    tolerated_units: float
-    """Use in a window that is tolerated beyond the quota."""
     capacity: float
     """The most that the leader's bucket holds."""
     window_units: float
@@ -38,10 +38,7 @@
     ahead_units: float
     """The most credit that is out ahead of requests."""
     first_units: float
-    """Content of the bucket of a new leader that knows nothing."""
-    inherited_units: float
-    """The most that a new leader takes over of its predecessor's bucket, as
-    the predecessor may have issued it as well."""
+    """Content of the bucket of a new leader."""
 
 
 def is_limited(quota: Quota | None) -> bool:
@@ -71,13 +68,12 @@
         window_units + quota.burst
     ) * settings.excess_fraction + settings.slack_units
     capacity = quota.burst + tolerated * _BUCKET_PART
+    capacity += settings.slack_units * _SLACK_PART
     return QuotaLimits(
         units_per_s=quota.units_per_s,
-        tolerated_units=tolerated,
         capacity=capacity,
         window_units=window_units + capacity,
         ahead_units=tolerated * _AHEAD_PART,
-        inherited_units=tolerated * _INHERITED_PART,
         first_units=min(
             capacity * _NEW_LEADER_SHARE, tolerated * _NEW_LEADER_PART
         ),
--- a/dotterelbridge/quotas/service.py
+++ b/dotterelbridge/quotas/service.py
@@ -19,13 +19,13 @@
 from dotterelbridge.peers.network import PeerNetwork
 from dotterelbridge.quotas.events import QuotaEvent
 from dotterelbridge.quotas.issuer import CreditIssuer
-from dotterelbridge.quotas.issuer import KnownLevel
 from dotterelbridge.quotas.messages import CreditReply
 from dotterelbridge.quotas.messages import CreditRequest
 from dotterelbridge.quotas.messages import TeamCredit
 from dotterelbridge.quotas.messages import TeamDemand
+from dotterelbridge.quotas.pool import CreditPool
+from dotterelbridge.quotas.pool import PoolAnswer
 from dotterelbridge.quotas.settings import QuotasSettings
-from dotterelbridge.quotas.standby import StandbyIssuer
 from dotterelbridge.routes.active_routes import ActiveRoutes
 from dotterelbridge.teams.model import Quota
 from dotterelbridge.teams.model import Team
@@ -36,17 +36,17 @@
 _LEADER_TIMEOUT = timedelta(milliseconds=250)
 """Time for the leader to answer: five crossings of the slowest link and
 back."""
-_LEADER_PATIENCE = timedelta(milliseconds=70)
-"""Time without an answer of the leader after which this VM issues credit by
-itself; an answer from another region takes 40 ms."""
-_LEVEL_LIFETIME_S = 4.0
-"""Age up to which the level of a predecessor's bucket is of use."""
-_PROBE_INTERVAL = timedelta(milliseconds=50)
 _BATCH_INTERVAL = timedelta(milliseconds=10)
 """Time between two messages to the leader, which bounds its load by the
 number of control VMs. The next message does not wait for the answer to the
 last: an answer from another region takes 40 ms, which is nearly all the time
 that a request may wait for credit."""
+_URGENT_INTERVAL = timedelta(milliseconds=2)
+"""The same while a request waits that cannot wait for the longer interval."""
+_URGENT_WAIT_MS = 10
+_REST_OF_INTERVAL_S = (_BATCH_INTERVAL - _URGENT_INTERVAL).total_seconds()
+_RENEWAL_INTERVAL_S = 0.25
+"""Longest time until the pool's credit is renewed or given back."""
 _UNAVAILABLE = CreditReply(is_available=False)
 
 
@@ -77,11 +77,23 @@
 class _Pending:
     """A request that waits to be passed on to the leader."""
 
-    def __init__(self, request: CreditRequest) -> None:
-        self.request = request
+    def __init__(self, answers: tuple[PoolAnswer, ...]) -> None:
+        self.answers = answers
+        self.request = CreditRequest(
+            demands=tuple(answer.rest for answer in answers)
+        )
         self.reply = _UNAVAILABLE
         self.answered = anyio.Event()
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether a need can hardly wait."""
+        return any(
+            need.max_wait_ms < _URGENT_WAIT_MS
+            for demand in self.request.demands
+            for need in demand.needs
+        )
+
     def answer(self, reply: CreditReply) -> None:
         self.reply = reply
         self.answered.set()
@@ -94,19 +106,19 @@
         self,
         network: PeerNetwork,
         clock: Clock,
+        rng: random.Random,
         settings: QuotasSettings,
         routes: ActiveRoutes,
         get_led_term: Callable[[], Term | None],
         get_leader: Callable[[], VmId | None],
         get_share: Callable[[], float],
-        rng: random.Random,
     ) -> None:
         """Create the service of a control VM.
 
         :param get_led_term: returns the term that this VM leads, with a
             valid lease, or None.
-        :param get_share: returns the part of all entry VMs, from 0 to 1,
-            that ask this VM.
+        :param get_share: returns the part of all entry VMs that this VM
+            hears of.
         """
         self._network = network
         self._clock = clock
@@ -114,34 +126,35 @@
         self._get_leader = get_leader
         quotas = TeamQuotas(routes)
         self._issuer = CreditIssuer(
-            clock, settings, quotas.find_quota, quotas.is_known
-        )
-        self._standby = StandbyIssuer(
-            clock, rng, settings, quotas.find_quota, get_share
+            clock, settings, quotas.find_quota, quotas.is_known, get_share
         )
+        self._pool = CreditPool(clock, rng, quotas.find_quota)
         self._issuing_term: Term | None = None
-        self._levels: dict[TeamName, KnownLevel] = {}
         self._pending: list[_Pending] = []
         self._has_pending = anyio.Event()
+        self._has_urgent = anyio.Event()
         network.register_handler(CreditRequest, self._handle_request)
 
     async def run(self) -> None:
         """Pass requests on to the leader until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_term)
-            group.start_soon(self._watch_leader)
             while True:
-                await self._has_pending.wait()
+                with anyio.move_on_after(_RENEWAL_INTERVAL_S):
+                    await self._has_pending.wait()
                 self._has_pending = anyio.Event()
+                self._has_urgent = anyio.Event()
                 batch, self._pending = self._pending, []
                 group.start_soon(self._pass_on, batch)
-                await self._clock.sleep(_BATCH_INTERVAL)
+                await self._clock.sleep(_URGENT_INTERVAL)
+                with anyio.move_on_after(_REST_OF_INTERVAL_S):
+                    await self._has_urgent.wait()
 
     def dump(self) -> dict[str, Any]:
-        """Return the buckets of the leader; outdated on other VMs."""
+        """Return the pool, and the buckets, which only the leader updates."""
         return {
             "term": self._issuing_term,
-            "issues_by_itself": self._standby.is_active,
+            "pool": self._pool.dump(),
             "buckets": self._issuer.dump(),
         }
 
@@ -155,12 +168,18 @@
     ) -> CreditReply:
         if self._check_leads():
             return self._decide(request)
-        if sender == self._get_leader():
-            # Each of the two takes the other for the leader.
+        leader = self._get_leader()
+        if leader is None or leader in (sender, self._network.own_id):
             return _UNAVAILABLE
-        pending = _Pending(request)
+        answers = tuple(map(self._pool.meet, request.demands))
+        if request.demands and all(a.is_complete for a in answers):
+            credits = tuple(answer.complete(None) for answer in answers)
+            return CreditReply(credits=credits)
+        pending = _Pending(answers)
         self._pending.append(pending)
         self._has_pending.set()
+        if pending.is_urgent:
+            self._has_urgent.set()
         await pending.answered.wait()
         return pending.reply
 
@@ -170,49 +189,33 @@
         )
 
     async def _pass_on(self, batch: list[_Pending]) -> None:
-        demands = merge_demands(pending.request for pending in batch)
+        orders = self._pool.create_orders()
+        requests = [pending.request for pending in batch]
+        requests += [CreditRequest(demands=(o.demand,)) for o in orders]
+        demands = merge_demands(requests)
+        if not (demands or batch):
+            return
         reply = await self._ask_leader(CreditRequest(demands=demands))
         if not reply.is_available or len(reply.credits) != len(demands):
             for pending in batch:
+                for answer in pending.answers:
+                    self._pool.put_back(answer)
                 pending.answer(_UNAVAILABLE)
             return
         splitter = CreditSplitter(demands, reply.credits)
         for pending in batch:
-            pending.answer(
-                CreditReply(
-                    credits=tuple(map(splitter.take, pending.request.demands))
-                )
+            credits = tuple(
+                answer.complete(splitter.take(answer.rest))
+                for answer in pending.answers
             )
+            pending.answer(CreditReply(credits=credits))
+        self._pool.apply(
+            orders, [splitter.take(order.demand) for order in orders]
+        )
 
     async def _ask_leader(self, request: CreditRequest) -> CreditReply:
-        """Return the leader's decision, or this VM's own without a leader."""
         if self._check_leads():
             return self._decide(request)
-        reply = _UNAVAILABLE
-        if not self._standby.is_active:
-            with anyio.move_on_after(_LEADER_PATIENCE.total_seconds()):
-                reply = await self._send_to_leader(request)
-        if reply.is_available:
-            self._record_levels(reply)
-            return reply
-        self._standby.start()
-        return self._standby.decide(request)
-
-    def _record_levels(self, reply: CreditReply) -> None:
-        """Note what the leader's buckets hold, should this VM succeed it."""
-        now = self._clock.monotonic()
-        for credit in reply.credits:
-            self._levels[credit.team] = KnownLevel(credit.level_units, now)
-
-    def _list_recent_levels(self) -> dict[TeamName, KnownLevel]:
-        oldest = self._clock.monotonic() - _LEVEL_LIFETIME_S
-        return {
-            team: level
-            for team, level in self._levels.items()
-            if level.at >= oldest
-        }
-
-    async def _send_to_leader(self, request: CreditRequest) -> CreditReply:
         leader = self._get_leader()
         if leader is None or leader == self._network.own_id:
             return _UNAVAILABLE
@@ -224,30 +227,11 @@
             return _UNAVAILABLE
         return reply if isinstance(reply, CreditReply) else _UNAVAILABLE
 
-    async def _watch_leader(self) -> None:
-        """Look for a leader while none answers, and tell it what was issued.
-
-        Also on the new leader itself.
-        """
-        while True:
-            await self._clock.sleep(_PROBE_INTERVAL)
-            if not self._standby.is_active:
-                continue
-            request = CreditRequest(demands=self._standby.take_reports())
-            if self._check_leads():
-                reply = self._decide(request)
-            else:
-                reply = await self._send_to_leader(request)
-            if reply.is_available:
-                self._standby.stop()
-            else:
-                self._standby.restore_reports(request.demands)
-
     def _check_leads(self) -> bool:
         """Return whether this VM leads; a new leader starts anew."""
         term = self._get_led_term()
         if term is not None and term != self._issuing_term:
-            self._issuer.restart(self._list_recent_levels())
+            self._issuer.restart()
             events.log(_log, QuotaEvent.ISSUING_STARTED, term=term)
         self._issuing_term = term
         return term is not None
--- a/tests/quotas/test_issuer.py
+++ b/tests/quotas/test_issuer.py
@@ -7,7 +7,6 @@
 from dotterelbridge.clock import ManualClock
 from dotterelbridge.ids import TeamName
 from dotterelbridge.quotas.issuer import CreditIssuer
-from dotterelbridge.quotas.issuer import KnownLevel
 from dotterelbridge.quotas.limits import derive_limits
 from dotterelbridge.quotas.messages import CreditNeed
 from dotterelbridge.quotas.messages import CreditPart
@@ -25,11 +24,13 @@
     def __init__(self) -> None:
         self.clock = ManualClock(1000.0)
         self.quotas = {TEAM.name: TEAM.quota}
+        self.share = 1.0
         self.issuer = CreditIssuer(
             self.clock,
             SETTINGS,
             self.quotas.get,
             self.quotas.__contains__,
+            lambda: self.share,
         )
         self.advance(60)
 
@@ -123,6 +124,15 @@
     assert harness.drain() <= derive_limits(lowered, SETTINGS).capacity
 
 
+# VMs that are cut off use their part of the rate on their own.
+def test_leader_leaves_out_the_part_of_vms_that_it_does_not_hear_of():
+    harness = Harness()
+    harness.share = 0.5
+    harness.drain()
+    harness.advance(1)
+    assert harness.drain() == pytest.approx(50, abs=1)
+
+
 # What ran without a leader's credit must not be issued again by the next one.
 def test_overdraft_is_taken_off_the_bucket():
     harness = Harness()
@@ -132,17 +142,3 @@
 
 def test_team_that_the_leader_does_not_know_gets_nothing():
     assert Harness().ask(1, team=TeamName("x")).waits_ms[0] < 0
-
-
-# A new leader that started with a nearly empty bucket refused requests of
-# teams that used half of their quota.
-@pytest.mark.parametrize(
-    ("known_units", "expected"),
-    [(0, 100), (LIMITS.capacity, LIMITS.inherited_units + 100)],
-)
-def test_new_leader_takes_over_what_it_knows(known_units, expected):
-    harness = Harness()
-    level = KnownLevel(known_units, harness.clock.monotonic())
-    harness.advance(1)
-    harness.issuer.restart({TEAM.name: level})
-    assert harness.drain() == int(min(LIMITS.capacity, expected))
