Renew the credit of control VMs before it lapses

Cause: credit that a control VM held was given back each second before its replacement arrived; urgent requests then waited for the leader in vain.

Change: credit is replaced 0.3 s before it is given back. A control VM sends urgent needs after 2 ms, an entry VM all needs.

--- a/dotterelbridge/quotas/account.py
+++ b/dotterelbridge/quotas/account.py
@@ -32,7 +32,7 @@
 
 MAX_WAIT = timedelta(milliseconds=150)
 """Longest time that a request waits for credit."""
-_MESSAGE_INTERVAL = timedelta(milliseconds=5)
+_MESSAGE_INTERVAL = timedelta(milliseconds=2)
 """Time between two messages. The next one does not wait for the answer to the
 last, which may take longer than a request may wait."""
 _TICK_S = 0.25
--- a/dotterelbridge/quotas/pool.py
+++ b/dotterelbridge/quotas/pool.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import random
+from typing import Any
 
 import msgspec
 
@@ -134,3 +135,10 @@
             account = self._accounts.get(order.demand.team)
             if account is not None:
                 account.apply_credit(order, credit, now)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the credit held, by team."""
+        now = self._clock.monotonic()
+        return {
+            team: account.dump(now) for team, account in self._accounts.items()
+        }
--- a/dotterelbridge/quotas/service.py
+++ b/dotterelbridge/quotas/service.py
@@ -41,6 +41,10 @@
 number of control VMs. The next message does not wait for the answer to the
 last: an answer from another region takes 40 ms, which is nearly all the time
 that a request may wait for credit."""
+_URGENT_INTERVAL = timedelta(milliseconds=2)
+"""The same while a request waits that cannot wait for the longer interval."""
+_URGENT_WAIT_MS = 10
+_REST_OF_INTERVAL_S = (_BATCH_INTERVAL - _URGENT_INTERVAL).total_seconds()
 _RENEWAL_INTERVAL_S = 0.25
 """Longest time until the pool's credit is renewed or given back."""
 _UNAVAILABLE = CreditReply(is_available=False)
@@ -81,6 +85,15 @@
         self.reply = _UNAVAILABLE
         self.answered = anyio.Event()
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether a need can hardly wait."""
+        return any(
+            need.max_wait_ms < _URGENT_WAIT_MS
+            for demand in self.request.demands
+            for need in demand.needs
+        )
+
     def answer(self, reply: CreditReply) -> None:
         self.reply = reply
         self.answered.set()
@@ -119,6 +132,7 @@
         self._issuing_term: Term | None = None
         self._pending: list[_Pending] = []
         self._has_pending = anyio.Event()
+        self._has_urgent = anyio.Event()
         network.register_handler(CreditRequest, self._handle_request)
 
     async def run(self) -> None:
@@ -129,13 +143,20 @@
                 with anyio.move_on_after(_RENEWAL_INTERVAL_S):
                     await self._has_pending.wait()
                 self._has_pending = anyio.Event()
+                self._has_urgent = anyio.Event()
                 batch, self._pending = self._pending, []
                 group.start_soon(self._pass_on, batch)
-                await self._clock.sleep(_BATCH_INTERVAL)
+                await self._clock.sleep(_URGENT_INTERVAL)
+                with anyio.move_on_after(_REST_OF_INTERVAL_S):
+                    await self._has_urgent.wait()
 
     def dump(self) -> dict[str, Any]:
-        """Return the buckets of the leader; outdated on other VMs."""
-        return {"term": self._issuing_term, "buckets": self._issuer.dump()}
+        """Return the pool, and the buckets, which only the leader updates."""
+        return {
+            "term": self._issuing_term,
+            "pool": self._pool.dump(),
+            "buckets": self._issuer.dump(),
+        }
 
     async def _watch_term(self) -> None:
         while True:
@@ -157,6 +178,8 @@
         pending = _Pending(answers)
         self._pending.append(pending)
         self._has_pending.set()
+        if pending.is_urgent:
+            self._has_urgent.set()
         await pending.answered.wait()
         return pending.reply
 
--- a/dotterelbridge/quotas/sliding_sum.py
+++ b/dotterelbridge/quotas/sliding_sum.py
@@ -17,20 +17,26 @@
         self._amounts: dict[int, float] = {}
         """Amounts by number of the slot."""
         self._total = 0.0
+        self._oldest = 0
+        """First slot that is within the window."""
 
     def add(self, at: float, amount: float) -> None:
         """Add an amount, or subtract one that was added for the time."""
         slot = int(at // self._slot_s)
+        if slot < self._oldest:
+            return
         self._amounts[slot] = self._amounts.get(slot, 0.0) + amount
         self._total += amount
 
     def find_total(self, now: float) -> float:
         """Return the sum over the window that ends now."""
         oldest = int((now - self._window_s) // self._slot_s)
-        for slot in [slot for slot in self._amounts if slot < oldest]:
-            self._total -= self._amounts.pop(slot)
-        if not self._amounts:
-            self._total = 0.0
+        if oldest > self._oldest:
+            self._oldest = oldest
+            for slot in [slot for slot in self._amounts if slot < oldest]:
+                self._total -= self._amounts.pop(slot)
+            if not self._amounts:
+                self._total = 0.0
         return self._total
 
     def find_wait_s(self, amount: float, now: float) -> float:
--- a/dotterelbridge/quotas/team_account.py
+++ b/dotterelbridge/quotas/team_account.py
@@ -30,6 +30,9 @@
 credit goes to the leader, which knows what it has issued meanwhile."""
 _AHEAD_KEPT_S = 1.0
 """The same for credit ahead; well before it expires."""
+_RENEWAL_S = 0.3
+"""Time before credit is given back at which it is replaced, so that none is
+missing until the answer arrives."""
 _OVERDRAFT_S = 0.5
 """Time at the overdraft's pace that may be used at once while a leader
 answers, for requests whose answer is late."""
@@ -403,7 +406,10 @@
         expected = max(expected, self._least_ahead)
         if not expected:
             return 0.0
-        missing = expected - sum(lot.units for lot in self._lots)
+        renewed_until = now + _RENEWAL_S
+        missing = expected - sum(
+            lot.units for lot in self._lots if lot.kept_until > renewed_until
+        )
         return missing if missing >= expected / 2 else 0.0
 
     def _fill_overdraft(
