--- a/dotterelbridge/gateway/balance.py
+++ b/dotterelbridge/gateway/balance.py
@@ -23,8 +23,9 @@
 """Bounds what a target collects while other requests cannot go there."""
 _CREDIT_LIMIT = 4096
 """Targets that are kept; the product is made for 2,600."""
-_LEVEL_BISECTIONS = 24
-"""Halvings of the range of levels; the rest is far below one request."""
+_LEVEL_BISECTIONS = 14
+"""Halvings of the range of levels, which leave less than a hundredth of a
+request. Each costs some 20 us with 14 targets."""
 
 
 class Candidate(msgspec.Struct, frozen=True):
--- a/dotterelbridge/gateway/calibration.py
+++ b/dotterelbridge/gateway/calibration.py
@@ -41,6 +41,8 @@
     events_high: float
     """90th percentile."""
     stay_ms: float
+    gap_ms: float
+    """Time between two events at a target of usual speed."""
 
 
 class Observation(msgspec.Struct, frozen=True, kw_only=True):
--- a/dotterelbridge/gateway/cost.py
+++ b/dotterelbridge/gateway/cost.py
@@ -44,7 +44,7 @@
 """Half-life of a sample: an entry VM gets a few requests per second, and the
 estimates follow a change of the callers within seconds."""
 _MAX_WEIGHT = 40.0
-"""Samples that an average is made of at most."""
+"""Samples that the average of a group of requests is made of at most."""
 _PARENT_WEIGHT = 4.0
 """Samples that the distribution of a wider group counts as."""
 _HIGH_QUANTILE = 0.9
@@ -116,9 +116,14 @@
 class LogAverage:
     """Mean and variance of a logarithm, of samples that fade with time."""
 
-    __slots__ = ("_updated_at", "mean", "variance", "weight")
+    __slots__ = ("_max_weight", "_updated_at", "mean", "variance", "weight")
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, max_weight: float = _MAX_WEIGHT) -> None:
+        """Create an average without samples.
+
+        :param max_weight: samples that it is made of at most.
+        """
+        self._max_weight = max_weight
         self.weight = 0.0
         self.mean = 0.0
         self.variance = 0.0
@@ -131,7 +136,7 @@
 
     def record(self, value: float, now: float) -> None:
         """Add the logarithm of a positive value."""
-        weight = min(_MAX_WEIGHT, self.read_weight(now)) + 1
+        weight = min(self._max_weight, self.read_weight(now)) + 1
         deviation = math.log(value) - self.mean
         self.mean += deviation / weight
         self.variance = (1 - 1 / weight) * (
--- a/dotterelbridge/gateway/target.py
+++ b/dotterelbridge/gateway/target.py
@@ -45,6 +45,9 @@
 """Half-life of a target's mean response time while it gets no requests, so
 that a slow target is tried again."""
 _MIN_MEASURED_GAPS = 2
+_GAPS_PER_SAMPLE = 4
+"""Gaps between events from which the target's speed is measured, while the
+stream runs: at a slow target it ends late."""
 _MAX_MEASURED_GAPS = 64
 """Bounds the memory of a long stream."""
 _MS_PER_S = 1000
@@ -281,9 +284,20 @@
         elif len(self._gaps_ms) < _MAX_MEASURED_GAPS:
             gap_ms = (now - self._last_event_at) * _MS_PER_S / max(1, count)
             self._gaps_ms.append(gap_ms)
+            if len(self._gaps_ms) % _GAPS_PER_SAMPLE == 0:
+                self._record_speed(now)
         self.event_count += count
         self._last_event_at = now
 
+    def _record_speed(self, now: float) -> None:
+        """Compare the latest events with the usual time between events."""
+        if self.prediction is not None:
+            self.gateway_target.workload.record_gap(
+                statistics.median(self._gaps_ms[-_GAPS_PER_SAMPLE:]),
+                self.prediction.gap_ms,
+                now,
+            )
+
     def observe(self) -> Observation | None:
         """Return what was seen of a stream; None without an event."""
         if self.first_event_at is None:
--- a/dotterelbridge/gateway/work_balancer.py
+++ b/dotterelbridge/gateway/work_balancer.py
@@ -229,6 +229,7 @@
             events=cost.events,
             events_high=cost.output_tokens_high / tokens_per_event,
             stay_ms=speed * (cost.stay_ms - saved_ms),
+            gap_ms=cost.gap_ms,
         )
 
     def record_ended(self, slot: Slot, is_answered: bool) -> None:
@@ -242,9 +243,6 @@
             self._estimator.record_prompt(call, target.incarnation)
         gap_ms = slot.find_median_gap_ms()
         speed = target.workload.read_speed(now)
-        if gap_ms:
-            usual_ms = self._estimator.predict_gap_ms(call, now)
-            target.workload.record_gap(gap_ms, usual_ms, now)
         seen = slot.observe()
         if is_answered and seen is not None:
             if call.attempts == 1:
--- a/dotterelbridge/gateway/workload.py
+++ b/dotterelbridge/gateway/workload.py
@@ -39,8 +39,11 @@
 _PROMPT_RATIO_RANGE = (1.0, 4.0)
 """Range of the mean prompt at a target, relative to that of the service.
 Shorter prompts than usual are mostly chance."""
-_SPEED_PRIOR_WEIGHT = 3.0
+_SPEED_PRIOR_WEIGHT = 1.0
 """Own measurements that the published speed counts as."""
+_SPEED_MAX_WEIGHT = 4.0
+"""Samples that the learned speed is made of at most: a target may turn slow
+for a few seconds."""
 _SPEED_RANGE = (0.2, 10.0)
 _MIN_COMPARED_SPEEDS = 2
 
@@ -126,7 +129,7 @@
         :param usual_ms: the same time at a target of usual speed.
         """
         if self._speed_error is None:
-            self._speed_error = LogAverage(now)
+            self._speed_error = LogAverage(now, _SPEED_MAX_WEIGHT)
         published = self._published_speed
         self._speed_error.record(gap_ms / (usual_ms * published), now)
 
--- a/tests/gateway/engine_model.py
+++ b/tests/gateway/engine_model.py
@@ -45,6 +45,8 @@
 REPORT_DELAY_S = 0.35
 REPORT_LIFETIME_S = REPORT_INTERVAL_S + REPORT_DELAY_S
 QUEUE_LIMIT = 6
+COPIES = 4
+SLOWDOWN = 2.5
 WAIT_LIMIT_S = 0.8
 RETRY_INTERVAL_S = 0.05
 
@@ -85,8 +87,9 @@
 class ModelEngine:
     """One engine; its batch advances step by step."""
 
-    def __init__(self, name, slots, kv_tokens, speed=1.0) -> None:
+    def __init__(self, name, models, slots, kv_tokens, speed) -> None:
         self.name = name
+        self.models = models
         self.slots = slots
         self.kv_tokens = kv_tokens
         self.speed = speed
@@ -180,7 +183,7 @@
         settings, targets = GatewaySettings(), TargetsSettings()
         self.targets = {
             engine.name: create_gateway_target(
-                create_target(engine.name, ["m0"], slots=engine.slots),
+                create_target(engine.name, engine.models, slots=engine.slots),
                 0,
                 settings,
                 targets,
@@ -194,7 +197,11 @@
 
     def choose(self, call):
         """Return a target, or None if all are full."""
-        free = [t for t in self.targets.values() if t.has_free_slot()]
+        free = [
+            target
+            for target in self.targets.values()
+            if target.has_free_slot() and target.view.holds(call.request.model)
+        ]
         if not free:
             return None
         now = self.clock.monotonic()
@@ -242,7 +249,16 @@
         seconds=16.0,
         publishes_speed=False,
         pace=0.5,
+        models=(),
+        slow_s=0.0,
     ) -> None:
+        """Create a pattern.
+
+        :param models: pace and share of the requests of each model, if there
+            are several; each is loaded into four engines.
+        :param slow_s: time for which an engine is slower by a factor of 2.5,
+            one after the other, a quarter of them at a time.
+        """
         self.speeds = speeds
         self.vm_count = vm_count
         self.requests_per_s = requests_per_s
@@ -252,7 +268,18 @@
         self.sessions = sessions
         self.seconds = seconds
         self.publishes_speed = publishes_speed
-        self.pace = pace
+        self.slow_s = slow_s
+        self.models = models or ((pace, 1.0),)
+
+    def list_models(self, engine_number) -> list[str]:
+        """Return the models of an engine."""
+        count = len(self.speeds)
+        copies = COPIES if len(self.models) > 1 else count
+        return [
+            f"m{number}"
+            for number in range(len(self.models))
+            if (engine_number - 2 * number) % count < copies
+        ]
 
 
 class Simulation:
@@ -270,7 +297,13 @@
             ),
         ).find_service(LLM)
         self._engines = [
-            ModelEngine(f"e{i}", pattern.slots, pattern.kv_tokens, speed)
+            ModelEngine(
+                f"e{i}",
+                pattern.list_models(i),
+                pattern.slots,
+                pattern.kv_tokens,
+                speed,
+            )
             for i, speed in enumerate(pattern.speeds)
         ]
         self._vms = [
@@ -316,16 +349,19 @@
             self._rng.expovariate(self._pattern.requests_per_s), self._arrive
         )
         self.requests += 1
+        models = self._pattern.models
+        shares = [share for _, share in models]
+        number = self._rng.choices(range(len(models)), shares)[0]
         request = ModelRequest(
-            self._create_call(),
+            self._create_call(f"m{number}"),
             max(10, round(self._rng.lognormvariate(5.6, 0.5))),
-            self._pattern.pace,
+            models[number][0],
         )
         request.vm = self._rng.choice(self._vms)
         request.vm.rates.record_request(request.call.item)
         self._send(request)
 
-    def _create_call(self) -> GatewayCall:
+    def _create_call(self, model) -> GatewayCall:
         now = self._clock.monotonic()
         tokens = round(self._rng.lognormvariate(6.5, 0.4))
         if self._rng.random() < self._pattern.long_share:
@@ -348,14 +384,14 @@
                 headers=[],
                 body=b"",
                 deadline_ms=None,
-                model="m0",
+                model=model,
                 tokens_in=tokens,
                 tokens_out=1200,
                 prompt_parts=parts,
             ),
             route=self._route,
             service=self._service,
-            item=key("m0"),
+            item=key(model),
             started_at=now,
             deadline_at=now + 10,
             first_byte_deadline_at=now + 2,
@@ -387,9 +423,15 @@
     def _begin_step(self, engine) -> None:
         engine.is_stepping = bool(engine.running or engine.queue)
         if engine.is_stepping:
-            self._schedule(
-                engine.begin_step(), functools.partial(self._end_step, engine)
-            )
+            step_s = engine.begin_step() * self._find_slowdown(engine)
+            self._schedule(step_s, functools.partial(self._end_step, engine))
+
+    def _find_slowdown(self, engine) -> float:
+        if not self._pattern.slow_s:
+            return 1.0
+        turn = int(self._clock.monotonic() / self._pattern.slow_s)
+        is_slow = (turn + self._engines.index(engine)) % 4 == 0
+        return SLOWDOWN if is_slow else 1.0
 
     def _end_step(self, engine) -> None:
         now = self._clock.monotonic()
@@ -420,7 +462,7 @@
                 load.kv_tokens_running,
                 load.events_made,
             )
-        view = create_target(engine.name, ["m0"], **fields)
+        view = create_target(engine.name, engine.models, **fields)
         self._schedule(REPORT_DELAY_S, functools.partial(self._deliver, view))
         self._schedule(
             REPORT_INTERVAL_S, functools.partial(self._report, engine)
--- a/tests/gateway/test_balance_load.py
+++ b/tests/gateway/test_balance_load.py
@@ -13,6 +13,13 @@
 PATTERNS = {
     "uneven engines": Pattern(speeds=UNEVEN_SPEEDS, publishes_speed=True),
     "uneven, not published": Pattern(speeds=UNEVEN_SPEEDS),
+    "uneven, 12 models": Pattern(
+        speeds=UNEVEN_SPEEDS,
+        publishes_speed=True,
+        requests_per_s=70,
+        models=tuple((pace / 10, 1) for pace in (10, 8, 7, 6, 5, 4) * 2),
+    ),
+    "slow for seconds": Pattern(slow_s=4.0, requests_per_s=60),
     "long among short": Pattern(long_share=0.05, requests_per_s=60),
     "prefix reuse": Pattern(sessions=40, kv_tokens=60_000, requests_per_s=40),
     "late reports of 90": Pattern(
--- a/tests/gateway/test_work_balance.py
+++ b/tests/gateway/test_work_balance.py
@@ -233,7 +233,7 @@
     clock = ManualClock()
     calibration = Calibration(clock)
     predicted = Prediction(
-        first_event_ms=100, events=10, events_high=20, stay_ms=500
+        first_event_ms=100, events=10, events_high=20, stay_ms=500, gap_ms=50
     )
     for number in range(100):
         clock.advance(timedelta(seconds=0.25))
