--- a/dotterelbridge/assembly.py
+++ b/dotterelbridge/assembly.py
@@ -58,6 +58,7 @@
 from dotterelbridge.serving.operator_listener import create_operator_listener
 from dotterelbridge.serving.operators import create_operator_app
 from dotterelbridge.serving.settings import ServingSettings
+from dotterelbridge.serving.teams import CallerTeams
 from dotterelbridge.settings import PlatformSettings
 from dotterelbridge.settings import Settings
 from dotterelbridge.settings import read_secret_file
@@ -67,6 +68,7 @@
 from dotterelbridge.sheet.store import create_sheet_store
 from dotterelbridge.targets.engine import Engine
 from dotterelbridge.targets.http_engine import create_engine
+from dotterelbridge.targets.memory_account import create_memory_account
 from dotterelbridge.targets.settings import TargetsSettings
 
 RunFunction = Callable[[], Awaitable[None]]
@@ -368,12 +370,15 @@
             serving,
             routing,
             self._rng,
+            CallerTeams(self._settings.get_teams()),
         )
         self._caller_app.add_readiness_condition(self._sheet_store.is_synced)
         self._caller_app.add_readiness_condition(self._is_not_leaving)
         self._dump_registry.add("serving", self._caller_app)
+        self._memory_account = create_memory_account(serving.memory_limit_mb)
+        self._router.buffer_budget.attach(self._memory_account)
         self._caller_listener = create_caller_listener(
-            self._caller_app, serving, self._clock
+            self._caller_app, serving, self._clock, self._memory_account
         )
         self._run_functions.append(self._caller_listener.run)
 
@@ -411,7 +416,11 @@
         )
         daemon = self._settings.daemon
         self._operator_listener = create_operator_listener(
-            app, daemon.operator_address, daemon.operator_port
+            app,
+            daemon.operator_address,
+            daemon.operator_port,
+            self._clock,
+            self._memory_account,
         )
         self._run_functions.append(self._operator_listener.run)
 
--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -18,16 +18,22 @@
 from dotterelbridge.gateway.attempts import AttemptRunner
 from dotterelbridge.gateway.attempts import TargetFailed
 from dotterelbridge.gateway.attempts import WholeResponse
+from dotterelbridge.gateway.authentication import Authenticator
 from dotterelbridge.gateway.call import GatewayCall
 from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.errors import RequestNotRun
 from dotterelbridge.gateway.events import GatewayEvent
 from dotterelbridge.gateway.headers import HeaderNames
+from dotterelbridge.gateway.quota_gate import QuotaGate
 from dotterelbridge.gateway.request import GatewayRequest
 from dotterelbridge.gateway.request import read_gateway_request
 from dotterelbridge.gateway.router import GatewayRouter
 from dotterelbridge.gateway.settings import GatewaySettings
+from dotterelbridge.gateway.stream_gaps import StreamGaps
 from dotterelbridge.ids import RunStatus
+from dotterelbridge.quotas.account import QuotaAccounts
+from dotterelbridge.quotas.errors import QuotaExceeded
+from dotterelbridge.quotas.errors import QuotaRefused
 from dotterelbridge.routes.active_routes import ActiveRoutes
 from dotterelbridge.routes.model import Repeatability
 from dotterelbridge.routes.model import Route
@@ -38,11 +44,17 @@
 from dotterelbridge.serving.errors import ErrorResponse
 from dotterelbridge.serving.errors import RequestTooLarge
 from dotterelbridge.serving.errors import ResponseIncomplete
+from dotterelbridge.serving.errors import create_unauthorized_response
 from dotterelbridge.serving.response import SINK_EXTENSION
 from dotterelbridge.serving.response import ResponseSink
 from dotterelbridge.serving.response import write_response
 from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.serving.stop_grace import StopGrace
+from dotterelbridge.teams import instruments as teams_instruments
+from dotterelbridge.teams.authorization import KeyRefused
+from dotterelbridge.teams.model import Team
+from dotterelbridge.teams.permission import KeyPermission
+from dotterelbridge.teams.settings import TeamsSettings
 
 _log = structlog.get_logger(__name__)
 
@@ -50,6 +62,8 @@
 _MS_PER_S = 1000
 _ROUTES_POLL_INTERVAL = timedelta(milliseconds=20)
 _DEFAULT_RETRY_AFTER = timedelta(milliseconds=500)
+_TOO_MANY_REQUESTS_STATUS = 429
+_UNAVAILABLE_STATUS = 503
 _REASON_NOT_RUN = "not_run"
 """Reason in logs and metrics if all attempts ended without a run."""
 
@@ -66,11 +80,20 @@
         serving: ServingSettings,
         clock: Clock,
         rng: random.Random,
+        key_permission: KeyPermission,
+        quota_gate: QuotaGate,
+        stream_gaps: StreamGaps | None = None,
     ) -> None:
         super().__init__(StopGrace(serving, clock))
+        self._stream_gaps = stream_gaps
         self._routes = routes
         self._router = router
         self._header_names = header_names
+        self._authenticator = Authenticator(
+            routes, header_names, key_permission
+        )
+        self._key_permission = key_permission
+        self._quota_gate = quota_gate
         self._settings = settings
         self._serving = serving
         self._clock = clock
@@ -122,9 +145,23 @@
         if route is None:
             await self._refuse_unrouted(sink, request, _NO_ROUTE)
             return
-        call = self._create_call(request, route, started_at)
+        try:
+            request, team = self._authenticator.authenticate(request, route)
+        except (KeyRefused, NoTargetAvailable) as error:
+            await self._refuse_unauthenticated(sink, request, route, error)
+            return
+        call = self._create_call(request, route, team, started_at)
+        try:
+            charge = await self._quota_gate.charge(call)
+        except QuotaRefused as error:
+            await self._refuse_uncharged(sink, call, error)
+            return
         self._router.record_arrival(call)
-        await self._run_call(call, receive, sink)
+        try:
+            await self._run_call(call, receive, sink)
+        finally:
+            if not call.possibly_ran_at:
+                charge.refund()
 
     async def _wait_for_routes(self, request: GatewayRequest) -> None:
         """Wait for the first routes after this VM has started."""
@@ -136,7 +173,11 @@
                 await self._clock.sleep(_ROUTES_POLL_INTERVAL)
 
     def _create_call(
-        self, request: GatewayRequest, route: Route, started_at: float
+        self,
+        request: GatewayRequest,
+        route: Route,
+        team: Team | None,
+        started_at: float,
     ) -> GatewayCall:
         limit_ms = route.time_limit_ms
         if request.deadline_ms is not None:
@@ -150,6 +191,7 @@
             route=route,
             service=service,
             item=item,
+            team=team,
             started_at=started_at,
             deadline_at=started_at + limit_ms / _MS_PER_S,
             first_byte_deadline_at=started_at
@@ -199,6 +241,8 @@
             self._clock,
             self._random,
             self._stop_grace,
+            self._key_permission,
+            self._stream_gaps,
         )
         try:
             await self._run_attempts(call, runner, receive)
@@ -312,14 +356,15 @@
         instruments.refusals.add(
             1, {"service": call.service.name, "reason": reason}
         )
-        error_response = ErrorResponse(
-            status=503,
-            kind="not_run",
-            message=problem,
-            remedy="send it again after the time in Retry-After",
-            run=RunStatus.NO,
-            retry_after=retry_after,
-        )
+        if call.team is not None:
+            teams_instruments.refusals.add(
+                1,
+                {
+                    "team": teams_instruments.get_label(call.team),
+                    "reason": reason,
+                },
+            )
+        error_response = _create_not_run_response(problem, retry_after)
         self._log(
             GatewayEvent.REQUEST_REFUSED,
             call,
@@ -370,6 +415,72 @@
         )
         await self._write_error(sink, request.request_id, error_response)
 
+    async def _refuse_unauthenticated(
+        self,
+        sink: ResponseSink,
+        request: GatewayRequest,
+        route: Route,
+        error: KeyRefused | NoTargetAvailable,
+    ) -> None:
+        """Answer a request whose route needs the key of a team."""
+        teams_instruments.refusals.add(
+            1,
+            {
+                "team": teams_instruments.get_label(None),
+                "reason": error.reason.value,
+            },
+        )
+        events.log(
+            _log,
+            GatewayEvent.KEY_REFUSED,
+            request=request.request_id,
+            route=route.name,
+            reason=error.reason.value,
+            routes_version=self._routes.version,
+        )
+        if isinstance(error, NoTargetAvailable):
+            error_response = _create_not_run_response(
+                error.problem, error.retry_after
+            )
+        else:
+            error_response = create_unauthorized_response(error)
+        await self._write_error(sink, request.request_id, error_response)
+
+    async def _refuse_uncharged(
+        self, sink: ResponseSink, call: GatewayCall, error: QuotaRefused
+    ) -> None:
+        """Answer a request that its team's quota does not allow."""
+        is_exceeded = isinstance(error, QuotaExceeded)
+        reason = "over_quota" if is_exceeded else "quota_unknown"
+        teams_instruments.refusals.add(
+            1,
+            {
+                "team": teams_instruments.get_label(call.team),
+                "reason": reason,
+            },
+        )
+        events.log(
+            _log,
+            GatewayEvent.QUOTA_REFUSED,
+            request=call.request.request_id,
+            route=call.route.name,
+            team=call.team.name if call.team else None,
+            reason=reason,
+            units=error.units,
+            retry_after_s=error.retry_after.total_seconds(),
+        )
+        error_response = ErrorResponse(
+            status=_TOO_MANY_REQUESTS_STATUS
+            if is_exceeded
+            else _UNAVAILABLE_STATUS,
+            kind="over_quota" if is_exceeded else "not_run",
+            message=error.problem,
+            remedy=error.remedy,
+            run=RunStatus.NO,
+            retry_after=error.retry_after,
+        )
+        await self._write_error(sink, call.request.request_id, error_response)
+
     async def _send_error(
         self, runner: AttemptRunner, error_response: ErrorResponse
     ) -> None:
@@ -403,7 +514,7 @@
         if error_response.retry_after is not None:
             seconds = error_response.retry_after.total_seconds()
             headers.append((b"retry-after", b"%.2f" % seconds))
-        return headers
+        return headers + error_response.list_challenges()
 
     # Logs and metrics.
 
@@ -420,6 +531,11 @@
     ) -> None:
         outcome = event.name.lower().removeprefix("request_")
         instruments.requests.add(1, call.labels | {"outcome": outcome})
+        if call.team is not None:
+            team = teams_instruments.get_label(call.team)
+            teams_instruments.requests.add(
+                1, {"team": team, "outcome": outcome}
+            )
         if runner.first_byte_s is not None:
             instruments.first_bytes.record(runner.first_byte_s, call.labels)
         if runner.longest_chunk_gap_s is not None:
@@ -442,6 +558,7 @@
             service=call.service.name,
             model=call.request.model,
             adapter=call.request.adapter,
+            team=call.team.name if call.team else None,
             target=runner.slot.view.target if runner.slot else None,
             attempts=call.attempts,
             ran_at=sorted(call.possibly_ran_at),
@@ -452,13 +569,21 @@
         )
 
 
-_NO_ROUTES = ErrorResponse(
-    status=503,
-    kind="not_run",
-    message="this VM knows no routes yet",
-    remedy="send it again after the time in Retry-After",
-    run=RunStatus.NO,
-    retry_after=_DEFAULT_RETRY_AFTER,
+def _create_not_run_response(
+    problem: str, retry_after: timedelta
+) -> ErrorResponse:
+    return ErrorResponse(
+        status=503,
+        kind="not_run",
+        message=problem,
+        remedy="send it again after the time in Retry-After",
+        run=RunStatus.NO,
+        retry_after=retry_after,
+    )
+
+
+_NO_ROUTES = _create_not_run_response(
+    "this VM knows no routes yet", _DEFAULT_RETRY_AFTER
 )
 _NO_ROUTE = ErrorResponse(
     status=404,
@@ -494,8 +619,27 @@
     serving: ServingSettings,
     clock: Clock,
     rng: random.Random,
+    key_permission: KeyPermission | None = None,
+    quota_accounts: QuotaAccounts | None = None,
+    stream_gaps: StreamGaps | None = None,
 ) -> GatewayApp:
-    """Return the ASGI application for callers."""
+    """Return the ASGI application for callers.
+
+    :param key_permission: whether the keys of teams may be relied on; by
+        default always.
+    :param quota_accounts: charges requests to the quotas of teams; None if
+        quotas are not enforced.
+    :param stream_gaps: measures the streams; None if nothing needs it.
+    """
     return GatewayApp(
-        routes, router, header_names, settings, serving, clock, rng
+        routes,
+        router,
+        header_names,
+        settings,
+        serving,
+        clock,
+        rng,
+        key_permission or KeyPermission(clock, TeamsSettings()),
+        QuotaGate(quota_accounts),
+        stream_gaps,
     )
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -13,6 +13,7 @@
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import TargetConnectFailed
 from dotterelbridge.errors import TargetError
+from dotterelbridge.gateway.authentication import create_unconfirmed_error
 from dotterelbridge.gateway.call import GatewayCall
 from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.errors import RequestNotRun
@@ -25,6 +26,8 @@
 from dotterelbridge.gateway.outcomes import AttemptOutcome
 from dotterelbridge.gateway.router import GatewayRouter
 from dotterelbridge.gateway.settings import GatewaySettings
+from dotterelbridge.gateway.stream_gaps import StreamGapMeter
+from dotterelbridge.gateway.stream_gaps import StreamGaps
 from dotterelbridge.gateway.target import Slot
 from dotterelbridge.ids import AttemptId
 from dotterelbridge.routes.model import Repeatability
@@ -42,6 +45,7 @@
 from dotterelbridge.targets.errors import ResponseTruncated
 from dotterelbridge.targets.errors import SendNotPermitted
 from dotterelbridge.targets.errors import TargetHeldBack
+from dotterelbridge.teams.permission import KeyPermission
 
 _log = structlog.get_logger(__name__)
 
@@ -97,8 +101,14 @@
         clock: Clock,
         rng: random.Random,
         stop_grace: StopGrace,
+        key_permission: KeyPermission,
+        stream_gaps: StreamGaps | None = None,
     ) -> None:
         self._stop_grace = stop_grace
+        self._key_permission = key_permission
+        self._stream_gaps = stream_gaps
+        self._gap_meter: StreamGapMeter | None = None
+        """Meter of the latest attempt's stream; None if not measured."""
         self.status = 0
         """Status of the response to the caller; 0 before it starts."""
         self.slot: Slot | None = None
@@ -141,6 +151,7 @@
         """
         while True:
             self._check_stop()
+            self._check_key_permission()
             slot = await self._router.acquire(self.call)
             self.slot = slot
             try:
@@ -165,11 +176,33 @@
                 _STOP_RETRY_AFTER,
             )
 
+    def _check_key_permission(self) -> None:
+        """Check that the key of the request may still be relied on.
+
+        :raises NoTargetAvailable: it may have been taken away meanwhile.
+        """
+        if not self._has_key_permission():
+            raise create_unconfirmed_error()
+
+    def _has_key_permission(self) -> bool:
+        """Return whether the request may be sent as far as keys matter.
+
+        What has run already may run to its end.
+        """
+        call = self.call
+        return (
+            call.team is None
+            or call.route.is_public
+            or bool(call.possibly_ran_at)
+            or self._key_permission.is_valid()
+        )
+
     # Attempts.
 
     async def _run_attempt(self, slot: Slot) -> None:
         outcome = AttemptOutcome.CANCELLED
         self._exchange = None
+        self._gap_meter = None
         self.call.attempts += 1
         if self.call.attempts > 1:
             self._router.get_retry_budget(self.call).record_retry()
@@ -178,6 +211,7 @@
                 self._exchange = exchange
                 self._check_response(slot, exchange)
                 if self._is_event_stream(exchange):
+                    self._gap_meter = self._create_gap_meter(slot)
                     await self._forward_stream(exchange)
                 else:
                     await self._forward_response(exchange)
@@ -186,6 +220,8 @@
             outcome = _classify_error(error)
             raise
         finally:
+            if self._gap_meter is not None:
+                self._gap_meter.finish()
             self._router.release(slot, outcome)
 
     @contextlib.asynccontextmanager
@@ -215,6 +251,8 @@
             headers.append((names.last_event_id, self._parser.last_id))
         headers.append((names.deadline_ms, b"%d" % max(1, int(remaining_ms))))
         headers.append((names.expected_target, slot.view.target.encode()))
+        if self.call.team is not None:
+            headers.append((names.team, self.call.team.name.encode("latin-1")))
         if self.call.item is not None:
             headers.append((names.urgency, b"%d" % self.call.urgency))
         first_byte_limit = None
@@ -239,15 +277,20 @@
         """Return whether the request may still be sent to a slot's target.
 
         Not after the caller's deadline, by which it was promised an answer,
-        as it may then repeat the request, and not to a target that has said
-        that it leaves. Either may happen during a pause of the process.
+        as it may then repeat the request, not to a target that has said that
+        it leaves, and not once the key may be dead. Each may happen during a
+        pause of the process.
         """
         has_time_left = self.call.remaining_s(self._clock.monotonic()) > 0
         if not self.call.has_response_started:
             has_time_left = has_time_left and self._stop_grace.allows_start(
                 self.call.deadline_at
             )
-        return has_time_left and slot.gateway_target.takes_new_work
+        return (
+            has_time_left
+            and slot.gateway_target.takes_new_work
+            and self._has_key_permission()
+        )
 
     def _check_response(self, slot: Slot, exchange: Exchange) -> None:
         """Check that the response may be forwarded to the caller.
@@ -330,7 +373,7 @@
             if not events_data:
                 return True
             exchange.record_progress()
-            self._record_chunk()
+            self._record_chunk(events_data)
             self.slot.record_events(
                 count_events(events_data), self._clock.monotonic()
             )
@@ -382,8 +425,18 @@
                 "resume the stream",
             )
 
-    def _record_chunk(self) -> None:
+    def _create_gap_meter(self, slot: Slot) -> StreamGapMeter | None:
+        if self._stream_gaps is None or self.call.item is None:
+            return None
+        target = slot.view
+        return self._stream_gaps.measure(
+            (target.target, target.born), self.call.item.model
+        )
+
+    def _record_chunk(self, events_data: bytes) -> None:
         now = self._clock.monotonic()
+        if self._gap_meter is not None:
+            self._gap_meter.record(now, events_data)
         if self._last_chunk_at is not None:
             gap_s = now - self._last_chunk_at
             self.longest_chunk_gap_s = max(
--- a/dotterelbridge/gateway/errors.py
+++ b/dotterelbridge/gateway/errors.py
@@ -28,6 +28,8 @@
     """Its prompt alone exceeds the memory of any target."""
     QUARANTINED = "quarantined"
     """Targets crash under such requests."""
+    KEYS_UNCONFIRMED = "keys_unconfirmed"
+    """This VM does not know which keys of teams are valid at present."""
 
 
 class NoTargetAvailable(RequestRefused):
--- a/dotterelbridge/gateway/events.py
+++ b/dotterelbridge/gateway/events.py
@@ -79,6 +79,19 @@
         logging.INFO,
         "The streams of a slow target advance at the usual speed again.",
     )
+    KEY_REFUSED = (
+        8514,
+        logging.WARNING,
+        "A request to a route that is not public had no valid key, or this "
+        "VM does not know which keys are valid; it has not run. The line "
+        "gives the reason, never the key.",
+    )
+    QUOTA_REFUSED = (
+        8515,
+        logging.INFO,
+        "A request was refused because its team has used its quota, or "
+        "because no leader could be asked; it has not run.",
+    )
     COST_ACCURACY = (
         8520,
         logging.INFO,
--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -36,6 +36,7 @@
     STATE_MACHINE_NAME as QUARANTINE_STATE_MACHINE,
 )
 from dotterelbridge.quarantine.quarantine import QuarantineTable
+from dotterelbridge.quotas.service import CreditService
 from dotterelbridge.replication.file_storage import create_file_storage
 from dotterelbridge.replication.member import LogMember
 from dotterelbridge.replication.member import create_log_member
@@ -47,6 +48,9 @@
     STATE_MACHINE_NAME as ROUTES_STATE_MACHINE,
 )
 from dotterelbridge.routes.table import RouteTable
+from dotterelbridge.teams.confirmation import KeyConfirmation
+from dotterelbridge.teams.permission import KeyPermission
+from dotterelbridge.teams.settings import TeamsSettings
 
 _LEADERSHIP_TRANSFER_TIMEOUT = timedelta(seconds=2)
 _CRASH_REPORT_TIMEOUT = timedelta(milliseconds=500)
@@ -83,8 +87,27 @@
             lambda: int(self._replicated_log.has_leader_lease()),
             "1 while this VM leads the replicated log",
         )
+        self._register_speed_gauges()
         self._registry.add("replication", self._replicated_log)
 
+    def _register_speed_gauges(self) -> None:
+        speeds = self._target_evidence.speeds
+        metrics.register_gauge(
+            "dotterelbridge.fleet.engines_with_speed",
+            lambda: len(speeds.list_speeds()),
+            "Engines whose speed is known on this VM",
+        )
+        metrics.register_gauge(
+            "dotterelbridge.fleet.fastest_step",
+            lambda: min(speeds.list_speeds(), default=1.0),
+            "Time of a step on the fastest engine, relative to the usual one",
+        )
+        metrics.register_gauge(
+            "dotterelbridge.fleet.slowest_step",
+            lambda: max(speeds.list_speeds(), default=1.0),
+            "Time of a step on the slowest engine, relative to the usual one",
+        )
+
     def list_control_vms(self) -> tuple[VmId, ...]:
         """Return the VMs that hold the replicated log, as known locally."""
         members = self._replicated_log.configuration.members
@@ -102,6 +125,7 @@
                 self._target_evidence.run,
                 self._quarantine_keeper.run,
                 self._permit_service.run,
+                self._credit_service.run,
             ),
             (self._operator_listener,),
             operator_port=self._operator_listener.port,
@@ -149,6 +173,8 @@
                 self._settings.node.operator_address
             ),
             self._clock,
+            self._memory_account,
+            self._read_caller_limits,
         )
 
     def _create_fleet_parts(
@@ -157,6 +183,11 @@
         settings = self._settings.fleet
         clock = self._clock
         self._demand_tracker = DemandTracker(clock)
+        # Control VMs serve no requests, so here the permission never expires.
+        key_permission = KeyPermission(clock, TeamsSettings())
+        confirmation = KeyConfirmation(
+            self._replicated_log, key_permission, clock
+        )
         self._fleet_feed = FleetFeed(
             self._network,
             self._fleet_state,
@@ -166,6 +197,7 @@
             clock,
             self._get_detached_ms,
             self.list_control_vms,
+            confirmation.read_age_ms,
         )
         self._fleet_follower = FleetFollower(
             self._network,
@@ -177,6 +209,7 @@
             self._rng,
             self._list_follower_sources,
             self._fleet_feed.count_entry_vms,
+            key_permission,
         )
         self._listing_reader = ListingReader(
             listing,
@@ -225,6 +258,23 @@
             self._replicated_log.get_leader,
             self._fleet_feed.find_attached_share,
         )
+        self._credit_service = CreditService(
+            self._network,
+            self._clock,
+            self._settings.quotas,
+            self._routes,
+            self._get_led_term,
+            self._replicated_log.get_leader,
+            self._find_entry_vm_share,
+            self._rng,
+        )
+        self._registry.add("quotas", self._credit_service)
+
+    def _find_entry_vm_share(self) -> float:
+        """Return the part of all entry VMs that follow this VM."""
+        followers = self._fleet_feed.count_entry_vms()
+        total = max(followers, self._fleet_feed.deployment_entry_vm_count, 1)
+        return followers / total
 
     def _get_led_term(self) -> Term | None:
         """Return the term that this VM leads, or None."""
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -7,13 +7,17 @@
 from dotterelbridge import metrics
 from dotterelbridge.clock import Clock
 from dotterelbridge.errors import PeerError
+from dotterelbridge.fleet.credit_channel import SourceCreditChannel
 from dotterelbridge.fleet.feed import FleetFollower
 from dotterelbridge.fleet.messages import DemandReport
+from dotterelbridge.fleet.messages import StreamGap
 from dotterelbridge.fleet.messages import TargetAnswers
 from dotterelbridge.fleet.permit_channel import SourceChannel
 from dotterelbridge.gateway.app import create_gateway_app
 from dotterelbridge.gateway.headers import HeaderNames
 from dotterelbridge.gateway.router import create_gateway_router
+from dotterelbridge.gateway.settings import BalanceMode
+from dotterelbridge.gateway.stream_gaps import StreamGaps
 from dotterelbridge.nodes.directory import ControlVmDirectory
 from dotterelbridge.nodes.node import FLUSH_TIMEOUT
 from dotterelbridge.nodes.node import Node
@@ -23,12 +27,15 @@
 from dotterelbridge.permits.limiter import create_rate_limiter
 from dotterelbridge.quarantine.crash_watch import Crash
 from dotterelbridge.quarantine.messages import CrashRecorded
+from dotterelbridge.quotas.account import QuotaAccounts
 from dotterelbridge.routes.document import RoutesFormat
 from dotterelbridge.serving.listener import create_caller_listener
+from dotterelbridge.teams.permission import KeyPermission
 
 _CRASH_REPORT_TIMEOUT = timedelta(seconds=1)
 """Time for a control VM to answer, which may have to ask the leader."""
 _CRASH_REPORT_RETRY_DELAY = timedelta(milliseconds=200)
+_MS_PER_S = 1000
 _CRASH_REPORT_LIFETIME_S = 10.0
 """Time after which a report that no leader took is dropped."""
 
@@ -54,7 +61,9 @@
             lambda: self._fleet_follower.control_vms,
             clock,
             settings.discovery.links_kept,
+            lambda: self._get_detached_ms() > settings.fleet.detached_limit_ms,
         )
+        self._key_permission = KeyPermission(clock, settings.teams)
         self._fleet_follower = FleetFollower(
             self._network,
             self._fleet_state,
@@ -65,6 +74,7 @@
             rng,
             self._directory.rank_control_vms,
             lambda: 1,
+            self._key_permission,
         )
         self._fleet_follower.subscribe_control_vms(
             self._directory.update_links
@@ -75,6 +85,12 @@
             clock,
             rng,
         )
+        self._quota_accounts = QuotaAccounts(
+            SourceCreditChannel(self._network, self._fleet_follower),
+            lambda: self._fleet_follower.entry_vm_count,
+            clock,
+            rng,
+        )
         self._router = create_gateway_router(
             self._fleet_state,
             clock,
@@ -87,6 +103,8 @@
             self._quarantine,
             self._limiter,
         )
+        self._stream_gaps = _create_stream_gaps(settings)
+        self._router.buffer_budget.attach(self._memory_account)
         self._app = create_gateway_app(
             self._routes,
             self._router,
@@ -95,6 +113,9 @@
             settings.serving,
             clock,
             rng,
+            self._key_permission,
+            self._quota_accounts,
+            self._stream_gaps,
         )
         self._app.add_readiness_condition(
             lambda: self._routes.route_set is not None
@@ -103,16 +124,20 @@
             self._app,
             settings.create_listener_settings(settings.node.caller_address),
             clock,
+            self._memory_account,
+            self._read_caller_limits,
         )
         self._readiness_listener = AuxiliaryListener(
             ReadinessApp(lambda: self._app.is_ready),
             settings.create_listener_settings(settings.node.ready_address),
             clock,
+            self._memory_account,
         )
         self._register_metrics()
         self._registry.add("gateway", self._app)
         self._registry.add("routing", self._router)
         self._registry.add("rate_limits", self._limiter)
+        self._registry.add("quotas", self._quota_accounts)
 
     async def run_components(self) -> None:
         """Run all parts until cancelled."""
@@ -121,6 +146,7 @@
                 self._directory.run,
                 self._fleet_follower.run,
                 self._router.run,
+                self._quota_accounts.run,
                 self._report_demand,
                 self._report_crashes,
             ),
@@ -149,6 +175,12 @@
             lambda: self._app.in_flight,
             "Requests that are being answered",
         )
+        metrics.register_gauge(
+            "dotterelbridge.teams.permission_age",
+            lambda: self._key_permission.age_ms() / _MS_PER_S,
+            "Time since the keys of teams were known to be current",
+            unit="s",
+        )
 
     def _get_detached_ms(self) -> int:
         return self._fleet_follower.contact.detached_ms()
@@ -179,7 +211,10 @@
             source = self._fleet_follower.source
             answered_traits = self._router.crash_watch.read_answered_traits()
             answers = self._read_answers()
-            if source is not None and (items or answered_traits or answers):
+            stream_gaps = self._read_stream_gaps()
+            if source is not None and (
+                items or answered_traits or answers or stream_gaps
+            ):
                 self._network.send(
                     source,
                     DemandReport(
@@ -187,6 +222,7 @@
                         items=items,
                         answered_traits=answered_traits,
                         answers=answers,
+                        stream_gaps=stream_gaps,
                     ),
                 )
             await self._clock.sleep(min_interval)
@@ -196,6 +232,10 @@
         error_watch = self._router.error_watch
         return () if error_watch is None else error_watch.read_counts()
 
+    def _read_stream_gaps(self) -> tuple[StreamGap, ...]:
+        """Return what streams measured since the previous report."""
+        return () if self._stream_gaps is None else self._stream_gaps.read()
+
     async def _report_crashes(self) -> None:
         """Send reports of crashed targets, each until the leader has it."""
         while True:
@@ -219,6 +259,15 @@
         return isinstance(reply, CrashRecorded) and reply.is_recorded
 
 
+def _create_stream_gaps(settings: NodeSettings) -> StreamGaps | None:
+    """Return the measurement of streams, if a setting uses it."""
+    is_used = (
+        settings.fleet.place_by_speed
+        or settings.gateway.balance is not BalanceMode.REQUESTS
+    )
+    return StreamGaps() if is_used else None
+
+
 def create_entry_node(
     settings: NodeSettings,
     settings_path: str,
--- a/dotterelbridge/nodes/settings.py
+++ b/dotterelbridge/nodes/settings.py
@@ -13,6 +13,7 @@
 from dotterelbridge.ids import VmId
 from dotterelbridge.membership.view import VmInfo
 from dotterelbridge.peers.settings import PeersSettings
+from dotterelbridge.quotas.settings import QuotasSettings
 from dotterelbridge.replication.settings import ReplicationSettings
 from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.settings import LogSettings
@@ -22,6 +23,7 @@
 from dotterelbridge.settings import read_sections
 from dotterelbridge.settings_schema import Section
 from dotterelbridge.targets.settings import TargetsSettings
+from dotterelbridge.teams.settings import TeamsSettings
 
 _Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 
@@ -94,6 +96,8 @@
     "gateway": GatewaySettings,
     "serving": ServingSettings,
     "targets": TargetsSettings,
+    "teams": TeamsSettings,
+    "quotas": QuotasSettings,
 }
 
 NAMED_SECTION_TYPES: dict[str, type[Section]] = {
@@ -114,6 +118,8 @@
     gateway: GatewaySettings
     serving: ServingSettings
     targets: TargetsSettings
+    teams: TeamsSettings
+    quotas: QuotasSettings
     regions: dict[FailureDomain, Region]
 
     def describe_own_vm(self) -> VmInfo:
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -13,12 +13,14 @@
 from dotterelbridge.gateway.headers import HeaderNames
 from dotterelbridge.gateway.router import create_gateway_router
 from dotterelbridge.gateway.settings import GatewaySettings
+from dotterelbridge.gateway.stream_gaps import StreamGaps
 from dotterelbridge.ids import TargetId
 from dotterelbridge.routes.model import Repeatability
 from dotterelbridge.routes.model import TrafficShare
 from dotterelbridge.serving.listener import create_caller_listener
 from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.targets.settings import TargetsSettings
+from dotterelbridge.teams.permission import KeyPermission
 from tests.fleet.support import DOMAIN
 from tests.fleet.support import create_quarantine
 from tests.fleet.support import create_target
@@ -69,6 +71,7 @@
         health_path: str,
         targets: TargetsSettings,
         stop_grace_s: float,
+        key_permission: KeyPermission | None,
     ) -> None:
         self.clock = SystemClock()
         self.fleet_state = FleetState(self.clock)
@@ -78,6 +81,7 @@
         )
         self.targets: dict[str, FakeTarget] = {}
         self.quarantine = create_quarantine()
+        self.stream_gaps = StreamGaps()
         self.router = create_gateway_router(
             self.fleet_state,
             self.clock,
@@ -101,6 +105,8 @@
             serving,
             self.clock,
             rng,
+            key_permission,
+            stream_gaps=self.stream_gaps,
         )
         self.listener = create_caller_listener(self.app, serving, self.clock)
 
@@ -145,6 +151,7 @@
     health_path="",
     targets: TargetsSettings = TARGETS,
     stop_grace_s: float = 0,
+    key_permission: KeyPermission | None = None,
     **settings,
 ):
     """Run a gateway until the context exits."""
@@ -154,6 +161,7 @@
         health_path,
         targets,
         stop_grace_s,
+        key_permission,
     )
     async with anyio.create_task_group() as group:
         group.start_soon(gateway.router.run)
--- a/tests/gateway/test_router.py
+++ b/tests/gateway/test_router.py
@@ -45,6 +45,7 @@
         seed=1,
         fleet_state=None,
         limiter=None,
+        settings=SETTINGS,
         balance=BalanceMode.REQUESTS,
     ) -> None:
         self.clock = LoopClock()
@@ -53,7 +54,7 @@
         self.router = create_gateway_router(
             self.fleet_state,
             self.clock,
-            msgspec.structs.replace(SETTINGS, balance=balance),
+            msgspec.structs.replace(settings, balance=balance),
             TargetsSettings(),
             random.Random(seed),
             DOMAIN,
--- a/tests/nodes/test_node_template.py
+++ b/tests/nodes/test_node_template.py
@@ -11,7 +11,14 @@
 TEMPLATE = (
     Path(__file__).resolve().parent.parent.parent / "platform" / "node.ini"
 )
-BOUNDS = {"budget_extra": 56, "budget_window_s": 10, "ceiling_window_s": 5}
+BOUNDS = {
+    "budget_extra": 56,
+    "budget_window_s": 10,
+    "ceiling_window_s": 5,
+    "quota_window_s": 8,
+    "quota_excess": 0.1,
+    "quota_slack": 7400,
+}
 """Sample values of the bounds that the template uses."""
 _SECTION = re.compile(r"{{([#^])([\w.]+)}}(.*?){{/\2}}", re.DOTALL)
 _VALUE = re.compile(r"{{([\w.@]+)(\|json)?}}")
@@ -105,6 +112,16 @@
     assert settings.gateway.retry_extra == 0
 
 
+# Quotas that the platform states but the settings do not get would be enforced
+# with the defaults of another deployment.
+def test_quota_bounds_reach_the_settings(tmp_path):
+    bounds = {"quota_window_s": 6, "quota_excess": 0.25, "quota_slack": 0}
+    settings = load_rendered_settings(tmp_path, create_fields(bounds))
+    assert settings.quotas.window_s == 6
+    assert settings.quotas.excess_fraction == 0.25
+    assert settings.quotas.slack_units == 0
+
+
 # A limit on losses_tolerated would stop every VM at its start in a deployment
 # that tolerates more losses than earlier ones.
 @pytest.mark.parametrize("machines", (0, 2, 9))
@@ -113,3 +130,25 @@
         tmp_path, create_fields(machines=machines)
     )
     assert settings.replication.losses_tolerated == machines
+
+
+# A permission of keys that expires where it should not refuses requests; one
+# that does not expire where it should serves keys that were taken away.
+@pytest.mark.parametrize(
+    ("bounds", "lifetime_ms", "refusal_age_ms"),
+    [
+        ({}, 0, 0),
+        ({"revoke_ms": 5000, "strict_revoke": False}, 0, 0),
+        ({"revoke_ms": 5000, "strict_revoke": True}, 5000, 0),
+        ({"revoke_ms": 4999.5, "strict_revoke": True}, 4999.5, 0),
+        ({"config_apply_ms": 3000}, 0, 3000),
+    ],
+)
+def test_keys_expire_only_where_revocation_is_strict(
+    tmp_path, bounds, lifetime_ms, refusal_age_ms
+):
+    settings = load_rendered_settings(
+        tmp_path, create_fields(BOUNDS | bounds)
+    ).teams
+    assert settings.key_lifetime_ms == lifetime_ms
+    assert settings.refusal_age_ms == refusal_age_ms
--- a/tests/serving/fakes.py
+++ b/tests/serving/fakes.py
@@ -37,6 +37,7 @@
 from dotterelbridge.serving.callers import create_caller_app
 from dotterelbridge.serving.listener import create_caller_listener
 from dotterelbridge.serving.settings import ServingSettings
+from dotterelbridge.serving.teams import CallerTeams
 from dotterelbridge.sheet.rows import SheetRevision
 from dotterelbridge.sheet.rows import SheetRow
 from dotterelbridge.sheet.source import SheetSource
@@ -60,6 +61,8 @@
     body: bytes
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    head: bytes = b""
+    """As received, with repeated headers."""
 
     @property
     def offset(self) -> int:
@@ -227,7 +230,7 @@
     headers = dict(field.split(": ", 1) for field in fields)
     length = int(headers.get("content-length", "0"))
     body = await reader.readexactly(length)
-    return ReceivedRequest(method, path, headers, body, reader, writer)
+    return ReceivedRequest(method, path, headers, body, reader, writer, head)
 
 
 class FakeMembership(MembershipView):
@@ -416,6 +419,7 @@
     serving: ServingSettings | None = None,
     targets: TargetsSettings | None = None,
     seed: int = 1,
+    teams: CallerTeams | None = None,
 ):
     """Run router and listener over sockets, on the system clock."""
     clock = SystemClock()
@@ -437,7 +441,9 @@
         create_lone_crash_guard(clock),
     )
     claims = FakeClaims()
-    app = create_caller_app(router, claims, clock, serving, routing, rng)
+    app = create_caller_app(
+        router, claims, clock, serving, routing, rng, teams
+    )
     listener = create_caller_listener(app, serving, clock)
     harness = ServingHarness(
         membership, router, app, listener, claims, clock, {}
