--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -105,7 +105,7 @@
                 scope,
                 receive,
                 self._header_names,
-                self._serving.body_limit_kb * _BYTES_PER_KB,
+                self._find_body_limit(),
                 timedelta(seconds=self._serving.body_timeout_s),
             )
         except CallerDisconnected:
@@ -126,6 +126,12 @@
         self._router.record_arrival(call)
         await self._run_call(call, receive, sink)
 
+    def _find_body_limit(self) -> int:
+        """Return the own limit, unless the configuration's is higher."""
+        limit = self._serving.body_limit_kb * _BYTES_PER_KB
+        route_set = self._routes.route_set
+        return max(limit, route_set.limits.body_bytes) if route_set else limit
+
     async def _wait_for_routes(self, request: GatewayRequest) -> None:
         """Wait for the first routes after this VM has started."""
         limit_ms = self._settings.routes_wait_ms
--- a/tests/serving/test_server.py
+++ b/tests/serving/test_server.py
@@ -7,6 +7,9 @@
 import anyio
 import pytest
 
+from dotterelbridge.clock import SystemClock
+from dotterelbridge.routes.model import CallerLimits
+from dotterelbridge.serving.server import HttpServer
 from dotterelbridge.serving.settings import ServingSettings
 from tests.serving.fakes import run_async
 from tests.serving.fakes import run_serving
@@ -110,6 +113,54 @@
     anyio.run(check)
 
 
+@run_async
+async def test_limits_of_the_configuration_raise_those_of_the_listener():
+    """A lower setting would refuse requests that operators allow."""
+    limits = CallerLimits(
+        head_bytes=5000,
+        body_bytes=10000,
+        head_timeout_ms=3000,
+        idle_timeout_ms=15000,
+    )
+    serving = create_settings(
+        head_limit_kb=1, idle_limit_s=1, body_timeout_s=1
+    )
+    clock = SystemClock()
+    server = HttpServer(None, serving, clock, read_limits=lambda: limits)
+    assert server.head_limit == 5000
+    connection = FakeConnection(clock.monotonic())
+    server._connections.add(connection)
+    for elapsed_s, is_receiving, is_closed in (
+        (2.9, True, False),
+        (3.1, True, True),
+        (14.9, False, False),
+        (15.1, False, True),
+    ):
+        connection.last_activity_at = clock.monotonic() - elapsed_s
+        connection.is_receiving = is_receiving
+        connection.is_closed = False
+        server.sweep()
+        assert connection.is_closed is is_closed
+
+
+class FakeConnection:
+    """An idle connection, as the sweep sees it."""
+
+    is_stalled = is_closing = False
+    is_idle = True
+
+    def __init__(self, last_activity_at: float) -> None:
+        self.last_activity_at = last_activity_at
+        self.is_receiving = False
+        self.is_closed = False
+
+    def update_account(self) -> None:
+        pass
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
 @run_async
 async def test_chunked_request_body_is_complete():
     async with run_serving() as harness:
