Spend less CPU time on the account for ordinary requests

Cause: the account, a head limit read for each piece and a sum over the header lines cost CPU time in each request.

--- a/dotterelbridge/serving/framing.py
+++ b/dotterelbridge/serving/framing.py
@@ -57,6 +57,8 @@
         self._remaining = 0
         """Bytes that are missing in the body or chunk."""
         self._empty_lines = 0
+        self.head_bytes = 0
+        """Size of the last head."""
         self._extension_bytes = 0
         """Size of the chunk extensions of the present message."""
 
@@ -177,6 +179,7 @@
         part = self._part
         if part is _Part.HEAD:
             self._empty_lines = 0
+            self.head_bytes = len(piece)
             if not _match_head(piece):
                 raise _create_malformed(
                     "the head has bare line ends, folded lines, odd spaces "
--- a/dotterelbridge/serving/server.py
+++ b/dotterelbridge/serving/server.py
@@ -47,6 +47,9 @@
 _MS_PER_S = 1000
 _CONNECTION_BYTES = 6144
 """Memory of a connection without a request."""
+_ACCOUNT_STEP_BYTES = 4096
+"""Smaller changes are not recorded, which saves CPU time for ordinary
+requests."""
 _HEADER_LINE_BYTES = 200
 """Memory of a parsed header line beyond its bytes: a tuple and two byte
 strings, and the copies that applications make."""
@@ -257,8 +260,9 @@
 
     def _read_parts(self, data: bytes) -> None:
         framer = self._framer
+        feed_data = self._parser.feed_data
         for part in framer.split(data, self._server.head_limit):
-            self._parser.feed_data(part)
+            feed_data(part)
             if self._is_refused:
                 return
             is_complete = self._incoming_request is None
@@ -321,14 +325,14 @@
             )
             return
         self._framer.start_body(request.body_length)
-        request.head_cost = len(request.target) + sum(
-            len(name) + len(value) + _HEADER_LINE_BYTES
-            for name, value in request.headers
+        request.head_cost = self._framer.head_bytes + _HEADER_LINE_BYTES * len(
+            request.headers
         )
         self._pipelined_requests.append(request)
-        self.update_account()
-        if not self._is_refused:
+        if self._active_request is None:
             self._start_next()
+        else:
+            self.update_account()
 
     def on_body(self, body: bytes) -> None:
         request = self._incoming_request
@@ -589,7 +593,7 @@
             held_bytes += self._active_request.held_bytes
         for request in self._pipelined_requests:
             held_bytes += request.held_bytes
-        if held_bytes != self.held_bytes:
+        if abs(held_bytes - self.held_bytes) >= _ACCOUNT_STEP_BYTES:
             self._server.account.resize(self, held_bytes)
 
     def classify(self) -> EvictionClass:
@@ -678,13 +682,15 @@
         """
         self.app = app
         self.clock = clock
+        self._settings = settings
         self.account = account or create_memory_account(
             settings.memory_limit_mb
         )
         self.recorder = RefusalRecorder(clock)
         self._read_limits = read_limits
+        self.head_limit = self._find_head_limit()
+        """Maximum size of a head in bytes; ``sweep`` updates it."""
         self.write_limit = settings.write_buffer_kb * _BYTES_PER_KB
-        self._settings = settings
         self._connections: set[ServerConnection] = set()
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
@@ -698,9 +704,7 @@
         """Open connections."""
         return len(self._connections)
 
-    @property
-    def head_limit(self) -> int:
-        """Maximum size of a head in bytes."""
+    def _find_head_limit(self) -> int:
         own_limit = self._settings.head_limit_kb * _BYTES_PER_KB
         limits = self._read_limits()
         return max(own_limit, limits.head_bytes) if limits else own_limit
@@ -780,6 +784,7 @@
     def sweep(self) -> None:
         """Close connections that exceed the idle, receive or stall limit."""
         now = self.clock.monotonic()
+        self.head_limit = self._find_head_limit()
         idle_limit_s = self._settings.idle_limit_s
         receive_limit_s = self._settings.body_timeout_s
         limits = self._read_limits()
--- a/dotterelbridge/targets/buffer_budget.py
+++ b/dotterelbridge/targets/buffer_budget.py
@@ -19,6 +19,9 @@
 _log = structlog.get_logger(__name__)
 
 _BYTES_PER_MB = 1024 * 1024
+_ACCOUNT_STEP_BYTES = 4096
+"""Smaller answers are not recorded in the account of the process, which saves
+CPU time."""
 
 Evict = Callable[[AnswerEvicted], None]
 """Ends the reception of an answer."""
@@ -115,16 +118,12 @@
         """Return an empty share; ``release`` ends it."""
         share = BufferShare(self)
         self._shares.add(share)
-        if self._account is not None:
-            self._account.add(share)
         return share
 
     def release(self, share: BufferShare) -> None:
         """End a share."""
         share.close()
         self._shares.discard(share)
-        if self._account is not None:
-            self._account.remove(share)
 
     def change(self, difference_bytes: int) -> None:
         """Record that shares hold more or less."""
@@ -132,7 +131,13 @@
 
     def update_account(self, share: BufferShare) -> None:
         """Record what a share holds; it may be evicted."""
-        if self._account is not None:
+        if self._account is None:
+            return
+        difference = share.size_bytes - share.held_bytes
+        if difference and not share.size_bytes:
+            self._account.remove(share)
+        elif abs(difference) >= _ACCOUNT_STEP_BYTES:
+            self._account.add(share)
             self._account.resize(share, share.size_bytes)
 
     def evict_largest(self, growing: BufferShare) -> None:
