--- a/dotterelbridge/quotas/account.py
+++ b/dotterelbridge/quotas/account.py
@@ -41,8 +41,6 @@
 """Time without an answer after which no leader is taken to answer."""
 _PROBE_INTERVAL_S = 0.1
 """Time between two messages while no leader answers."""
-_LATENCY_WEIGHT = 0.2
-"""Weight of an answer in the mean time that answers take."""
 _UNAVAILABLE_RETRY_S = 0.4
 """Longest Retry-After while no leader answers; an election takes 1 to 2 s."""
 _RETRY_SPREAD = 0.5
@@ -98,8 +96,6 @@
         """Time at which the first message without an answer was sent."""
         self._answered_sent_at = float("-inf")
         """Time at which the latest answered message was sent."""
-        self._latency_s = 0.0
-        """Mean time that answers take."""
         self._next_probe_at = float("-inf")
 
     async def charge(
@@ -266,7 +262,7 @@
     def _send(self, group: TaskGroup, now: float, is_probe: bool) -> None:
         orders: list[tuple[TeamAccount, Order]] = []
         for name, account in list(self._accounts.items()):
-            order = account.create_order(name, now, self._latency_s, is_probe)
+            order = account.create_order(name, now, is_probe)
             if order is not None:
                 orders.append((account, order))
             elif now - account.used_at > _RETENTION_S and account.is_idle():
@@ -324,8 +320,6 @@
     def _record_answer(self, sent_at: float) -> None:
         """Record an answer, which makes earlier failures irrelevant."""
         self._answered_sent_at = max(self._answered_sent_at, sent_at)
-        latency_s = self._clock.monotonic() - sent_at
-        self._latency_s += (latency_s - self._latency_s) * _LATENCY_WEIGHT
         for number, other_sent_at in list(self._unanswered.items()):
             if other_sent_at <= sent_at:
                 del self._unanswered[number]
--- a/dotterelbridge/quotas/pool.py
+++ b/dotterelbridge/quotas/pool.py
@@ -21,6 +21,9 @@
 from dotterelbridge.quotas.team_account import TeamAccount
 from dotterelbridge.teams.model import Quota
 
+URGENT_WAIT_MS = 10
+"""Needs that can wait no longer than this, beyond the time that an answer of
+the leader takes, can hardly wait for it."""
 _LEAST_REQUESTS = 2
 """Plain requests, the most urgent ones, for which credit is held."""
 _RETENTION_S = 60.0
@@ -84,21 +87,24 @@
         self._accounts: dict[TeamName, TeamAccount] = {}
 
     def meet(self, demand: TeamDemand) -> PoolAnswer:
-        """Meet needs from the credit that is held."""
+        """Meet needs from the credit that is held.
+
+        A part of it is kept for needs that cannot wait for the leader.
+        """
         quota = self._find_quota(demand.team)
         if not is_limited(quota):
             return PoolAnswer(demand, (None,) * len(demand.needs))
         now = self._clock.monotonic()
+        reserve = quota.plain_units * _LEAST_REQUESTS
         account = self._accounts.get(demand.team)
         if account is None:
-            account = TeamAccount(
-                self._random, now, quota.plain_units * _LEAST_REQUESTS
-            )
+            account = TeamAccount(self._random, now, reserve)
             self._accounts[demand.team] = account
         issued_at = []
         for need in demand.needs:
             account.record_demand(need.units, now)
-            issued_at.append(account.spend(need.units, now))
+            kept = 0.0 if need.max_wait_ms < URGENT_WAIT_MS else reserve
+            issued_at.append(account.spend(need.units, now, kept))
         return PoolAnswer(demand, tuple(issued_at))
 
     def put_back(self, answer: PoolAnswer) -> None:
@@ -121,7 +127,7 @@
             if now - account.used_at > _RETENTION_S:
                 del self._accounts[team]
                 continue
-            order = account.create_order(team, now, 0.0, is_probe=False)
+            order = account.create_order(team, now, is_probe=False)
             if order is not None:
                 orders.append(order)
         return orders
--- a/dotterelbridge/quotas/service.py
+++ b/dotterelbridge/quotas/service.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import anyio
+import msgspec
 import structlog
 
 from dotterelbridge import events
@@ -19,10 +20,12 @@
 from dotterelbridge.peers.network import PeerNetwork
 from dotterelbridge.quotas.events import QuotaEvent
 from dotterelbridge.quotas.issuer import CreditIssuer
+from dotterelbridge.quotas.messages import CreditNeed
 from dotterelbridge.quotas.messages import CreditReply
 from dotterelbridge.quotas.messages import CreditRequest
 from dotterelbridge.quotas.messages import TeamCredit
 from dotterelbridge.quotas.messages import TeamDemand
+from dotterelbridge.quotas.pool import URGENT_WAIT_MS
 from dotterelbridge.quotas.pool import CreditPool
 from dotterelbridge.quotas.pool import PoolAnswer
 from dotterelbridge.quotas.settings import QuotasSettings
@@ -43,7 +46,9 @@
 that a request may wait for credit."""
 _URGENT_INTERVAL = timedelta(milliseconds=2)
 """The same while a request waits that cannot wait for the longer interval."""
-_URGENT_WAIT_MS = 10
+_LATENCY_WEIGHT = 0.1
+"""Weight of an answer in the mean time that the leader's answers take."""
+_MS_PER_S = 1000
 _REST_OF_INTERVAL_S = (_BATCH_INTERVAL - _URGENT_INTERVAL).total_seconds()
 _RENEWAL_INTERVAL_S = 0.25
 """Longest time until the pool's credit is renewed or given back."""
@@ -89,7 +94,7 @@
     def is_urgent(self) -> bool:
         """Whether a need can hardly wait."""
         return any(
-            need.max_wait_ms < _URGENT_WAIT_MS
+            need.max_wait_ms < URGENT_WAIT_MS
             for demand in self.request.demands
             for need in demand.needs
         )
@@ -129,6 +134,8 @@
             clock, settings, quotas.find_quota, quotas.is_known, get_share
         )
         self._pool = CreditPool(clock, rng, quotas.find_quota)
+        self._latency_s = 0.0
+        """Mean time that the leader's answers take."""
         self._issuing_term: Term | None = None
         self._pending: list[_Pending] = []
         self._has_pending = anyio.Event()
@@ -171,7 +178,11 @@
         leader = self._get_leader()
         if leader is None or leader in (sender, self._network.own_id):
             return _UNAVAILABLE
-        answers = tuple(map(self._pool.meet, request.demands))
+        latency_ms = int(self._latency_s * _MS_PER_S)
+        answers = tuple(
+            self._pool.meet(_shorten_waits(demand, latency_ms))
+            for demand in request.demands
+        )
         if request.demands and all(a.is_complete for a in answers):
             credits = tuple(answer.complete(None) for answer in answers)
             return CreditReply(credits=credits)
@@ -219,12 +230,15 @@
         leader = self._get_leader()
         if leader is None or leader == self._network.own_id:
             return _UNAVAILABLE
+        sent_at = self._clock.monotonic()
         try:
             reply = await self._network.request(
                 leader, request, _LEADER_TIMEOUT
             )
         except PeerError:
             return _UNAVAILABLE
+        taken_s = self._clock.monotonic() - sent_at
+        self._latency_s += (taken_s - self._latency_s) * _LATENCY_WEIGHT
         return reply if isinstance(reply, CreditReply) else _UNAVAILABLE
 
     def _check_leads(self) -> bool:
@@ -237,6 +251,15 @@
         return term is not None
 
 
+def _shorten_waits(demand: TeamDemand, latency_ms: int) -> TeamDemand:
+    """Take the time of the leader's answer off what needs can wait."""
+    needs = tuple(
+        CreditNeed(need.units, max(0, need.max_wait_ms - latency_ms))
+        for need in demand.needs
+    )
+    return msgspec.structs.replace(demand, needs=needs)
+
+
 def merge_demands(requests: Iterable[CreditRequest]) -> tuple[TeamDemand, ...]:
     """Return one demand for each team, with needs in the given order."""
     merged: dict[TeamName, TeamDemand] = {}
--- a/dotterelbridge/quotas/team_account.py
+++ b/dotterelbridge/quotas/team_account.py
@@ -145,14 +145,17 @@
         self._demand.add(now, units)
         self._request_count.add(now, 1)
 
-    def spend(self, units: float, now: float) -> float | None:
+    def spend(
+        self, units: float, now: float, reserve: float = 0.0
+    ) -> float | None:
         """Charge a request to credit that is held.
 
+        :param reserve: credit that must be left.
         :returns: the time at which the credit was issued, or None if there
             is not enough.
         """
         self._drop_expired(now)
-        if self._find_held(now) < units:
+        if self._find_held(now) < units + reserve:
             return None
         issued_at = now
         left = units
@@ -235,11 +238,10 @@
         return True
 
     def create_order(
-        self, team: TeamName, now: float, latency_s: float, is_probe: bool
+        self, team: TeamName, now: float, is_probe: bool
     ) -> Order | None:
         """Return what to ask for and to give back now, if there is anything.
 
-        :param latency_s: time that an answer takes.
         :param is_probe: whether the answer is uncertain, so that nothing is
             given back with it.
         """
@@ -255,7 +257,7 @@
         needs = []
         for waiter in waiters:
             waiter.is_asked_for = True
-            max_wait_s = max(0.0, waiter.until - now - latency_s)
+            max_wait_s = max(0.0, waiter.until - now)
             needs.append(CreditNeed(waiter.units, int(max_wait_s * _MS_PER_S)))
         return Order(
             sent_at=now,
@@ -403,7 +405,7 @@
         request_count = self._request_count.find_total(now)
         if not request_count or expected < demand / request_count:
             expected = 0.0
-        expected = max(expected, self._least_ahead)
+        expected += self._least_ahead
         if not expected:
             return 0.0
         renewed_until = now + _RENEWAL_S
