Tell measurements at a target from its load reports

Cause: a changed share of errors or speed replaced the load of a target; VMs took that for a new report, and balanced plain targets, which report none, by a load of zero.

Change: only what differs beyond measurements is a report.

Measured: the new test failed before.

--- a/dotterelbridge/gateway/target.py
+++ b/dotterelbridge/gateway/target.py
@@ -3,10 +3,13 @@
 import random
 import statistics
 
+import msgspec
+
 from dotterelbridge import invariants
 from dotterelbridge.clock import Clock
 from dotterelbridge.fleet.records import FleetTarget
 from dotterelbridge.fleet.records import ItemKey
+from dotterelbridge.fleet.records import TargetLoad
 from dotterelbridge.gateway.balance import Candidate
 from dotterelbridge.gateway.calibration import Observation
 from dotterelbridge.gateway.calibration import Prediction
@@ -98,7 +101,9 @@
 
     def update(self, target: FleetTarget, now: float) -> None:
         """Replace the view by a newer one of the same incarnation."""
-        if target.load is not self.view.load:
+        if target.load is not self.view.load and not _is_measurement(
+            self.view.load, target.load
+        ):
             self._has_report = True
             self._reported_requests = target.load.running + target.load.waiting
             self._in_flight_at_report = self.in_flight
@@ -255,6 +260,18 @@
         return Slot(self, call, now)
 
 
+def _is_measurement(known: TargetLoad, load: TargetLoad) -> bool:
+    """Whether only what VMs have measured differs, so it is no new report."""
+    return load != known and (
+        msgspec.structs.replace(
+            load,
+            error_percent=known.error_percent,
+            speed_percent=known.speed_percent,
+        )
+        == known
+    )
+
+
 class Slot:
     """A slot at a target that is reserved for one attempt."""
 
--- a/tests/gateway/test_failing_targets_load.py
+++ b/tests/gateway/test_failing_targets_load.py
@@ -9,6 +9,7 @@
 
 from dotterelbridge.fleet.fleet_state import FleetState
 from dotterelbridge.fleet.messages import DemandReport
+from dotterelbridge.fleet.records import TargetLoad
 from dotterelbridge.fleet.target_evidence import TargetEvidence
 from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.outcomes import AttemptOutcome
@@ -16,6 +17,7 @@
 from dotterelbridge.ids import VmId
 from standins.virtual_time import LoopClock
 from standins.virtual_time import run_in_virtual_time
+from tests.fleet.support import create_target
 from tests.gateway.test_router import RouterHarness
 
 VM_COUNT = 18
@@ -163,3 +165,22 @@
 
     counts = run_in_virtual_time(main)
     assert min(count.errors for count in counts) >= 5
+
+
+def test_measurement_at_a_plain_target_is_no_load_report():
+    """Guards against plain targets being balanced by a load of zero.
+
+    They report no load, so that VMs go by their own requests there.
+    """
+
+    async def main():
+        vm = RouterHarness()
+        vm.fleet_state.update([create_target("p1", held=["m0"])])
+        target = create_target(
+            "p1", held=["m0"], load=TargetLoad(error_percent=20)
+        )
+        vm.fleet_state.update([target])
+        slot = await vm.router.acquire(vm.create_call())
+        return slot.gateway_target.create_candidate(0.0, 1.0, 0.0)
+
+    assert not run_in_virtual_time(main).is_reported
