--- a/dotterelbridge/quotas/issuer.py
+++ b/dotterelbridge/quotas/issuer.py
@@ -172,10 +172,14 @@
         self._buckets: dict[TeamName, _Bucket] = {}
         self._started_at = clock.monotonic()
 
-    def restart(self) -> None:
-        """Start as a new leader, with a part of each bucket."""
+    def restart(self, leaderless_s: float = 0.0) -> None:
+        """Start as a new leader, with a part of each bucket.
+
+        :param leaderless_s: time for which no leader has issued credit;
+            buckets gain what it brings, and entry VMs report what they used.
+        """
         self._buckets.clear()
-        self._started_at = self._clock.monotonic()
+        self._started_at = self._clock.monotonic() - leaderless_s
 
     def decide(self, demand: TeamDemand) -> TeamCredit:
         """Return the decision on one team's demand."""
--- a/dotterelbridge/quotas/service.py
+++ b/dotterelbridge/quotas/service.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from datetime import timedelta
+import math
 import random
 from typing import Any
 
@@ -52,6 +53,7 @@
 _REST_OF_INTERVAL_S = (_BATCH_INTERVAL - _URGENT_INTERVAL).total_seconds()
 _RENEWAL_INTERVAL_S = 0.25
 """Longest time until the pool's credit is renewed or given back."""
+_LONGEST_ELECTION_S = 2.0
 _UNAVAILABLE = CreditReply(is_available=False)
 
 
@@ -137,6 +139,8 @@
         self._latency_s = 0.0
         """Mean time that the leader's answers take."""
         self._issuing_term: Term | None = None
+        self._answered_at = -math.inf
+        """Monotonic time of the latest answer of a leader."""
         self._pending: list[_Pending] = []
         self._has_pending = anyio.Event()
         self._has_urgent = anyio.Event()
@@ -239,13 +243,23 @@
             return _UNAVAILABLE
         taken_s = self._clock.monotonic() - sent_at
         self._latency_s += (taken_s - self._latency_s) * _LATENCY_WEIGHT
+        if isinstance(reply, CreditReply) and reply.is_available:
+            self._answered_at = self._clock.monotonic()
         return reply if isinstance(reply, CreditReply) else _UNAVAILABLE
 
+    def _find_leaderless_s(self) -> float:
+        """Return for how long no leader has answered this VM, if it is short.
+
+        After a longer time this VM may have been the one that was cut off.
+        """
+        elapsed_s = self._clock.monotonic() - self._answered_at
+        return elapsed_s if elapsed_s <= _LONGEST_ELECTION_S else 0.0
+
     def _check_leads(self) -> bool:
         """Return whether this VM leads; a new leader starts anew."""
         term = self._get_led_term()
         if term is not None and term != self._issuing_term:
-            self._issuer.restart()
+            self._issuer.restart(self._find_leaderless_s())
             events.log(_log, QuotaEvent.ISSUING_STARTED, term=term)
         self._issuing_term = term
         return term is not None
--- a/tests/quotas/test_issuer.py
+++ b/tests/quotas/test_issuer.py
@@ -142,3 +142,12 @@
 
 def test_team_that_the_leader_does_not_know_gets_nothing():
     assert Harness().ask(1, team=TeamName("x")).waits_ms[0] < 0
+
+
+# A new leader that ignored the time without a leader refused requests of
+# teams that used half of their quota: 190 in two seconds of a hard day.
+def test_new_leader_counts_what_the_time_without_a_leader_brings():
+    harness = Harness()
+    harness.issuer.restart(leaderless_s=0.5)
+    expected = LIMITS.first_units + 0.5 * TEAM.quota.units_per_s
+    assert harness.drain() == int(expected)
