--- a/dotterelbridge/gateway/error_watch.py
+++ b/dotterelbridge/gateway/error_watch.py
@@ -20,6 +20,7 @@
 
 _HALF_LIFE_S = 4.0
 """Half-life of what this VM has seen itself."""
+_EVIDENCE_LIFETIME_S = 4 * _HALF_LIFE_S
 _PRIOR_ANSWERS = 2.0
 """Answers without an error that are assumed at first, so that one error does
 not outweigh what all VMs have seen."""
@@ -48,6 +49,8 @@
         self._clock = clock
         self._random = rng
         self._seen: dict[Incarnation, _Seen] = {}
+        self._error_seen_at = -math.inf
+        """Monotonic time of the latest error of any target."""
         self._answered: Counter[Incarnation] = Counter()
         self._errors: Counter[Incarnation] = Counter()
 
@@ -61,6 +64,18 @@
         seen.answered = seen.answered * fade + (not is_error)
         seen.errors = seen.errors * fade + is_error
         seen.updated_at = now
+        if is_error:
+            self._error_seen_at = now
+
+    def has_evidence(self, published_percent: int) -> bool:
+        """Whether any target may have a share of errors that counts.
+
+        Most of the time there is none, and the shares need not be compared.
+
+        :param published_percent: the highest share that is published.
+        """
+        age_s = self._clock.monotonic() - self._error_seen_at
+        return published_percent > 0 or age_s < _EVIDENCE_LIFETIME_S
 
     def forget(self, incarnation: Incarnation) -> None:
         """Forget a target that is gone."""
--- a/dotterelbridge/gateway/settings.py
+++ b/dotterelbridge/gateway/settings.py
@@ -20,8 +20,7 @@
     WORK = "work"
     """The work that their requests still cause."""
     AUTO = "auto"
-    """By work where targets differ in speed or teams share them, otherwise
-    by requests."""
+    """By work where targets differ in speed, otherwise by requests."""
 
 
 class GatewaySettings(Section, frozen=True, kw_only=True):
--- a/dotterelbridge/gateway/target_table.py
+++ b/dotterelbridge/gateway/target_table.py
@@ -76,6 +76,8 @@
         self._crash_watch = crash_watch
         self._error_watch = error_watch
         self._count_entry_vms = count_entry_vms
+        self._highest_error_percent = 0
+        """The highest share of errors that is published."""
 
     def update(self) -> None:
         """Apply changes of the fleet state."""
@@ -106,13 +108,27 @@
                     self._buffer_budget,
                 )
         self._update_slowness()
+        if self._error_watch is not None:
+            self._highest_error_percent = max(
+                (t.view.load.error_percent for t in self.targets.values()),
+                default=0,
+            )
 
     def list_suitable(self, call: GatewayCall) -> Iterator[GatewayTarget]:
         """Yield the eligible targets, and those that asked to wait."""
+        if not self._has_error_evidence():
+            yield from self._list_holders(call)
+            return
         for target in self._list_holders(call):
             if not self._is_failing(target):
                 yield target
 
+    def _has_error_evidence(self) -> bool:
+        return (
+            self._error_watch is not None
+            and self._error_watch.has_evidence(self._highest_error_percent)
+        )
+
     def _list_holders(self, call: GatewayCall) -> Iterator[GatewayTarget]:
         """Yield the reachable targets that can run the request."""
         now = self._clock.monotonic()
@@ -141,7 +157,7 @@
         """Return the targets with a free slot, without those that failed."""
         targets = [t for t in self.list_eligible(call) if t.has_free_slot()]
         targets = self._filter_failed(call, targets)
-        if self._error_watch is None:
+        if self._error_watch is None or not self._has_error_evidence():
             return targets
         trial = self._find_trial(call, self._error_watch)
         return [trial] if trial else self._error_watch.prefer_sound(targets)
--- a/dotterelbridge/gateway/work_balancer.py
+++ b/dotterelbridge/gateway/work_balancer.py
@@ -44,9 +44,6 @@
 """Weight of the latest comparison. Between equal engines, the measurements
 of one VM differ by 1.07 to 1.31; between those of 0.6 to 2.5, by 2.1 to
 2.6."""
-_TEAM_RETENTION_S = 60.0
-"""Time after the last request with a team's key for which the deployment
-counts as one with teams."""
 _RELAXED_GAP_SHARE = 0.25
 """Weight of the time between events for a route without an objective for
 it, so that its requests take the slow targets."""
@@ -89,7 +86,6 @@
         self._engines: dict[ItemName, EngineInfo] = {}
         """Engines of the services that requests were sent to."""
         self._modes: dict[ItemName, _Mode] = {}
-        self._team_seen_at = float("-inf")
 
     @property
     def is_enabled(self) -> bool:
@@ -108,10 +104,6 @@
         if self._mode is BalanceMode.WORK:
             return True
         now = self._clock.monotonic()
-        if call.team is not None:
-            self._team_seen_at = now
-        if self._has_teams(now):
-            return True
         mode = self._modes.setdefault(call.service.name, _Mode())
         if now - mode.compared_at >= _MODE_INTERVAL_S:
             mode.compared_at = now
@@ -127,9 +119,6 @@
             mode.is_by_work = mode.speed_ratio >= limit
         return mode.is_by_work
 
-    def _has_teams(self, now: float) -> bool:
-        return now - self._team_seen_at <= _TEAM_RETENTION_S
-
     def check_memory(self, call: GatewayCall) -> None:
         """Check that an engine's whole memory suffices for the prompt.
 
@@ -279,7 +268,6 @@
         """Return the settings in force and the sizes of the tables."""
         return {
             "mode": self._mode.value,
-            "has_teams": self._has_teams(self._clock.monotonic()),
             "by_work": sorted(
                 name for name, mode in self._modes.items() if mode.is_by_work
             ),
--- a/dotterelbridge/nodes/directory.py
+++ b/dotterelbridge/nodes/directory.py
@@ -5,13 +5,17 @@
 from datetime import timedelta
 import zlib
 
+import anyio
+
 from dotterelbridge.clock import Clock
 from dotterelbridge.ids import VmId
 from dotterelbridge.membership.view import VmInfo
 from dotterelbridge.nodes.settings import parse_vm_id
 from dotterelbridge.peers.websocket_network import WebsocketNetwork
 
-_UPDATE_INTERVAL = timedelta(milliseconds=250)
+_UPDATE_INTERVAL = timedelta(seconds=1)
+_CHECK_INTERVAL = timedelta(milliseconds=250)
+"""Time between two checks of whether this VM is detached."""
 _UNKNOWN_DISTANCE = 3
 
 
@@ -109,7 +113,10 @@
         """Update the links periodically until cancelled."""
         while True:
             self.update_links()
-            await self._clock.sleep(_UPDATE_INTERVAL)
+            with anyio.move_on_after(_UPDATE_INTERVAL.total_seconds()):
+                while not self._is_detached():
+                    await self._clock.sleep(_CHECK_INTERVAL)
+                await self._clock.sleep(_CHECK_INTERVAL)
 
     def _create_distance_key(self, vm: VmId) -> tuple[int, VmId]:
         if self._network.get_peer_identity(vm) is None:
