Accept ASGI messages without their optional fields

Cause: the daemon's operators' API moved to the own HTTP server, whose applications always send 'more_body'; Starlette leaves it out, so /metrics and drain got no response.

Change: missing fields have the defaults that ASGI gives them.

Measured: tests/test_path.py, tests/test_operators.py and tests/serving/ test_server.py pass.

--- a/dotterelbridge/serving/server.py
+++ b/dotterelbridge/serving/server.py
@@ -464,7 +464,10 @@
                 message.get(ENDS_WITH_CONNECTION, False),
             )
         else:
-            self._write_body(message["body"], message["more_body"])
+            # ASGI applications may leave both out.
+            self._write_body(
+                message.get("body", b""), message.get("more_body", False)
+            )
         return self._drain_waiter is None
 
     async def wait_writable(self) -> None:
