--- a/dotterelbridge/fleet/records.py
+++ b/dotterelbridge/fleet/records.py
@@ -6,6 +6,7 @@
 
 from dotterelbridge.ids import FailureDomain
 from dotterelbridge.ids import ItemName
+from dotterelbridge.ids import SoftwareVersion
 from dotterelbridge.ids import TargetId
 
 
@@ -77,6 +78,8 @@
     load: TargetLoad = TargetLoad()
     is_silent: bool = False
     """Whether the active controller could not read its latest reports."""
+    software: SoftwareVersion = SoftwareVersion("")
+    """As the platform lists it; versions have no order."""
 
     @property
     def takes_new_work(self) -> bool:
--- a/dotterelbridge/ids.py
+++ b/dotterelbridge/ids.py
@@ -19,6 +19,9 @@
 """A target and the Unix time of its start in ms."""
 ItemName = NewType("ItemName", str)
 """Name of a model, adapter or service on the sheet."""
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of the software that a target runs, not of its weights; empty
+while unknown."""
 
 RequestId = NewType("RequestId", str)
 AttemptId = NewType("AttemptId", str)
--- /dev/null
+++ b/dotterelbridge/resumption/__init__.py
@@ -0,0 +1,1 @@
+"""Records of the software version that began each resumable stream."""
