Read the software version of targets from the platform's list

Targets of several software versions may serve side by side. The list states the version of each; it was not read, so that no VM could keep a stream at the version that began it. A missing or empty version is unknown; an entry whose version is no text of at most 255 characters is ignored like others of odd types.

--- a/tests/nodes/test_odd_list_entries.py
+++ b/tests/nodes/test_odd_list_entries.py
@@ -56,16 +56,25 @@
     "born",
     "models",
 )
-CASES = [
-    pytest.param(field, value, id=f"{field}-{name}")
-    for field in FIELDS
-    for name, value in (UNREADABLE | MISTYPED).items()
-] + [
-    pytest.param("unnamed", value, id=f"unnamed-{name}")
-    for name, value in UNREADABLE.items()
-    # Readable, though no use is made of it.
-    if name != "900 arrays"
-]
+CASES = (
+    [
+        pytest.param(field, value, id=f"{field}-{name}")
+        for field in FIELDS
+        for name, value in (UNREADABLE | MISTYPED).items()
+    ]
+    + [
+        pytest.param("version", value, id=f"version-{name}")
+        for name, value in (UNREADABLE | MISTYPED).items()
+        # The version is unknown, or any text.
+        if name not in ("empty text", "text with a line break")
+    ]
+    + [
+        pytest.param("unnamed", value, id=f"unnamed-{name}")
+        for name, value in UNREADABLE.items()
+        # Readable, though no use is made of it.
+        if name != "900 arrays"
+    ]
+)
 
 
 @pytest.fixture(scope="module")
@@ -134,6 +143,31 @@
     assert [target.target for target in found] == ["i-1", "i-3"]
 
 
+@pytest.mark.parametrize(
+    ("listed", "software"),
+    [
+        ('"v1.1"', "v1.1"),
+        ('""', ""),
+        (None, ""),
+        (f'"{"v" * 255}"', "v" * 255),
+    ],
+)
+def test_software_version_of_a_target_is_read(listing, listed, software):
+    # Guards against streams that go on at another version.
+    entry = create_entry(1, version=PLACEHOLDER)
+    if listed is None:
+        del entry["version"]
+    page = create_page(entry, value=(listed or "").encode())
+    (target,) = fetch(listing, page)
+    assert target.software == software
+
+
+def test_entry_with_a_long_software_version_names_no_target(listing):
+    # Guards against updates that grow with what another writer lists.
+    page = create_page(create_entry(1, version="v" * 256))
+    assert not fetch(listing, page)
+
+
 @pytest.mark.parametrize("port", ["0", "65536", "-1", "9" * 5000, "http", ""])
 def test_entry_with_a_port_out_of_range_names_no_target(listing, port):
     odd = create_entry(2, address=f"10.0.0.2:{port}")
