--- a/dotterelbridge/events.py
+++ b/dotterelbridge/events.py
@@ -5,7 +5,7 @@
 
 1000 core and daemon, 2000 peers, 3000 replication, 3500 sheet,
 4000 claims, 5000 membership, 6000 placement, 7000 routing,
-8000 serving, 9000 targets, 9700 quotas.
+8000 serving, 9000 targets, 9700 quotas, 9800 resumption.
 """
 
 import enum
--- a/dotterelbridge/resumption/recorder.py
+++ b/dotterelbridge/resumption/recorder.py
@@ -56,6 +56,7 @@
         :param request_id: the id of the request that got the first event,
             as the caller names it; None if it names none.
         :param service_names: the services of the route.
-        :param horizon: time within which the stream can have begun.
+        :param horizon: time within which the stream can have begun, and a
+            margin for what VMs learn late.
         :param timeout: time to wait for other VMs.
         """
