Run the records of streams on entry and control VMs

Settings are in [resumption]. Entry VMs send to linked control VMs ordered by distance; those at the same distance are in another order on each VM, so that the second copies of a region's streams are spread over its control VMs.

--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -41,6 +41,8 @@
 from dotterelbridge.replication.member import LogMember
 from dotterelbridge.replication.member import create_log_member
 from dotterelbridge.replication.recovering_log import create_recovering_log
+from dotterelbridge.resumption.history import VersionHistory
+from dotterelbridge.resumption.keeper import create_stream_keeper
 from dotterelbridge.routes.app import RoutesApp
 from dotterelbridge.routes.document import RoutesFormat
 from dotterelbridge.routes.submission import create_routes_submitter
@@ -126,6 +128,7 @@
                 self._quarantine_keeper.run,
                 self._permit_service.run,
                 self._credit_service.run,
+                self._stream_keeper.run,
             ),
             (self._operator_listener,),
             operator_port=self._operator_listener.port,
@@ -240,6 +243,7 @@
         )
         self._create_quarantine_parts()
         self._create_permit_parts()
+        self._create_resumption_parts()
 
     def _create_permit_parts(self) -> None:
         self._rate_limit_recorder = RateLimitRecorder(
@@ -270,16 +274,28 @@
         )
         self._registry.add("quotas", self._credit_service)
 
+    def _create_resumption_parts(self) -> None:
+        self._stream_keeper = create_stream_keeper(
+            self._network,
+            self._settings.resumption,
+            VersionHistory(
+                self._fleet_state,
+                self._routes,
+                self._clock,
+                lambda: not self._is_detached(),
+            ),
+            self.list_control_vms,
+            self._clock,
+            Path(self._settings.node.data_folder),
+        )
+        self._registry.add("resumption", self._stream_keeper)
+
     def _get_led_term(self) -> Term | None:
         """Return the term that this VM leads, or None."""
         if not self._replicated_log.has_leader_lease():
             return None
         return self._replicated_log.term
 
-    def _is_detached(self) -> bool:
-        limit_ms = self._settings.fleet.detached_limit_ms
-        return self._get_detached_ms() > limit_ms
-
     def _create_quarantine_parts(self) -> None:
         table = QuarantineTable()
         table.subscribe(self._quarantine.activate)
--- a/dotterelbridge/nodes/directory.py
+++ b/dotterelbridge/nodes/directory.py
@@ -12,6 +12,7 @@
 from dotterelbridge.membership.view import VmInfo
 from dotterelbridge.nodes.settings import parse_vm_id
 from dotterelbridge.peers.websocket_network import WebsocketNetwork
+from dotterelbridge.resumption.copies import ControlLink
 
 _UPDATE_INTERVAL = timedelta(seconds=1)
 _CHECK_INTERVAL = timedelta(milliseconds=250)
@@ -103,6 +104,19 @@
         """Return the control VMs, the closest first, unconnected ones last."""
         return sorted(self.list_control_vms(), key=self._create_distance_key)
 
+    def list_linked_vms(self) -> list[ControlLink]:
+        """Return the control VMs to which a link is up, the closest first.
+
+        VMs at the same distance are in another order on each VM, so that
+        what all VMs send to the first ones is spread over them.
+        """
+        linked = []
+        for vm in sorted(self.list_control_vms(), key=self._create_link_key):
+            identity = self._network.get_peer_identity(vm)
+            if identity is not None:
+                linked.append(ControlLink(vm, identity.failure_domain))
+        return linked
+
     def update_links(self) -> None:
         """Dial the current control VMs, and stop dialling any others."""
         self._network.set_dialled_peers(
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -28,6 +28,8 @@
 from dotterelbridge.quarantine.crash_watch import Crash
 from dotterelbridge.quarantine.messages import CrashRecorded
 from dotterelbridge.quotas.account import QuotaAccounts
+from dotterelbridge.resumption.history import VersionHistory
+from dotterelbridge.resumption.peer_recorder import create_stream_recorder
 from dotterelbridge.routes.document import RoutesFormat
 from dotterelbridge.serving.listener import create_caller_listener
 from dotterelbridge.teams.permission import KeyPermission
@@ -61,7 +63,7 @@
             lambda: self._fleet_follower.control_vms,
             clock,
             settings.discovery.links_kept,
-            lambda: self._get_detached_ms() > settings.fleet.detached_limit_ms,
+            self._is_detached,
         )
         self._key_permission = KeyPermission(clock, settings.teams)
         self._fleet_follower = FleetFollower(
@@ -91,6 +93,18 @@
             clock,
             rng,
         )
+        self._stream_recorder = create_stream_recorder(
+            self._network,
+            settings.resumption,
+            VersionHistory(
+                self._fleet_state,
+                self._routes,
+                clock,
+                lambda: not self._is_detached(),
+            ),
+            self._directory.list_linked_vms,
+            clock,
+        )
         self._router = create_gateway_router(
             self._fleet_state,
             clock,
@@ -138,6 +152,7 @@
         self._registry.add("routing", self._router)
         self._registry.add("rate_limits", self._limiter)
         self._registry.add("quotas", self._quota_accounts)
+        self._registry.add("resumption", self._stream_recorder)
 
     async def run_components(self) -> None:
         """Run all parts until cancelled."""
@@ -147,6 +162,7 @@
                 self._fleet_follower.run,
                 self._router.run,
                 self._quota_accounts.run,
+                self._stream_recorder.run,
                 self._report_demand,
                 self._report_crashes,
             ),
--- a/dotterelbridge/nodes/node.py
+++ b/dotterelbridge/nodes/node.py
@@ -132,6 +132,11 @@
                 **start_fields,
             )
 
+    def _is_detached(self) -> bool:
+        """Whether what this VM knows of targets and routes is outdated."""
+        limit_ms = self._settings.fleet.detached_limit_ms
+        return self._get_detached_ms() > limit_ms
+
     @abc.abstractmethod
     def _get_detached_ms(self) -> int:
         """Return the time since this VM's view was known to be current."""
--- a/dotterelbridge/nodes/settings.py
+++ b/dotterelbridge/nodes/settings.py
@@ -15,6 +15,7 @@
 from dotterelbridge.peers.settings import PeersSettings
 from dotterelbridge.quotas.settings import QuotasSettings
 from dotterelbridge.replication.settings import ReplicationSettings
+from dotterelbridge.resumption.settings import ResumptionSettings
 from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.settings import LogSettings
 from dotterelbridge.settings import MetricsSettings
@@ -98,6 +99,7 @@
     "targets": TargetsSettings,
     "teams": TeamsSettings,
     "quotas": QuotasSettings,
+    "resumption": ResumptionSettings,
 }
 
 NAMED_SECTION_TYPES: dict[str, type[Section]] = {
@@ -120,6 +122,7 @@
     targets: TargetsSettings
     teams: TeamsSettings
     quotas: QuotasSettings
+    resumption: ResumptionSettings
     regions: dict[FailureDomain, Region]
 
     def describe_own_vm(self) -> VmInfo:
--- a/tests/nodes/test_directory.py
+++ b/tests/nodes/test_directory.py
@@ -100,3 +100,19 @@
     assert len(directory.list_control_vms()) == LINKS_KEPT
     is_detached = True
     assert set(directory.list_control_vms()) == set(CONTROL_VMS)
+
+
+# Guards against records of all streams that go to a few control VMs.
+def test_nearest_linked_control_vms_differ_from_vm_to_vm():
+    seconds = Counter()
+    for index in range(330):
+        network = connect_all()
+        linked = create_directory(index, network).list_linked_vms()
+        own_domain, region = list(CONTROL_VMS.values())[index % 6]
+        assert linked[0].failure_domain == own_domain
+        assert CONTROL_VMS[linked[1].vm][1] == region
+        del network.identities[linked[0].vm]
+        left = create_directory(index, network).list_linked_vms()
+        assert linked[0].vm not in {link.vm for link in left}
+        seconds[left[1].vm] += 1
+    assert max(seconds.values()) <= 1.5 * 330 / len(CONTROL_VMS)
