--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -93,7 +93,7 @@
             clock,
             rng,
         )
-        self._stream_recorder = create_stream_recorder(
+        self.stream_recorder = create_stream_recorder(
             self._network,
             settings.resumption,
             VersionHistory(
@@ -152,7 +152,7 @@
         self._registry.add("routing", self._router)
         self._registry.add("rate_limits", self._limiter)
         self._registry.add("quotas", self._quota_accounts)
-        self._registry.add("resumption", self._stream_recorder)
+        self._registry.add("resumption", self.stream_recorder)
 
     async def run_components(self) -> None:
         """Run all parts until cancelled."""
@@ -162,7 +162,7 @@
                 self._fleet_follower.run,
                 self._router.run,
                 self._quota_accounts.run,
-                self._stream_recorder.run,
+                self.stream_recorder.run,
                 self._report_demand,
                 self._report_crashes,
             ),
--- a/dotterelbridge/resumption/history.py
+++ b/dotterelbridge/resumption/history.py
@@ -13,6 +13,9 @@
 
 _CHECK_INTERVAL = timedelta(milliseconds=250)
 """Time between two checks of whether this VM's view is current."""
+_LONGEST_PAUSE_S = 1.0
+"""Time without a check after which the process counts as suspended. An answer
+that arrived meanwhile makes an outdated view look current."""
 _RETENTION_S = 3600.0
 """Time for which a version that serves no more is remembered."""
 _MAX_VERSIONS = 2
@@ -48,6 +51,7 @@
         self._is_current = is_current
         self._watched_since: float | None = None
         """Since when the view has been current without a gap."""
+        self._checked_at = clock.monotonic()
         self._present: set[_Version] = set()
         self._gone_at: dict[_Version, float] = {}
         """When versions that no longer serve were last seen."""
@@ -69,13 +73,15 @@
     def observe(self) -> None:
         """Record what serves now, and whether the view is current."""
         now = self._clock.monotonic()
+        was_paused = now - self._checked_at > _LONGEST_PAUSE_S
+        self._checked_at = now
         if not (
             self._is_current()
             and self._fleet_state.is_complete
             and self._routes.route_set is not None
         ):
             self._watched_since = None
-        elif self._watched_since is None:
+        elif self._watched_since is None or was_paused:
             self._watched_since = now
         # Changes of loads, which come several times a second, are skipped.
         if self._read_revision != self._fleet_state.urgent_revision:
--- a/tests/resumption/test_history.py
+++ b/tests/resumption/test_history.py
@@ -62,6 +62,11 @@
         self.wait(seconds)
         self.is_current = True
 
+    def pause(self, seconds) -> None:
+        """The process is suspended; then it reads what was sent before."""
+        self.clock.advance(timedelta(seconds=seconds))
+        self.history.observe()
+
     def route_to(self, service) -> None:
         route = create_route(shares=(TrafficShare(service, 1),))
         version = self.routes.version + 1
@@ -80,6 +85,12 @@
     "started long ago": ([*SETTLED, ("restart",), *SETTLED], ("v1",), True),
     "gap": ([*SETTLED, ("lag", 0.5), ("wait", 19)], ("v1",), False),
     "gap that is over": ([*SETTLED, ("lag", 9), ("wait", 21)], ("v1",), True),
+    "paused": ([*SETTLED, ("pause", 2), ("wait", 10)], ("v1",), False),
+    "paused long ago": (
+        [*SETTLED, ("pause", 60), ("wait", 21)],
+        ("v1",),
+        True,
+    ),
     "outdated now": ([*SETTLED, ("lag", 0.5)], ("v1",), False),
     "second version": ([*SETTLED, ("serve", "v1", "v2")], ("v1", "v2"), True),
     "third version": (
