Sync the records of streams once a second

A loss of power keeps only what was synced, so that all records of a control VM, not only the last ones, could be gone. They are synced in the writer's thread a second after they were written; nothing waits for it. The test of the writer failed before: nothing called sync.

--- a/dotterelbridge/resumption/file.py
+++ b/dotterelbridge/resumption/file.py
@@ -1,14 +1,15 @@
 """Writes records of streams to two files, and reads them after a start.
 
-The files survive the end of the process. They are not synced: a loss of
-power may lose what was written last, and streams without a record are not
-resumed unless only one version has served.
+What was written survives the end of the process, and what was synced a loss
+of power. Nobody waits for either: streams without a record are not resumed
+unless only one version has served.
 """
 
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
 from datetime import timedelta
+import os
 from pathlib import Path
 import struct
 
@@ -20,6 +21,7 @@
 from dotterelbridge.clock import Clock
 from dotterelbridge.ids import ItemName
 from dotterelbridge.ids import SoftwareVersion
+from dotterelbridge.replication.checksummed_file import sync_folder
 from dotterelbridge.resumption.events import ResumptionEvent
 from dotterelbridge.resumption.keys import StreamKey
 
@@ -51,7 +53,7 @@
 class StreamFile:
     """Appends to one of two files; the older one is replaced in time.
 
-    ``append`` may run in a thread, one call at a time.
+    ``append`` and ``sync`` may run in a thread, one call at a time.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         self._expires_ms = [0, 0]
         """When the last record of each file expires, as a Unix time."""
         self._began_ms = self._read_time_ms()
+        self._unsynced: set[Path] = set()
 
     def read(self) -> list[StoredStream]:
         """Return the records that have not expired, and go on after them.
@@ -120,11 +123,28 @@
             view = memoryview(frame)
             while view:
                 view = view[file.write(view) :]
+        self._unsynced.add(path)
         latest = max(stream.expires_ms for stream in streams)
         self._expires_ms[self._current] = max(
             latest, self._expires_ms[self._current]
         )
 
+    def sync(self) -> None:
+        """Make what was written survive a loss of power.
+
+        :raises OSError: the disk fails.
+        """
+        if not self._unsynced:
+            return
+        for path in self._unsynced:
+            descriptor = os.open(path, os.O_WRONLY)
+            try:
+                os.fdatasync(descriptor)
+            finally:
+                os.close(descriptor)
+        sync_folder(self._paths[0].parent)
+        self._unsynced.clear()
+
     def _is_full(self, path: Path, added_bytes: int) -> bool:
         try:
             size = path.stat().st_size
--- a/dotterelbridge/resumption/keeper.py
+++ b/dotterelbridge/resumption/keeper.py
@@ -192,6 +192,7 @@
     writer = StreamWriter(
         file,
         timedelta(milliseconds=settings.batch_ms),
+        timedelta(milliseconds=settings.sync_interval_ms),
         clock,
         run_blocking,
     )
--- a/dotterelbridge/resumption/settings.py
+++ b/dotterelbridge/resumption/settings.py
@@ -21,6 +21,9 @@
     batch_ms: _Milliseconds = 20
     """Time for which a VM gathers records before it sends or writes them;
     the records of that time are lost if the process is killed."""
+    sync_interval_ms: _Milliseconds = 1000
+    """Time after which a control VM syncs the records that it has written;
+    those of that time may be lost with its power."""
     keep_margin_s: _Seconds = 10.0
     """Time for which a record is kept after the caller's deadline."""
     keep_limit_s: _Seconds = 600.0
--- a/dotterelbridge/resumption/writer.py
+++ b/dotterelbridge/resumption/writer.py
@@ -3,8 +3,8 @@
 from collections import deque
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Sequence
 from datetime import timedelta
+import math
 
 import anyio
 import anyio.to_thread
@@ -24,9 +24,8 @@
 """Records that wait for the disk; the oldest are dropped first."""
 _MAX_BATCH = 2000
 
-_Append = Callable[[Sequence[StoredStream]], None]
-RunBlocking = Callable[[_Append, Sequence[StoredStream]], Awaitable[None]]
-"""Runs a function that blocks."""
+RunBlocking = Callable[..., Awaitable[None]]
+"""Runs a function that blocks, with arguments."""
 
 
 class StreamWriter:
@@ -36,15 +35,19 @@
         self,
         file: StreamFile,
         gather_time: timedelta,
+        sync_interval: timedelta,
         clock: Clock,
         run_blocking: RunBlocking = anyio.to_thread.run_sync,
     ) -> None:
         self._file = file
         self._gather_time = gather_time
+        self._sync_interval_s = sync_interval.total_seconds()
         self._clock = clock
         self._run_blocking = run_blocking
         self._unwritten: deque[StoredStream] = deque(maxlen=_MAX_UNWRITTEN)
         self._added = anyio.Event()
+        self._sync_at: float | None = None
+        """When what was written is to be synced; None if it is."""
         self.is_failing = False
         """Whether the latest attempt to write failed."""
 
@@ -57,14 +60,29 @@
         """Write until cancelled; then write what is left."""
         try:
             while True:
-                await self._added.wait()
-                self._added = anyio.Event()
-                await self._clock.sleep(self._gather_time)
+                with anyio.move_on_after(self._find_time_to_sync_s()):
+                    await self._added.wait()
+                    self._added = anyio.Event()
+                    await self._clock.sleep(self._gather_time)
                 while self._unwritten:
                     await self._write_batch()
+                if self._find_time_to_sync_s() <= 0:
+                    await self._sync()
         finally:
             self._write_rest()
 
+    def _find_time_to_sync_s(self) -> float:
+        if self._sync_at is None:
+            return math.inf
+        return max(0.0, self._sync_at - self._clock.monotonic())
+
+    async def _sync(self) -> None:
+        self._sync_at = None
+        try:
+            await self._run_blocking(self._file.sync)
+        except OSError as error:
+            self._record_failure(error)
+
     async def _write_batch(self) -> None:
         batch = [
             self._unwritten.popleft()
@@ -77,6 +95,8 @@
             self._record_failure(error)
             await self._clock.sleep(_RETRY_DELAY)
             return
+        if self._sync_at is None:
+            self._sync_at = self._clock.monotonic() + self._sync_interval_s
         if self.is_failing:
             events.log(_log, ResumptionEvent.RECORDS_WRITTEN_AGAIN)
         self.is_failing = False
--- a/tests/resumption/support.py
+++ b/tests/resumption/support.py
@@ -35,9 +35,9 @@
 ENTRIES = {f"e-{domain}{n}": domain for domain in "abcde" for n in range(2)}
 
 
-async def run_in_loop(function, batch) -> None:
+async def run_in_loop(function, *arguments) -> None:
     """Run a write at once: threads make no progress in virtual time."""
-    function(batch)
+    function(*arguments)
 
 
 class Vm:
--- a/tests/resumption/test_files.py
+++ b/tests/resumption/test_files.py
@@ -141,17 +141,21 @@
     run_deployment(check, tmp_path)
 
 
-# Guards against records that wait for the end of the process.
-def test_records_are_written_while_the_process_runs(disk):
+# Guards against records that wait for the end of the process, or are lost
+# with the power long after they were written.
+def test_records_are_written_while_the_process_runs(disk, monkeypatch):
+    synced = []
+    sync = disk.file.sync
+    monkeypatch.setattr(disk.file, "sync", lambda: synced.append(sync()))
     stream = StoredStream(b"k" * 16, "llm", "v1", 2**45)
 
     async def main():
-        writer = StreamWriter(disk.file, KEEP * 0, disk.clock)
+        writer = StreamWriter(disk.file, KEEP * 0, KEEP * 0, disk.clock)
         async with anyio.create_task_group() as group:
             group.start_soon(writer.run)
             writer.add(stream)
             with anyio.fail_after(10):
-                while not (disk.folder / "streams" / "streams-0").exists():
+                while not synced:
                     await anyio.sleep(0.001)
             group.cancel_scope.cancel()
 
