--- a/dotterelbridge/resumption/keeper.py
+++ b/dotterelbridge/resumption/keeper.py
@@ -85,7 +85,6 @@
         self, key: StreamKey, origin: StreamOrigin, keep: timedelta
     ) -> None:
         """Add or renew a record, in memory and on disk."""
-        keep = min(keep, self._table.longest_keep)
         if not self._table.add(key, origin, keep) or self._writer is None:
             return
         expires_ms = self._read_time_ms() + int(
@@ -119,7 +118,7 @@
         return StreamsFound(answers=tuple(answers))
 
     def _answer(self, query: StreamQuery) -> StreamAnswer:
-        """Return what this VM knows; a record in use is kept longer."""
+        """Return what this VM knows."""
         horizon = timedelta(milliseconds=query.horizon_ms)
         histories = self._history.describe(
             query.route, query.services, horizon
@@ -129,7 +128,6 @@
             return StreamAnswer(histories=histories)
         if known.origin is None:
             return StreamAnswer(is_conflicting=True)
-        self._add(StreamKey(query.key), known.origin, horizon)
         return StreamAnswer(
             service=known.origin.service,
             software=known.origin.software,
@@ -143,13 +141,9 @@
         answers: list[StreamAnswer],
         number: int,
     ) -> None:
-        """Add what the other control VMs know, and keep what they found."""
+        """Add what the other control VMs know."""
         found = await self._relay.ask(query, timeout)
-        answer = combine_answers([answers[number], *found])
-        answers[number] = answer
-        if answer.origin is not None and query.key is not None:
-            horizon = timedelta(milliseconds=query.horizon_ms)
-            self._add(StreamKey(query.key), answer.origin, horizon)
+        answers[number] = combine_answers([answers[number], *found])
 
     def _read_time_ms(self) -> int:
         return int(self._clock.now().timestamp() * _MS_PER_S)
--- a/dotterelbridge/resumption/local_recorder.py
+++ b/dotterelbridge/resumption/local_recorder.py
@@ -136,7 +136,10 @@
         return self._history.describe(query.route, query.services, horizon)
 
     def _renew(self, query: StreamQuery, origin: StreamOrigin) -> None:
-        """Keep a record for as long as the resumed stream may last."""
+        """Keep a record for as long as the resumed stream may last.
+
+        In a chain of attempts each one names the first.
+        """
         horizon = timedelta(milliseconds=query.horizon_ms)
         self._add(
             BegunStream(
--- a/dotterelbridge/resumption/table.py
+++ b/dotterelbridge/resumption/table.py
@@ -39,7 +39,7 @@
         """
         self.dropped_count = 0
         """Records dropped because of the limit."""
-        self.longest_keep = longest_keep
+        self._longest_keep = longest_keep
         self._limit = limit
         self._clock = clock
         self._streams: dict[StreamKey, KnownStream] = {}
@@ -63,7 +63,7 @@
         record again changes something if it is kept for a second longer.
         """
         now = self._clock.monotonic()
-        expires_at = now + min(keep, self.longest_keep).total_seconds()
+        expires_at = now + min(keep, self._longest_keep).total_seconds()
         known = self._find(key, now)
         if known is None:
             self._store(key, KnownStream(self._share(origin), expires_at))
