--- a/dotterelbridge/resumption/keeper.py
+++ b/dotterelbridge/resumption/keeper.py
@@ -28,8 +28,8 @@
 from dotterelbridge.resumption.settings import ResumptionSettings
 from dotterelbridge.resumption.table import StreamTable
 from dotterelbridge.resumption.verdict import combine_answers
+from dotterelbridge.resumption.writer import RecordWriter
 from dotterelbridge.resumption.writer import RunBlocking
-from dotterelbridge.resumption.writer import StreamWriter
 
 _SWEEP_INTERVAL = timedelta(seconds=1)
 _MAX_RELAY_MS = 1000
@@ -43,7 +43,7 @@
         self,
         network: PeerNetwork,
         table: StreamTable,
-        writer: StreamWriter | None,
+        writer: RecordWriter | None,
         history: VersionHistory,
         relay: LookupRelay,
         clock: Clock,
@@ -183,7 +183,7 @@
         clock,
     )
     stored = file.read()
-    writer = StreamWriter(
+    writer = RecordWriter(
         file,
         timedelta(milliseconds=settings.batch_ms),
         timedelta(milliseconds=settings.sync_interval_ms),
--- a/dotterelbridge/resumption/writer.py
+++ b/dotterelbridge/resumption/writer.py
@@ -28,7 +28,7 @@
 """Runs a function that blocks, with arguments."""
 
 
-class StreamWriter:
+class RecordWriter:
     """Appends records to a file; a disk that fails loses only the copy."""
 
     def __init__(
--- a/tests/resumption/test_files.py
+++ b/tests/resumption/test_files.py
@@ -9,7 +9,7 @@
 from dotterelbridge.clock import ManualClock
 from dotterelbridge.resumption.file import StoredStream
 from dotterelbridge.resumption.file import create_stream_file
-from dotterelbridge.resumption.writer import StreamWriter
+from dotterelbridge.resumption.writer import RecordWriter
 from tests.resumption.support import KEEP
 from tests.resumption.support import V1
 from tests.resumption.support import run_deployment
@@ -152,7 +152,7 @@
     stream = StoredStream(b"k" * 16, "llm", "v1", 2**45)
 
     async def main():
-        writer = StreamWriter(disk.file, KEEP * 0, KEEP * 0, disk.clock)
+        writer = RecordWriter(disk.file, KEEP * 0, KEEP * 0, disk.clock)
         async with anyio.create_task_group() as group:
             group.start_soon(writer.run)
             writer.add(stream)
