Show streams that go on at another software version

Targets of one service may run several software versions, and what two versions write does not fit together. Callers got one text joined from two: within one answer, where a resumable stream broke off at a target of v1 and the only other holder of the model ran v1.1, and over two tries, where a caller named the last event at another entry VM. Both answers were 200 and looked whole.

--- /dev/null
+++ b/tests/gateway/test_software_versions.py
@@ -0,0 +1,151 @@
+"""Streams that break off while a service has targets of two versions."""
+
+import anyio
+import httpx
+import msgspec
+
+from tests.gateway.support import HOST
+from tests.gateway.support import SIGNED_HEADERS
+from tests.gateway.support import run_gateway
+from tests.gateway.support import wait_until
+from tests.routes.support import LLM
+from tests.routes.support import create_route
+from tests.serving.fakes import run_async
+
+EVENT_COUNT = 8
+BREAK_AFTER = 3
+ROUTES = [create_route("drafts", is_resumable=True, attempts=2)]
+ROUTES_WITHOUT_RETRY = [create_route("drafts", is_resumable=True)]
+
+
+def write_text(version: str, first: int, end: int) -> bytes:
+    """Return the events that targets of a version generate."""
+    return b"".join(
+        b"id: %d\ndata: %s says %d\n\n" % (number, version.encode(), number)
+        for number in range(first, end)
+    )
+
+
+def create_handler(version: str, stop_before: int | None = None):
+    """Return a handler that writes a version's text, up to a break."""
+
+    async def handle(received):
+        first = int(received.headers.get("last-event-id", "-1")) + 1
+        await received.start_stream(SIGNED_HEADERS)
+        if stop_before is not None:
+            if first < stop_before:
+                text = write_text(version, first, stop_before)
+                await received.send_chunk(text)
+            received.reset()
+            return
+        await received.send_chunk(write_text(version, first, EVENT_COUNT))
+        await received.send_chunk(b"")
+
+    return handle
+
+
+class CallerAnswer(msgspec.Struct):
+    """What a caller received of one answer."""
+
+    status: int = 0
+    text: bytes = b""
+    is_whole: bool = False
+
+
+async def read_answer(gateway, request="r1", **headers) -> CallerAnswer:
+    """Send a request; return what came until the answer's end or break."""
+    answer = CallerAnswer()
+    fields = {
+        "host": HOST,
+        "x-request-id": request,
+        "dotterelbridge-deadline": "5000",
+        "dotterelbridge-model": "m0",
+    }
+    fields |= {name.replace("_", "-"): v for name, v in headers.items()}
+    async with httpx.AsyncClient(timeout=20) as client:
+        try:
+            async with client.stream(
+                "POST", gateway.url + "/drafts/a", headers=fields
+            ) as response:
+                answer.status = response.status_code
+                async for data in response.aiter_raw():
+                    answer.text += data
+            answer.is_whole = True
+        except httpx.RemoteProtocolError:
+            pass
+    return answer
+
+
+async def add_target(gateway, name, version, **fields):
+    """Add a target whose list entry and text state a version."""
+    stop_before = fields.pop("stop_before", None)
+    return await gateway.add_target(
+        name,
+        create_handler(version, stop_before),
+        **({"service": LLM, "held": ["m0"], "software": version} | fields),
+    )
+
+
+def share_target(gateway, target, version, **fields) -> None:
+    """Show a target of one gateway to another."""
+    gateway.targets[target.name] = target
+    gateway.update_target(
+        target.name,
+        **({"service": LLM, "held": ["m0"], "software": version} | fields),
+    )
+
+
+async def read_answer_while_target_is_replaced(gateway, name, version):
+    """Begin a stream at a target that breaks off and is then replaced."""
+    broken = await add_target(gateway, "e1", "v1", stop_before=BREAK_AFTER)
+
+    async def replace_target():
+        await wait_until(lambda: broken.received)
+        await add_target(gateway, name, version)
+        gateway.remove_target("e1")
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(replace_target)
+        return await read_answer(gateway)
+
+
+# Guards against one answer with the texts of two software versions.
+@run_async
+async def test_broken_stream_does_not_go_on_at_another_version():
+    async with run_gateway(ROUTES) as gateway:
+        answer = await read_answer_while_target_is_replaced(
+            gateway, "e2", "v1.1"
+        )
+        assert answer.text == write_text("v1", 0, BREAK_AFTER)
+        assert not answer.is_whole
+        assert not gateway.targets["e2"].received
+
+
+# Guards against streams that are cut though their version is still served.
+@run_async
+async def test_broken_stream_goes_on_at_its_own_version():
+    async with run_gateway(ROUTES) as gateway:
+        answer = await read_answer_while_target_is_replaced(
+            gateway, "e2", "v1"
+        )
+        assert answer.text == write_text("v1", 0, EVENT_COUNT)
+        assert answer.is_whole
+
+
+# Guards against two joined texts over a caller's tries at two entry VMs.
+@run_async
+async def test_caller_does_not_resume_at_another_version():
+    async with (
+        run_gateway(ROUTES_WITHOUT_RETRY) as first,
+        run_gateway(ROUTES_WITHOUT_RETRY) as second,
+    ):
+        begun = await add_target(first, "e1", "v1", stop_before=BREAK_AFTER)
+        share_target(second, begun, "v1", held=["m1"])
+        other = await add_target(second, "e2", "v1.1")
+        answer = await read_answer(first)
+        assert answer.text == write_text("v1", 0, BREAK_AFTER)
+        last_id = str(BREAK_AFTER - 1)
+        resumed = await read_answer(
+            second, "r2", last_event_id=last_id, resumes="r1"
+        )
+        assert (resumed.status, other.received) == (503, [])
