Do not restore an earlier incarnation of a target

A target may start again under its id and address, with a later start time and another software version. Requests meant for it then reached its successor, as an id does not tell the two apart, and a stream would have counted as the old version's.

An incarnation was remembered as ended only if its target left the list. It is now also remembered when a later one of the same target is seen. The new test failed before: the state was that of v1 again.

--- a/dotterelbridge/fleet/fleet_state.py
+++ b/dotterelbridge/fleet/fleet_state.py
@@ -252,6 +252,8 @@
             return
         if known is None or known.born != target.born:
             self._log(FleetEvent.TARGET_SEEN, target)
+        if known is not None and known.born < target.born:
+            self._mark_removed(known)
         self._increase_revision(_classify_change(known, target))
         self.targets[target.target] = target
         self._changed_revisions[target.target] = self.revision
@@ -259,11 +261,15 @@
 
     def _remove_target(self, name: TargetId) -> None:
         target = self._delete_target(name)
-        if target is None:
-            return
+        if target is not None:
+            self._mark_removed(target)
+
+    def _mark_removed(self, target: FleetTarget) -> None:
+        """Remember that an incarnation of a target has ended."""
         now = self._clock.monotonic()
-        self._removed_incarnations[name, target.born] = now
-        self._leaving_incarnations.pop((name, target.born), None)
+        incarnation = (target.target, target.born)
+        self._removed_incarnations[incarnation] = now
+        self._leaving_incarnations.pop(incarnation, None)
         self._prune_removed(now)
 
     def _delete_target(self, name: TargetId) -> FleetTarget | None:
--- a/tests/fleet/test_fleet_state.py
+++ b/tests/fleet/test_fleet_state.py
@@ -59,6 +59,15 @@
     assert fleet_state.targets["e1"].takes_new_work
 
 
+# Guards against work for a process that has ended, whose address and id its
+# successor has, with another software version.
+def test_an_older_state_does_not_restore_an_earlier_incarnation(fleet_state):
+    fleet_state.update([create_target("e1", software="v1")])
+    fleet_state.update([create_target("e1", born=2, software="v2")])
+    fleet_state.update([create_target("e1", software="v1")])
+    assert fleet_state.targets["e1"].software == "v2"
+
+
 def test_a_follower_reaches_the_same_state(fleet_state):
     follower = FleetState(ManualClock())
     fleet_state.update([create_target("e1"), create_target("e2")])
