Let a broken stream go on only at the version that began it

Callers got one answer with the texts of two software versions: a resumable stream broke off at a target of one version, and the next attempt went to any target that held the model.

The first event that is forwarded now binds the call to the service and the software version of its target. The router considers only targets that fit. If no reachable target of the version takes requests, or the model is held only at other versions and no load is announced, the stream breaks off at once: placement counts a model that another version holds as served, so that nothing is loaded that a wait could end with. Targets that are busy, load the model or answer that they lack it are waited for as before.

An unknown version fits nothing in a service of which a target has stated a version; where none has, all count as one, as before. A version that the list changes for an incarnation while a stream begins there is unknown, too.

--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -566,6 +566,8 @@
             adapter=call.request.adapter,
             team=call.team.name if call.team else None,
             target=runner.slot.view.target if runner.slot else None,
+            software=runner.slot.software if runner.slot else None,
+            origin=call.origin.software if call.origin else None,
             attempts=call.attempts,
             ran_at=sorted(call.possibly_ran_at),
             first_ms=_round_ms(runner.first_byte_s),
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -30,6 +30,7 @@
 from dotterelbridge.gateway.stream_gaps import StreamGaps
 from dotterelbridge.gateway.target import Slot
 from dotterelbridge.ids import AttemptId
+from dotterelbridge.resumption.recorder import StreamOrigin
 from dotterelbridge.routes.model import Repeatability
 from dotterelbridge.serving.response import Headers
 from dotterelbridge.serving.response import ResponseSink
@@ -278,8 +279,9 @@
 
         Not after the caller's deadline, by which it was promised an answer,
         as it may then repeat the request, not to a target that has said that
-        it leaves, and not once the key may be dead. Each may happen during a
-        pause of the process.
+        it leaves or has another software version than the stream, and not
+        once the key may be dead. Each may happen during a pause of the
+        process.
         """
         has_time_left = self.call.remaining_s(self._clock.monotonic()) > 0
         if not self.call.has_response_started:
@@ -289,9 +291,14 @@
         return (
             has_time_left
             and slot.gateway_target.takes_new_work
+            and self._fits_origin(slot)
             and self._has_key_permission()
         )
 
+    def _fits_origin(self, slot: Slot) -> bool:
+        origin = self.call.origin
+        return origin is None or slot.software == origin.software
+
     def _check_response(self, slot: Slot, exchange: Exchange) -> None:
         """Check that the response may be forwarded to the caller.
 
@@ -378,6 +385,7 @@
                 count_events(events_data), self._clock.monotonic()
             )
             if not self.call.has_response_started:
+                self._record_origin()
                 self._start_stream(exchange)
             return self._write_body(events_data, more=True)
 
@@ -387,6 +395,13 @@
             self._start_stream(exchange)
         self._write_body(b"", more=False)
 
+    def _record_origin(self) -> None:
+        """Bind a resumable stream to the software that begins it."""
+        if self.call.route.is_resumable and self.call.origin is None:
+            self.call.origin = StreamOrigin(
+                self.call.service.name, self.slot.software
+            )
+
     def _start_stream(self, exchange: Exchange) -> None:
         """Begin a stream, with an end of the same kind as the target's.
 
@@ -495,6 +510,7 @@
             GatewayEvent.ATTEMPT_FAILED,
             request=call.request.request_id,
             target=slot.view.target,
+            software=slot.software,
             attempt=call.attempts,
             error=error.problem,
             may_have_run=not not_run,
--- a/dotterelbridge/gateway/call.py
+++ b/dotterelbridge/gateway/call.py
@@ -9,6 +9,7 @@
 from dotterelbridge.ids import TraitId
 from dotterelbridge.quarantine.traits import create_caller_trait
 from dotterelbridge.quarantine.traits import create_request_trait
+from dotterelbridge.resumption.recorder import StreamOrigin
 from dotterelbridge.routes.model import Repeatability
 from dotterelbridge.routes.model import Route
 from dotterelbridge.routes.model import Service
@@ -48,6 +49,9 @@
     """Targets that failed or refused the request, avoided by retries."""
     has_response_started: bool = False
     """Whether part of a streamed response was sent to the caller."""
+    origin: StreamOrigin | None = None
+    """Where the stream began, once an event has reached the caller; it may
+    go on only there. None for a response that is not resumable."""
     is_trial: bool = False
     """Whether it tries a trait that is quarantined."""
     _traits: tuple[TraitId, ...] = ()
--- a/dotterelbridge/gateway/errors.py
+++ b/dotterelbridge/gateway/errors.py
@@ -28,6 +28,9 @@
     """Its prompt alone exceeds the memory of any target."""
     QUARANTINED = "quarantined"
     """Targets crash under such requests."""
+    VERSION_GONE = "version_gone"
+    """No target that takes requests has the software version at which the
+    stream began, or only ones of other versions hold the item."""
     KEYS_UNCONFIRMED = "keys_unconfirmed"
     """This VM does not know which keys of teams are valid at present."""
 
--- a/dotterelbridge/gateway/target.py
+++ b/dotterelbridge/gateway/target.py
@@ -20,6 +20,7 @@
 from dotterelbridge.ids import Business
 from dotterelbridge.ids import Incarnation
 from dotterelbridge.ids import Region
+from dotterelbridge.ids import SoftwareVersion
 from dotterelbridge.membership.view import TargetInfo
 from dotterelbridge.membership.view import TargetKind
 from dotterelbridge.permits.limiter import RateLimiter
@@ -285,6 +286,7 @@
         self.call = call
         self.acquired_at = acquired_at
         """Monotonic time in seconds."""
+        self._listed_software = gateway_target.view.software
         self.first_event_at: float | None = None
         """Monotonic time of the first event of a stream."""
         self.prediction: Prediction | None = None
@@ -336,6 +338,16 @@
         """The latest view of the target."""
         return self.gateway_target.view
 
+    @property
+    def software(self) -> SoftwareVersion:
+        """Version of the target's software.
+
+        Unknown once the list has changed it, as it shows changes late.
+        """
+        if self._listed_software != self.view.software:
+            return SoftwareVersion("")
+        return self._listed_software
+
     @property
     def client(self) -> TargetClient:
         """HTTP client of the target."""
--- a/dotterelbridge/gateway/target_table.py
+++ b/dotterelbridge/gateway/target_table.py
@@ -78,6 +78,9 @@
         self._count_entry_vms = count_entry_vms
         self._highest_error_percent = 0
         """The highest share of errors that is published."""
+        self._versioned_services: set[ItemName] = set()
+        """Services of which a target has stated its software version. In
+        these, targets that state none may run any version."""
 
     def update(self) -> None:
         """Apply changes of the fleet state."""
@@ -94,6 +97,8 @@
             known = self.targets.get(name)
             if known is not None and known.view is target:
                 continue
+            if target.software:
+                self._versioned_services.add(target.service)
             if known is not None:
                 known.update(target, self._clock.monotonic())
             else:
@@ -132,15 +137,52 @@
     def _list_holders(self, call: GatewayCall) -> Iterator[GatewayTarget]:
         """Yield the reachable targets that can run the request."""
         now = self._clock.monotonic()
+        for target in self.list_continuing(call):
+            if not target.lacks_item(call.item, now):
+                yield target
+
+    def _list_reachable(self, call: GatewayCall) -> Iterator[GatewayTarget]:
         for target in self.targets.values():
             if (
                 target.view.service == call.service.name
                 and target.takes_new_work
                 and not target.is_unreachable
-                and not target.lacks_item(call.item, now)
             ):
                 yield target
 
+    def _can_continue(self, target: GatewayTarget, call: GatewayCall) -> bool:
+        """Whether a target fits what the caller already has of a stream.
+
+        Where no target of the service states a version, all count as one.
+        """
+        if call.origin is None:
+            return True
+        software = call.origin.software
+        return target.view.software == software and (
+            bool(software) or call.service.name not in self._versioned_services
+        )
+
+    def list_continuing(self, call: GatewayCall) -> Iterator[GatewayTarget]:
+        """Yield the reachable targets that fit the stream that has begun.
+
+        They may not hold the item, or be busy.
+        """
+        for target in self._list_reachable(call):
+            if self._can_continue(target, call):
+                yield target
+
+    def is_held_elsewhere(self, call: GatewayCall) -> bool:
+        """Whether only targets that do not fit the stream hold the item."""
+        item = call.item
+        holders = [
+            target
+            for target in self._list_reachable(call)
+            if item is None or target.view.holds(item.model, item.adapter)
+        ]
+        return bool(holders) and not any(
+            self._can_continue(target, call) for target in holders
+        )
+
     def _is_failing(self, target: GatewayTarget) -> bool:
         """Whether a target would probably answer with an error."""
         return self._error_watch is not None and self._error_watch.is_failing(
--- a/dotterelbridge/gateway/waiting.py
+++ b/dotterelbridge/gateway/waiting.py
@@ -12,6 +12,7 @@
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.gateway.target_table import TargetTable
 from dotterelbridge.permits.limiter import RateLimiter
+from dotterelbridge.resumption.recorder import StreamOrigin
 
 _LOAD_MARGIN_S = 0.2
 """Allowance after the end of a load: time until this VM learns of it, and
@@ -21,6 +22,8 @@
 _NOT_LOADED_RETRY_AFTER_S = 1.0
 _OTHER_VM_RETRY_AFTER = timedelta(milliseconds=50)
 """Delay after which a caller may retry at another VM."""
+_VERSION_GONE_RETRY_AFTER = timedelta(seconds=1)
+"""A crashed target may be back by then."""
 
 
 class WaitPolicy:
@@ -64,6 +67,7 @@
                 "send it again; another VM takes it",
                 _OTHER_VM_RETRY_AFTER,
             )
+        self._check_version(call)
         total_s = call.first_byte_deadline_at - call.started_at
         if next(self._table.list_eligible(call), None) is not None:
             if remaining_s > 0 and self._may_wait_for_permit(queued, now):
@@ -83,6 +87,16 @@
             self._report_missing_item()
         self._check_load(queued, now, remaining_s, total_s)
 
+    def _check_version(self, call: GatewayCall) -> None:
+        """Check that a stream that has begun has a target to go on at.
+
+        :raises NoTargetAvailable: there is none, and none is to be expected.
+        """
+        if call.origin is None:
+            return
+        if next(self._table.list_continuing(call), None) is None:
+            raise _create_version_gone_error(call.origin)
+
     def _check_load(
         self,
         queued: QueuedRequest,
@@ -96,6 +110,13 @@
         """
         load_time_left_s = self.find_load_time_left_s(queued.call)
         if load_time_left_s is None:
+            origin = queued.call.origin
+            if origin is not None and self._table.is_held_elsewhere(
+                queued.call
+            ):
+                # Placement counts the item as served, so that it does not
+                # load it at a target of the stream's version.
+                raise _create_version_gone_error(origin)
             settings = self._settings
             percent_limit_s = total_s * settings.absent_percent / 100
             limit_s = min(settings.absent_grace_ms / 1000, percent_limit_s)
@@ -202,3 +223,15 @@
                 call.item.base_model
             )
         return time_left_s
+
+
+def _create_version_gone_error(origin: StreamOrigin) -> NoTargetAvailable:
+    """Return the error for a stream whose version is not served any more."""
+    return NoTargetAvailable(
+        UnavailableReason.VERSION_GONE,
+        f"no target of service {origin.service!r} at software version "
+        f"{origin.software or 'unknown'!r}, which began the stream, can go "
+        "on with it",
+        "send the request again without the last event's ID",
+        _VERSION_GONE_RETRY_AFTER,
+    )
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -3,11 +3,21 @@
 import anyio
 import httpx
 import msgspec
-
+import pytest
+
+from dotterelbridge.fleet.records import TargetPhase
+from dotterelbridge.gateway.errors import NoTargetAvailable
+from dotterelbridge.gateway.errors import UnavailableReason
+from dotterelbridge.gateway.outcomes import AttemptOutcome
+from dotterelbridge.resumption.recorder import StreamOrigin
+from standins.virtual_time import run_in_virtual_time
+from tests.fleet.support import create_target
 from tests.gateway.support import HOST
 from tests.gateway.support import SIGNED_HEADERS
 from tests.gateway.support import run_gateway
 from tests.gateway.support import wait_until
+from tests.gateway.test_router import RouterHarness
+from tests.gateway.test_router import in_virtual_time
 from tests.routes.support import LLM
 from tests.routes.support import create_route
 from tests.serving.fakes import run_async
@@ -36,7 +46,7 @@
             if first < stop_before:
                 text = write_text(version, first, stop_before)
                 await received.send_chunk(text)
-            received.reset()
+            received.writer.close()
             return
         await received.send_chunk(write_text(version, first, EVENT_COUNT))
         await received.send_chunk(b"")
@@ -132,6 +142,99 @@
         assert answer.is_whole
 
 
+def show_targets(harness, targets) -> None:
+    """Show targets, each given as "VERSION", or as "VERSION" and fields."""
+    for number, entry in enumerate(targets):
+        version, fields = entry if isinstance(entry, tuple) else (entry, {})
+        fields = {"software": version, "held": ["m0"]} | fields
+        harness.fleet_state.update([create_target(f"e{number}", **fields)])
+
+
+def create_begun_call(harness, version, **fields):
+    """Return a call whose caller has events of a version already."""
+    call = harness.create_call(**fields)
+    call.origin = StreamOrigin(LLM, version)
+    return call
+
+
+LEAVING = {"phase": TargetPhase.LEAVING}
+ABSENT = {"held": ["m1"]}
+
+
+@pytest.mark.parametrize(
+    ("version", "targets", "expected"),
+    [
+        ("v1", ["v1.1", "v1"], "e1"),
+        ("v1", ["v1.1", ("v1", LEAVING)], None),
+        ("v1", ["v1.1", ("v1", ABSENT)], None),
+        ("v1", ["v1.1", ""], None),
+        ("", [""], "e0"),
+        ("", ["", ("v1", LEAVING)], None),
+        ("", [], None),
+    ],
+    ids=[
+        "served",
+        "leaving",
+        "without the model",
+        "unknown",
+        "none states one",
+        "unknown beside others",
+        "no target",
+    ],
+)
+def test_stream_goes_on_at_its_version_or_is_refused_at_once(
+    version, targets, expected
+):
+    """Guards against joined texts, and waits for what does not come back."""
+
+    async def main():
+        harness = RouterHarness()
+        show_targets(harness, targets)
+        call = create_begun_call(harness, version)
+        if expected is not None:
+            slot = await harness.router.acquire(call)
+            assert slot.view.target == expected
+            return
+        with pytest.raises(NoTargetAvailable) as refusal:
+            await harness.router.acquire(call)
+        assert refusal.value.reason is UnavailableReason.VERSION_GONE
+        assert harness.clock.monotonic() == call.started_at
+
+    run_in_virtual_time(main)
+
+
+# Guards against streams that break off although their version is busy, or
+# loads the model, for a moment.
+@pytest.mark.parametrize("is_loading", [False, True])
+def test_stream_waits_for_its_own_version(is_loading):
+    @in_virtual_time
+    async def check(harness):
+        free = ("v1.1", {"held": ["m0"]})
+        show_targets(harness, [free, ("v1", {"slots": 1})])
+        if is_loading:
+            show_targets(harness, [free, ("v1", ABSENT)])
+            harness.announce_load("m0", 0.5)
+        else:
+            taken = await harness.router.acquire(
+                create_begun_call(harness, "v1")
+            )
+
+        async def make_ready():
+            await anyio.sleep(0.4)
+            show_targets(harness, [free, ("v1", {"slots": 1})])
+            if not is_loading:
+                harness.router.release(taken, AttemptOutcome.ANSWERED)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(make_ready)
+            slot = await harness.router.acquire(
+                create_begun_call(harness, "v1")
+            )
+        assert slot.view.target == "e1"
+
+    check()
+
+
 # Guards against two joined texts over a caller's tries at two entry VMs.
 @run_async
 async def test_caller_does_not_resume_at_another_version():
