Resume a caller's stream only at the version that began it

A caller whose stream broke off may ask any entry VM for the rest, with the last event's ID. The request went to any target that held the model, so that callers got the second half of another software version's text, with status 200 and nothing to show it.

An entry VM records the service and version of each resumable stream as its first event is forwarded. A request with a last event's ID on such a route is bound to what is recorded under the ID that the new header 'Resumes' names: the caller's request that got the first event, over any number of tries. Without a record, or with an odd ID, the origin is what the recorder vouches for. If there is none, or the route has left the service, the request is refused at once with 503: it has not run. The wait for other VMs is bounded by [gateway] origin_wait_ms and by half of the caller's patience.

'Resumes' is forwarded to targets like the last event's ID: the platform has all headers forwarded that concern more than one connection, and it says nothing that a target could misuse. It is not added to an attempt that goes on within one answer, whose caller has the first event under the same ID.

--- a/dotterelbridge/gateway/app.py
+++ b/dotterelbridge/gateway/app.py
@@ -13,13 +13,13 @@
 from dotterelbridge.errors import RequestRefused
 from dotterelbridge.errors import TargetConnectFailed
 from dotterelbridge.errors import TargetError
-from dotterelbridge.fleet.records import ItemKey
 from dotterelbridge.gateway import instruments
 from dotterelbridge.gateway.attempts import AttemptRunner
 from dotterelbridge.gateway.attempts import TargetFailed
 from dotterelbridge.gateway.attempts import WholeResponse
 from dotterelbridge.gateway.authentication import Authenticator
 from dotterelbridge.gateway.call import GatewayCall
+from dotterelbridge.gateway.call import find_item
 from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.errors import RequestNotRun
 from dotterelbridge.gateway.events import GatewayEvent
@@ -27,6 +27,9 @@
 from dotterelbridge.gateway.quota_gate import QuotaGate
 from dotterelbridge.gateway.request import GatewayRequest
 from dotterelbridge.gateway.request import read_gateway_request
+from dotterelbridge.gateway.resumed_streams import ResumedStreams
+from dotterelbridge.gateway.resumed_streams import check_origin
+from dotterelbridge.gateway.resumed_streams import describe_origin
 from dotterelbridge.gateway.router import GatewayRouter
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.gateway.stream_gaps import StreamGaps
@@ -34,6 +37,8 @@
 from dotterelbridge.quotas.account import QuotaAccounts
 from dotterelbridge.quotas.errors import QuotaExceeded
 from dotterelbridge.quotas.errors import QuotaRefused
+from dotterelbridge.resumption.local_recorder import create_local_recorder
+from dotterelbridge.resumption.recorder import StreamRecorder
 from dotterelbridge.routes.active_routes import ActiveRoutes
 from dotterelbridge.routes.model import Repeatability
 from dotterelbridge.routes.model import Route
@@ -82,6 +87,7 @@
         rng: random.Random,
         key_permission: KeyPermission,
         quota_gate: QuotaGate,
+        stream_recorder: StreamRecorder,
         stream_gaps: StreamGaps | None = None,
     ) -> None:
         super().__init__(StopGrace(serving, clock))
@@ -94,6 +100,10 @@
         )
         self._key_permission = key_permission
         self._quota_gate = quota_gate
+        self._stream_recorder = stream_recorder
+        self._resumed_streams = ResumedStreams(
+            stream_recorder, routes, settings, clock
+        )
         self._settings = settings
         self._serving = serving
         self._clock = clock
@@ -151,6 +161,8 @@
             await self._refuse_unauthenticated(sink, request, route, error)
             return
         call = self._create_call(request, route, team, started_at)
+        if call.is_resumption:
+            await self._resumed_streams.bind(call)
         try:
             charge = await self._quota_gate.charge(call)
         except QuotaRefused as error:
@@ -189,14 +201,11 @@
         if request.deadline_ms is not None:
             limit_ms = min(limit_ms, request.deadline_ms)
         service = self._choose_service(request, route)
-        item = None
-        if service.engine is not None and request.model:
-            item = ItemKey(service.name, request.model, request.adapter)
         return GatewayCall(
             request=request,
             route=route,
             service=service,
-            item=item,
+            item=find_item(request, service),
             team=team,
             started_at=started_at,
             deadline_at=started_at + limit_ms / _MS_PER_S,
@@ -248,9 +257,11 @@
             self._random,
             self._stop_grace,
             self._key_permission,
+            self._stream_recorder,
             self._stream_gaps,
         )
         try:
+            check_origin(call)
             await self._run_attempts(call, runner, receive)
         except ResponseIncomplete:
             raise
@@ -565,9 +576,9 @@
             model=call.request.model,
             adapter=call.request.adapter,
             team=call.team.name if call.team else None,
+            **describe_origin(call),
             target=runner.slot.view.target if runner.slot else None,
             software=runner.slot.software if runner.slot else None,
-            origin=call.origin.software if call.origin else None,
             attempts=call.attempts,
             ran_at=sorted(call.possibly_ran_at),
             first_ms=_round_ms(runner.first_byte_s),
@@ -629,6 +640,7 @@
     rng: random.Random,
     key_permission: KeyPermission | None = None,
     quota_accounts: QuotaAccounts | None = None,
+    stream_recorder: StreamRecorder | None = None,
     stream_gaps: StreamGaps | None = None,
 ) -> GatewayApp:
     """Return the ASGI application for callers.
@@ -637,6 +649,8 @@
         default always.
     :param quota_accounts: charges requests to the quotas of teams; None if
         quotas are not enforced.
+    :param stream_recorder: knows which software version began a stream; by
+        default what this process has recorded.
     :param stream_gaps: measures the streams; None if nothing needs it.
     """
     return GatewayApp(
@@ -649,5 +663,6 @@
         rng,
         key_permission or KeyPermission(clock, TeamsSettings()),
         QuotaGate(quota_accounts),
+        stream_recorder or create_local_recorder(clock),
         stream_gaps,
     )
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -31,6 +31,7 @@
 from dotterelbridge.gateway.target import Slot
 from dotterelbridge.ids import AttemptId
 from dotterelbridge.resumption.recorder import StreamOrigin
+from dotterelbridge.resumption.recorder import StreamRecorder
 from dotterelbridge.routes.model import Repeatability
 from dotterelbridge.serving.response import Headers
 from dotterelbridge.serving.response import ResponseSink
@@ -103,8 +104,10 @@
         rng: random.Random,
         stop_grace: StopGrace,
         key_permission: KeyPermission,
+        stream_recorder: StreamRecorder,
         stream_gaps: StreamGaps | None = None,
     ) -> None:
+        self._stream_recorder = stream_recorder
         self._stop_grace = stop_grace
         self._key_permission = key_permission
         self._stream_gaps = stream_gaps
@@ -397,10 +400,18 @@
 
     def _record_origin(self) -> None:
         """Bind a resumable stream to the software that begins it."""
-        if self.call.route.is_resumable and self.call.origin is None:
-            self.call.origin = StreamOrigin(
-                self.call.service.name, self.slot.software
-            )
+        call = self.call
+        if not call.route.is_resumable or call.origin is not None:
+            return
+        call.origin = StreamOrigin(call.service.name, self.slot.software)
+        remaining_s = max(0.0, call.remaining_s(self._clock.monotonic()))
+        self._stream_recorder.record_begun(
+            call.request.request_id,
+            call.origin,
+            call.route.name,
+            call.team_name,
+            timedelta(seconds=remaining_s),
+        )
 
     def _start_stream(self, exchange: Exchange) -> None:
         """Begin a stream, with an end of the same kind as the target's.
--- a/dotterelbridge/gateway/call.py
+++ b/dotterelbridge/gateway/call.py
@@ -50,8 +50,8 @@
     has_response_started: bool = False
     """Whether part of a streamed response was sent to the caller."""
     origin: StreamOrigin | None = None
-    """Where the stream began, once an event has reached the caller; it may
-    go on only there. None for a response that is not resumable."""
+    """Where the stream began, once the caller has an event of it; it may go
+    on only there. None for a response that is not resumable."""
     is_trial: bool = False
     """Whether it tries a trait that is quarantined."""
     _traits: tuple[TraitId, ...] = ()
@@ -68,11 +68,23 @@
             )
         return self._traits
 
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the caller has the first part of the stream already."""
+        return (
+            self.route.is_resumable and self.request.last_event_id is not None
+        )
+
     @property
     def is_stream(self) -> bool:
         """Whether the response is an event stream."""
         return self.route.repeatability is Repeatability.STREAM
 
+    @property
+    def team_name(self) -> str:
+        """Name of the team; empty without one."""
+        return "" if self.team is None else self.team.name
+
     @property
     def labels(self) -> dict[str, str | int]:
         """Labels of the call's metrics."""
@@ -112,3 +124,10 @@
     def remaining_first_byte_s(self, now: float) -> float:
         """Return the seconds until the deadline of the first byte."""
         return self.first_byte_deadline_at - now
+
+
+def find_item(request: GatewayRequest, service: Service) -> ItemKey | None:
+    """Return what a target must hold; None for a plain service."""
+    if service.engine is None or not request.model:
+        return None
+    return ItemKey(service.name, request.model, request.adapter)
--- a/dotterelbridge/gateway/errors.py
+++ b/dotterelbridge/gateway/errors.py
@@ -31,6 +31,8 @@
     VERSION_GONE = "version_gone"
     """No target that takes requests has the software version at which the
     stream began, or only ones of other versions hold the item."""
+    ORIGIN_UNKNOWN = "origin_unknown"
+    """It is not known at which software version the stream began."""
     KEYS_UNCONFIRMED = "keys_unconfirmed"
     """This VM does not know which keys of teams are valid at present."""
 
--- a/dotterelbridge/gateway/headers.py
+++ b/dotterelbridge/gateway/headers.py
@@ -21,6 +21,9 @@
     """ID:TOKENS for each part of the prompt, in order."""
     last_event_id: bytes = b"last-event-id"
     """Resumes a stream after the event with this ID."""
+    resumes: bytes = b"dotterelbridge-resumes"
+    """Beside the last event's ID: ID of the caller's request that got the
+    stream's first event. Both are also forwarded to targets."""
     expected_target: bytes = b"dotterelbridge-expected-target"
     """ID of the intended target; any other target refuses the request."""
     urgency: bytes = b"dotterelbridge-urgency"
--- a/dotterelbridge/gateway/request.py
+++ b/dotterelbridge/gateway/request.py
@@ -14,6 +14,8 @@
 
 _MAX_NUMBER_DIGITS = 12
 """Longest number that is accepted in a header."""
+_MAX_RESUMED_ID_LENGTH = 255
+"""Longest ID of an earlier request that is looked up."""
 
 
 class PromptPart(msgspec.Struct, frozen=True):
@@ -45,6 +47,9 @@
     """Tokens of the response as the caller guesses them; 0 if unknown."""
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: bytes | None = None
+    resumed_request: RequestId | None = None
+    """The caller's request that got the first event of the stream which it
+    wants to go on; None if it names none."""
 
     @property
     def shared_parts(self) -> tuple[PartId, ...]:
@@ -123,6 +128,7 @@
             _read_text(values, header_names.prompt_parts)
         ),
         last_event_id=values.get(header_names.last_event_id),
+        resumed_request=_read_resumed_request(headers, header_names.resumes),
     )
 
 
@@ -135,6 +141,18 @@
     return values.get(name, b"").decode("latin-1").strip()
 
 
+def _read_resumed_request(
+    headers: list[tuple[bytes, bytes]], name: bytes
+) -> RequestId | None:
+    """Return the only ID that is named, or None if it cannot be one."""
+    ids = [value.strip() for key, value in headers if key == name]
+    if len(ids) != 1 or not 0 < len(ids[0]) <= _MAX_RESUMED_ID_LENGTH:
+        return None
+    text = ids[0].decode("latin-1")
+    is_token = text.isascii() and text.isprintable() and " " not in text
+    return RequestId(text) if is_token else None
+
+
 def _read_number(text: str) -> int | None:
     """Return the integer part of a number, or None if it is not one."""
     whole = text.partition(".")[0]
--- a/dotterelbridge/gateway/settings.py
+++ b/dotterelbridge/gateway/settings.py
@@ -52,6 +52,10 @@
     routes_wait_ms: _Milliseconds = 2000
     """Time that a request waits for routes at a VM that has just started;
     at most half of the request's deadline."""
+    origin_wait_ms: _Milliseconds = 1000
+    """Time in which it is to be found out which software version began a
+    stream that a caller resumes; at most half of the time that the caller
+    waits for a first byte."""
     stream_patience_ms: _Milliseconds = 2000
     """Time without a first event after which callers give up a stream, as
     the platform specifies; the longest of this and the next two applies."""
--- a/dotterelbridge/nodes/entry.py
+++ b/dotterelbridge/nodes/entry.py
@@ -129,6 +129,7 @@
             rng,
             self._key_permission,
             self._quota_accounts,
+            self.stream_recorder,
             self._stream_gaps,
         )
         self._app.add_readiness_condition(
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -15,6 +15,7 @@
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.gateway.stream_gaps import StreamGaps
 from dotterelbridge.ids import TargetId
+from dotterelbridge.resumption.recorder import StreamRecorder
 from dotterelbridge.routes.model import Repeatability
 from dotterelbridge.routes.model import TrafficShare
 from dotterelbridge.serving.listener import create_caller_listener
@@ -72,6 +73,7 @@
         targets: TargetsSettings,
         stop_grace_s: float,
         key_permission: KeyPermission | None,
+        stream_recorder: StreamRecorder | None,
     ) -> None:
         self.clock = SystemClock()
         self.fleet_state = FleetState(self.clock)
@@ -106,6 +108,7 @@
             self.clock,
             rng,
             key_permission,
+            stream_recorder=stream_recorder,
             stream_gaps=self.stream_gaps,
         )
         self.listener = create_caller_listener(self.app, serving, self.clock)
@@ -152,6 +155,7 @@
     targets: TargetsSettings = TARGETS,
     stop_grace_s: float = 0,
     key_permission: KeyPermission | None = None,
+    stream_recorder: StreamRecorder | None = None,
     **settings,
 ):
     """Run a gateway until the context exits."""
@@ -162,6 +166,7 @@
         targets,
         stop_grace_s,
         key_permission,
+        stream_recorder,
     )
     async with anyio.create_task_group() as group:
         group.start_soon(gateway.router.run)
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -1,15 +1,22 @@
 """Streams that break off while a service has targets of two versions."""
 
+import contextlib
+from datetime import timedelta
+import json
+
 import anyio
 import httpx
 import msgspec
 import pytest
 
+from dotterelbridge.clock import SystemClock
 from dotterelbridge.fleet.records import TargetPhase
 from dotterelbridge.gateway.errors import NoTargetAvailable
 from dotterelbridge.gateway.errors import UnavailableReason
 from dotterelbridge.gateway.outcomes import AttemptOutcome
+from dotterelbridge.resumption.local_recorder import create_local_recorder
 from dotterelbridge.resumption.recorder import StreamOrigin
+from dotterelbridge.resumption.recorder import StreamRecorder
 from standins.virtual_time import run_in_virtual_time
 from tests.fleet.support import create_target
 from tests.gateway.support import HOST
@@ -18,6 +25,7 @@
 from tests.gateway.support import wait_until
 from tests.gateway.test_router import RouterHarness
 from tests.gateway.test_router import in_virtual_time
+from tests.routes.support import JOBS
 from tests.routes.support import LLM
 from tests.routes.support import create_route
 from tests.serving.fakes import run_async
@@ -71,7 +79,10 @@
         "dotterelbridge-deadline": "5000",
         "dotterelbridge-model": "m0",
     }
-    fields |= {name.replace("_", "-"): v for name, v in headers.items()}
+    fields |= {
+        name.replace("_", "-"): value.encode("latin-1")
+        for name, value in headers.items()
+    }
     async with httpx.AsyncClient(timeout=20) as client:
         try:
             async with client.stream(
@@ -96,15 +107,6 @@
     )
 
 
-def share_target(gateway, target, version, **fields) -> None:
-    """Show a target of one gateway to another."""
-    gateway.targets[target.name] = target
-    gateway.update_target(
-        target.name,
-        **({"service": LLM, "held": ["m0"], "software": version} | fields),
-    )
-
-
 async def read_answer_while_target_is_replaced(gateway, name, version):
     """Begin a stream at a target that breaks off and is then replaced."""
     broken = await add_target(gateway, "e1", "v1", stop_before=BREAK_AFTER)
@@ -235,20 +237,138 @@
     check()
 
 
+@contextlib.asynccontextmanager
+async def run_two_gateways(routes=ROUTES_WITHOUT_RETRY, recorder=None):
+    """Run two entry VMs whose records are shared.
+
+    A target of v1 that breaks off is known to the first only.
+    """
+    recorder = recorder or create_local_recorder(SystemClock())
+    async with (
+        run_gateway(routes, stream_recorder=recorder) as first,
+        run_gateway(routes, stream_recorder=recorder) as second,
+    ):
+        await add_target(first, "e1", "v1", stop_before=BREAK_AFTER)
+        yield first, second
+
+
+async def resume(gateway, request="r2", last_event=BREAK_AFTER - 1, **headers):
+    """Send a request of a caller that has some events already."""
+    headers.setdefault("resumes", "r1")
+    names = {
+        "last_event_id": str(last_event),
+        "dotterelbridge_resumes": headers.pop("resumes"),
+    }
+    fields = {k: v for k, v in names.items() if v is not None}
+    return await read_answer(gateway, request, **fields, **headers)
+
+
 # Guards against two joined texts over a caller's tries at two entry VMs.
 @run_async
 async def test_caller_does_not_resume_at_another_version():
-    async with (
-        run_gateway(ROUTES_WITHOUT_RETRY) as first,
-        run_gateway(ROUTES_WITHOUT_RETRY) as second,
-    ):
-        begun = await add_target(first, "e1", "v1", stop_before=BREAK_AFTER)
-        share_target(second, begun, "v1", held=["m1"])
+    async with run_two_gateways() as (first, second):
         other = await add_target(second, "e2", "v1.1")
         answer = await read_answer(first)
         assert answer.text == write_text("v1", 0, BREAK_AFTER)
-        last_id = str(BREAK_AFTER - 1)
-        resumed = await read_answer(
-            second, "r2", last_event_id=last_id, resumes="r1"
-        )
+        resumed = await resume(second)
         assert (resumed.status, other.received) == (503, [])
+        assert json.loads(resumed.text)["error"]["type"] == "not_run"
+
+
+# Guards against streams that are lost though their version is still served.
+@run_async
+async def test_caller_resumes_at_the_version_that_began_the_stream():
+    async with run_two_gateways() as (first, second):
+        other = await add_target(second, "e2", "v1.1")
+        own = await add_target(second, "e3", "v1")
+        await read_answer(first)
+        resumed = await resume(second)
+        text = write_text("v1", BREAK_AFTER, EVENT_COUNT)
+        assert (resumed.status, resumed.text) == (200, text)
+        assert not other.received
+        assert own.received[0].headers["dotterelbridge-resumes"] == "r1"
+
+
+# Guards against a record that is sought under the id of the latest try.
+@run_async
+async def test_stream_keeps_its_origin_over_many_tries():
+    async with run_two_gateways() as (first, second):
+        await add_target(second, "e2", "v1", stop_before=BREAK_AFTER + 2)
+        await read_answer(first)
+        text = write_text("v1", BREAK_AFTER, BREAK_AFTER + 2)
+        assert (await resume(second)).text == text
+        await add_target(second, "e3", "v1.1")
+        await add_target(second, "e4", "v1")
+        second.remove_target("e2")
+        last = await resume(second, "r3", BREAK_AFTER + 1)
+        assert last.text == write_text("v1", BREAK_AFTER + 2, EVENT_COUNT)
+        wrong = await resume(second, "r4", BREAK_AFTER + 1, resumes="r2")
+        assert wrong.status == 503
+
+
+# Guards against a version that is guessed where no record says which it was.
+@pytest.mark.parametrize(
+    "resumes", [None, "", "other", "r1 r1", "r1,r1", "\u00e9", "r" * 4000]
+)
+def test_stream_without_a_record_is_refused(resumes):
+    @run_async
+    async def check():
+        async with run_two_gateways() as (first, second):
+            targets = [
+                await add_target(second, "e2", "v1"),
+                await add_target(second, "e3", "v1.1"),
+            ]
+            await read_answer(first)
+            resumed = await resume(second, resumes=resumes)
+            assert resumed.status == 503
+            assert not any(target.received for target in targets)
+
+    check()
+
+
+class SoleVersionRecorder(StreamRecorder):
+    """Has no record; vouches for one origin."""
+
+    def __init__(self, origin) -> None:
+        self.queries = []
+        self._origin = origin
+
+    def record_begun(self, *_) -> None:
+        """Record nothing."""
+
+    async def find_origin(self, request_id, *query) -> StreamOrigin:
+        self.queries.append((request_id, *query))
+        return self._origin
+
+
+# Guards against refusals of all streams where records are lost but only one
+# version served, and against runs at a service that the route has left.
+@pytest.mark.parametrize(
+    ("service", "software", "status"),
+    [(LLM, "v1", 200), (LLM, "v1.1", 503), (LLM, "", 503), (JOBS, "v1", 503)],
+)
+def test_origin_that_other_vms_vouch_for_is_kept(service, software, status):
+    @run_async
+    async def check():
+        recorder = SoleVersionRecorder(StreamOrigin(service, software))
+        async with run_gateway(ROUTES, stream_recorder=recorder) as gateway:
+            await add_target(gateway, "e1", "v1")
+            answer = await resume(gateway, resumes=None)
+            assert answer.status == status
+            (query,) = recorder.queries
+            request_id, services, route, team, horizon, timeout = query
+            assert (request_id, set(services)) == (None, {LLM})
+            assert (route, team) == ("drafts", "")
+            assert horizon == timedelta(seconds=65)
+            assert timedelta(0) < timeout <= timedelta(seconds=1)
+
+    check()
+
+
+# Guards against refusals on routes whose streams are never resumed.
+@run_async
+async def test_last_event_of_another_route_is_only_passed_on():
+    async with run_gateway([create_route("drafts")]) as gateway:
+        target = await add_target(gateway, "e1", "v1")
+        assert (await resume(gateway, resumes=None)).status == 200
+        assert target.received[0].headers["last-event-id"] == "2"
