Resume OpenAI streams only at the model version that began them

While the version of a model on the sheet is being loaded, any other version that is ready serves its requests. A stream that broke off at the older one, or was preempted there, was resumed at the newer one as soon as that was ready: callers got one text whose second half was generated by other weights.

The relay now pins the call to the version of the model that generated the first token that was delivered, as if the caller had named it. If no target becomes ready with it within resume_limit_ms, the stream breaks off as before. This list of targets states no software version, so all targets of this side count as one; only the version of the model can differ.

--- a/dotterelbridge/routing/call.py
+++ b/dotterelbridge/routing/call.py
@@ -18,7 +18,7 @@
     request_id: RequestId
     row: SheetRow
     version: str | None = None
-    """Version that the caller pinned, if any."""
+    """Version that the caller pinned, or that began its stream, if any."""
     priority: Priority
     started_at: float = 0.0
     """Arrival time of the request, in monotonic seconds."""
--- a/dotterelbridge/routing/target.py
+++ b/dotterelbridge/routing/target.py
@@ -295,6 +295,11 @@
         """Name of the model, adapter or service."""
         return self.call.item
 
+    @property
+    def model_version(self) -> str | None:
+        """Version of the model to request; None for a service."""
+        return self.model.partition("@")[2] or None
+
     @property
     def client(self) -> TargetClient:
         """Client of the chosen target."""
--- a/dotterelbridge/serving/stream.py
+++ b/dotterelbridge/serving/stream.py
@@ -183,6 +183,8 @@
             if not events_data:
                 return True
             if tokens:
+                # What two versions of a model generate does not fit together.
+                self._call.version = slot.model_version
                 exchange.record_progress()
                 self.token_gaps.add(tokens, exchange.last_byte_at)
                 self._router.record_tokens(slot, tokens)
--- a/tests/serving/test_streams.py
+++ b/tests/serving/test_streams.py
@@ -12,6 +12,8 @@
 from dotterelbridge.serving.settings import ServingSettings
 from dotterelbridge.serving.sse import EventSplitter
 from dotterelbridge.targets.settings import TargetsSettings
+from tests.serving.fakes import FakeTarget
+from tests.serving.fakes import engine_view
 from tests.serving.fakes import model_row
 from tests.serving.fakes import run_async
 from tests.serving.fakes import run_serving
@@ -89,6 +91,34 @@
         assert any(received.offset == 5 for received in other.received)
 
 
+# Guards against one text of two versions of a model, of which the older one
+# serves while the sheet's is loaded.
+@run_async
+async def test_stream_is_not_resumed_at_another_version_of_the_model():
+    rows = (model_row(version="2"),)
+    routing = RoutingSettings(resume_limit_ms=100)
+    async with (
+        run_serving(rows, routing) as harness,
+        create_client(harness) as client,
+    ):
+        newer = FakeTarget("e2", stream_tokens(20))
+        await newer.start()
+
+        async def break_while_the_newer_is_loaded(received):
+            await received.start_stream()
+            await received.send_tokens(0, 5)
+            harness.membership.set(
+                engine_view("e2", newer.port, items=("quote@2",))
+            )
+            received.writer.close()
+
+        await harness.add_engine("e1", break_while_the_newer_is_loaded)
+        with pytest.raises(httpx.RemoteProtocolError):
+            await post_stream(client)
+        assert newer.received == []
+        await newer.stop()
+
+
 @run_async
 async def test_partial_event_is_never_delivered():
     async def send_partial_event(received):
