--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -9,6 +9,7 @@
 
 from dotterelbridge.clock import Clock
 from dotterelbridge.nodes.probes import AuxiliaryListener
+from dotterelbridge.serving.errors import ResponseIncomplete
 from dotterelbridge.serving.request import read_body
 from dotterelbridge.serving.response import SINK_EXTENSION
 from dotterelbridge.serving.settings import ServingSettings
@@ -67,6 +68,8 @@
         """Whether its answers say that it leaves."""
         self.rate_limit_per_s: float | None = None
         """Requests a second that its answers ask for, if set."""
+        self.break_before: int | None = None
+        """Number of the event before which streams break off, if set."""
         self.retry_after_s: int | None = None
         """Refuses all requests and asks for none for this time, if set."""
         self._model_limit = model_limit
@@ -176,7 +179,10 @@
             }
         )
         text = self.version.encode()
-        for number in range(self._event_count):
+        last_event_id = int(headers.get(b"last-event-id", b"-1"))
+        for number in range(last_event_id + 1, self._event_count):
+            if number == self.break_before:
+                raise ResponseIncomplete("the replica crashes", "try again")
             sink.write(
                 {
                     "type": "http.response.body",
