Name software versions in the logs of streams

The logs of entry VMs named neither the event from which a caller resumed a stream nor the version of any target, so that a stream joined from two versions could not be told from others.

test_caller_resumes_at_the_version_that_began_the_stream fails without the change, as no stream_resumed is written.

--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -24,6 +24,7 @@
 from dotterelbridge.gateway.events import GatewayEvent
 from dotterelbridge.gateway.headers import HeaderNames
 from dotterelbridge.gateway.outcomes import AttemptOutcome
+from dotterelbridge.gateway.resumed_streams import describe_origin
 from dotterelbridge.gateway.router import GatewayRouter
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.gateway.stream_gaps import StreamGapMeter
@@ -384,6 +385,8 @@
                 return True
             exchange.record_progress()
             self._record_chunk(events_data)
+            if self.slot.first_event_at is None:
+                self._log_resumed(self.slot)
             self.slot.record_events(
                 count_events(events_data), self._clock.monotonic()
             )
@@ -413,6 +416,20 @@
             timedelta(seconds=remaining_s),
         )
 
+    def _log_resumed(self, slot: Slot) -> None:
+        """Log that a stream of which the caller has a part goes on."""
+        call = self.call
+        if call.origin is not None:
+            events.log(
+                _log,
+                GatewayEvent.STREAM_RESUMED,
+                request=call.request.request_id,
+                target=slot.view.target,
+                software=slot.software,
+                attempt=call.attempts,
+                **describe_origin(call),
+            )
+
     def _start_stream(self, exchange: Exchange) -> None:
         """Begin a stream, with an end of the same kind as the target's.
 
--- a/dotterelbridge/gateway/events.py
+++ b/dotterelbridge/gateway/events.py
@@ -11,8 +11,10 @@
     REQUEST_ANSWERED = (
         8501,
         logging.INFO,
-        "A request got a target's response; the line names the target, the "
-        "number of attempts and the latencies.",
+        "A request got a target's response; the line names the target and its "
+        "software version, the number of attempts and the latencies. For a "
+        "stream that may be resumed, 'origin' is the version that began it; "
+        "'resumes' and 'last_event_id' are what its caller named.",
     )
     REQUEST_REFUSED = (
         8502,
@@ -53,7 +55,8 @@
     STREAM_RESUMED = (
         8508,
         logging.INFO,
-        "A broken stream was resumed at another target.",
+        "A stream of which the caller already had a part goes on at a target. "
+        "'software' and 'origin' are the versions there and where it began.",
     )
     TARGET_EJECTED = (
         8509,
--- a/dotterelbridge/gateway/router.py
+++ b/dotterelbridge/gateway/router.py
@@ -464,6 +464,7 @@
             service=call.service.name,
             model=call.request.model,
             adapter=call.request.adapter,
+            origin=call.origin.software if call.origin else None,
             holders=len(targets),
             loads=[target.estimate_load() for target in targets],
             expected_in_s=self._waiting.find_load_time_left_s(call),
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -8,6 +8,7 @@
 import httpx
 import msgspec
 import pytest
+from structlog.testing import capture_logs
 
 from dotterelbridge.clock import SystemClock
 from dotterelbridge.fleet.records import TargetPhase
@@ -282,9 +283,17 @@
         other = await add_target(second, "e2", "v1.1")
         own = await add_target(second, "e3", "v1")
         await read_answer(first)
-        resumed = await resume(second)
+        with capture_logs() as lines:
+            resumed = await resume(second)
+            await wait_until(lambda: not second.app.in_flight)
         text = write_text("v1", BREAK_AFTER, EVENT_COUNT)
         assert (resumed.status, resumed.text) == (200, text)
+        names = ["stream_resumed", "request_answered"]
+        named = [line for line in lines if line["event"] in names]
+        assert [line["event"] for line in named] == names
+        for line in named:
+            assert (line["origin"], line["software"]) == ("v1", "v1")
+            assert (line["resumes"], line["last_event_id"]) == ("r1", "2")
         assert not other.received
         assert own.received[0].headers["dotterelbridge-resumes"] == "r1"
 
