Resume streams of two versions in the soak of processes

The soak had no streams. It now has a service with replicas of v1 and v2 that break streams off and are replaced, and callers that resume at any entry VM. A text of two versions, a missing or repeated event, and an end before the last event are faults.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -28,8 +28,9 @@
 def create_configuration(version: int) -> dict:
     """Return a version that adds a route with its number."""
     newest = range(max(1, version - ROUTES_KEPT), version + 1)
-    routes = [("book", "unsafe"), ("look", "safe")]
-    routes += [(f"r{number}", "unsafe") for number in newest]
+    routes = [("book", "unsafe", "jobs"), ("look", "safe", "jobs")]
+    routes += [("read", "streaming", "texts")]
+    routes += [(f"r{number}", "unsafe", "jobs") for number in newest]
     return {
         "version": version,
         "routes": [
@@ -41,16 +42,17 @@
                 "timeout_ms": 5000,
                 "goal_ms": 500,
                 "priority": 1,
-                "service": "jobs",
+                "service": service,
                 "max_attempts": 3,
                 "sticky": False,
-                "resumable": False,
-                "gap_goal_ms": None,
+                "resumable": kind == "streaming",
+                "gap_goal_ms": 100 if kind == "streaming" else None,
             }
-            for name, kind in routes
+            for name, kind, service in routes
         ],
         "services": [
-            {"name": "jobs", "health_path": "/health", "max_conns": 300}
+            {"name": name, "health_path": "/health", "max_conns": 300}
+            for name in ("jobs", "texts")
         ],
         "limits": {
             "max_header_bytes": 16384,
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -50,9 +50,14 @@
     count = 0
 
     def __init__(
-        self, service: str, runs: Counter, rng: random.Random
+        self,
+        service: str,
+        runs: Counter,
+        rng: random.Random,
+        version: str = "v1",
     ) -> None:
         Replica.count += 1
+        self.version = version
         self.id = f"i-{Replica.count}"
         self.service = service
         self.state = "ready"
@@ -83,7 +88,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{self._port}",
             "zone": "a",
-            "version": "v1",
+            "version": self.version,
             "slots": SLOTS,
             "state": self.state,
             "cold_left_ms": 0,
--- a/tests/soak/test_process_soak.py
+++ b/tests/soak/test_process_soak.py
@@ -21,6 +21,8 @@
 from tests.soak.processes import VmProcess
 from tests.soak.replicas import Replica
 from tests.soak.replicas import ReplicaList
+from tests.soak.streams import StreamCaller
+from tests.soak.streams import StreamReplica
 
 CI_SEED = 1
 CI_TROUBLE_S = 30.0
@@ -30,6 +32,8 @@
 """Time after the trouble in which changes have to be in force in time."""
 SETTLE_LIMIT_S = 60.0
 REPLICA_COUNT = 3
+STREAM_VERSIONS = ("v1", "v1", "v2", "v2")
+STREAM_CALLER_COUNT = 6
 CALLERS_PER_ENTRY = 6
 FREEZE_S = (0.5, 3.0)
 RESTART_S = (0.0, 1.0)
@@ -58,6 +62,7 @@
             self._freeze,
             self._show_odd_entry,
             self._replace_replica,
+            self._replace_stream_replica,
         ]
 
     async def run(self, trouble_s: float) -> None:
@@ -65,6 +70,8 @@
         address = await self._list.start()
         for _ in range(REPLICA_COUNT):
             await self._add_replica()
+        for version in STREAM_VERSIONS:
+            await self._add_stream_replica(version)
         self.group = ProcessGroup(
             self._folder, self._entry_count, address, self._seed
         )
@@ -91,6 +98,10 @@
             for entry in self.group.entries
             for _ in range(CALLERS_PER_ENTRY)
         ]
+        callers += [
+            self._spawn(self._create_stream_caller().run())
+            for _ in range(STREAM_CALLER_COUNT)
+        ]
         await self._settle(1)
         troubles = []
         ends_at = time.monotonic() + trouble_s
@@ -134,6 +145,17 @@
         rng = random.Random(self._random.random())
         return Caller(entry, self.group, self.record, rng)
 
+    def _create_stream_caller(self) -> StreamCaller:
+        rng = random.Random(self._random.random())
+        return StreamCaller(self.group, self.record, rng)
+
+    async def _add_stream_replica(self, version: str) -> None:
+        replica = StreamReplica(
+            "texts", self.record.runs, self._replica_random, version
+        )
+        await replica.start()
+        self._list.replicas.append(replica)
+
     async def _add_replica(self) -> None:
         replica = Replica("jobs", self.record.runs, self._replica_random)
         await replica.start()
@@ -196,12 +218,22 @@
         self._list.odd_entries.clear()
 
     async def _replace_replica(self) -> None:
-        replica = self._random.choice(self._list.replicas)
+        replica = self._random.choice(
+            [r for r in self._list.replicas if r.service == "jobs"]
+        )
         if self._random.random() < 0.5:
             replica.crash()
         await self._add_replica()
         self._list.replicas.remove(replica)
 
+    async def _replace_stream_replica(self) -> None:
+        replica = self._random.choice(
+            [r for r in self._list.replicas if r.service == "texts"]
+        )
+        replica.crash()
+        await self._add_stream_replica(self._random.choice(STREAM_VERSIONS))
+        self._list.replicas.remove(replica)
+
 
 def play(folder: Path, seed: int, entry_count: int, trouble_s: float) -> None:
     """Play a run and fail with everything that broke a promise."""
