--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -24,12 +24,15 @@
 from dotterelbridge.gateway.events import GatewayEvent
 from dotterelbridge.gateway.headers import HeaderNames
 from dotterelbridge.gateway.outcomes import AttemptOutcome
+from dotterelbridge.gateway.resumed_streams import describe_origin
 from dotterelbridge.gateway.router import GatewayRouter
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.gateway.stream_gaps import StreamGapMeter
 from dotterelbridge.gateway.stream_gaps import StreamGaps
 from dotterelbridge.gateway.target import Slot
 from dotterelbridge.ids import AttemptId
+from dotterelbridge.resumption.recorder import StreamOrigin
+from dotterelbridge.resumption.recorder import StreamRecorder
 from dotterelbridge.routes.model import Repeatability
 from dotterelbridge.serving.response import Headers
 from dotterelbridge.serving.response import ResponseSink
@@ -102,8 +105,10 @@
         rng: random.Random,
         stop_grace: StopGrace,
         key_permission: KeyPermission,
+        stream_recorder: StreamRecorder,
         stream_gaps: StreamGaps | None = None,
     ) -> None:
+        self._stream_recorder = stream_recorder
         self._stop_grace = stop_grace
         self._key_permission = key_permission
         self._stream_gaps = stream_gaps
@@ -278,8 +283,9 @@
 
         Not after the caller's deadline, by which it was promised an answer,
         as it may then repeat the request, not to a target that has said that
-        it leaves, and not once the key may be dead. Each may happen during a
-        pause of the process.
+        it leaves or has another software version than the stream, and not
+        once the key may be dead. Each may happen during a pause of the
+        process.
         """
         has_time_left = self.call.remaining_s(self._clock.monotonic()) > 0
         if not self.call.has_response_started:
@@ -289,9 +295,14 @@
         return (
             has_time_left
             and slot.gateway_target.takes_new_work
+            and self._fits_origin(slot)
             and self._has_key_permission()
         )
 
+    def _fits_origin(self, slot: Slot) -> bool:
+        origin = self.call.origin
+        return origin is None or slot.software == origin.software
+
     def _check_response(self, slot: Slot, exchange: Exchange) -> None:
         """Check that the response may be forwarded to the caller.
 
@@ -374,10 +385,13 @@
                 return True
             exchange.record_progress()
             self._record_chunk(events_data)
+            if self.slot.first_event_at is None:
+                self._log_resumed(self.slot)
             self.slot.record_events(
                 count_events(events_data), self._clock.monotonic()
             )
             if not self.call.has_response_started:
+                self._record_origin()
                 self._start_stream(exchange)
             return self._write_body(events_data, more=True)
 
@@ -387,6 +401,35 @@
             self._start_stream(exchange)
         self._write_body(b"", more=False)
 
+    def _record_origin(self) -> None:
+        """Bind a resumable stream to the software that begins it."""
+        call = self.call
+        if not call.route.is_resumable or call.origin is not None:
+            return
+        call.origin = StreamOrigin(call.service.name, self.slot.software)
+        remaining_s = max(0.0, call.remaining_s(self._clock.monotonic()))
+        self._stream_recorder.record_begun(
+            call.request.request_id,
+            call.origin,
+            call.route.name,
+            call.team_name,
+            timedelta(seconds=remaining_s),
+        )
+
+    def _log_resumed(self, slot: Slot) -> None:
+        """Log that a stream of which the caller has a part goes on."""
+        call = self.call
+        if call.origin is not None:
+            events.log(
+                _log,
+                GatewayEvent.STREAM_RESUMED,
+                request=call.request.request_id,
+                target=slot.view.target,
+                software=slot.software,
+                attempt=call.attempts,
+                **describe_origin(call),
+            )
+
     def _start_stream(self, exchange: Exchange) -> None:
         """Begin a stream, with an end of the same kind as the target's.
 
@@ -495,6 +538,7 @@
             GatewayEvent.ATTEMPT_FAILED,
             request=call.request.request_id,
             target=slot.view.target,
+            software=slot.software,
             attempt=call.attempts,
             error=error.problem,
             may_have_run=not not_run,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -9,6 +9,7 @@
 
 from dotterelbridge.clock import Clock
 from dotterelbridge.nodes.probes import AuxiliaryListener
+from dotterelbridge.serving.errors import ResponseIncomplete
 from dotterelbridge.serving.request import read_body
 from dotterelbridge.serving.response import SINK_EXTENSION
 from dotterelbridge.serving.settings import ServingSettings
@@ -47,8 +48,14 @@
         models: list[str],
         model_limit: int,
         event_count: int = 3,
+        version: str = "v1",
     ) -> None:
+        """Create a replica.
+
+        :param version: the version of its software, which its events name.
+        """
         self.name = name
+        self.version = version
         self.born = 1
         self.adapters: dict[str, set[str]] = {m: set() for m in models}
         self.applied_order_count = 0
@@ -61,6 +68,8 @@
         """Whether its answers say that it leaves."""
         self.rate_limit_per_s: float | None = None
         """Requests a second that its answers ask for, if set."""
+        self.break_before: int | None = None
+        """Number of the event before which streams break off, if set."""
         self.retry_after_s: int | None = None
         """Refuses all requests and asks for none for this time, if set."""
         self._model_limit = model_limit
@@ -86,6 +95,7 @@
             "service": service,
             "address": address,
             "zone": zone,
+            "version": self.version,
             "state": "ready",
             "slots": 8,
             "born": self.born,
@@ -168,11 +178,15 @@
                 ],
             }
         )
-        for number in range(self._event_count):
+        text = self.version.encode()
+        last_event_id = int(headers.get(b"last-event-id", b"-1"))
+        for number in range(last_event_id + 1, self._event_count):
+            if number == self.break_before:
+                raise ResponseIncomplete("the replica crashes", "try again")
             sink.write(
                 {
                     "type": "http.response.body",
-                    "body": b"id: %d\ndata: t\n\n" % number,
+                    "body": b"id: %d\ndata: %b\n\n" % (number, text),
                     "more_body": True,
                 }
             )
