--- a/tests/hostile_callers/processes.py
+++ b/tests/hostile_callers/processes.py
@@ -117,7 +117,7 @@
     """The process of a VM with lowered limits."""
 
     def write_settings(self) -> None:
-        text = render_template(TEMPLATE.read_text(), self._fields)
+        text = render_template(TEMPLATE.read_text(), self.fields)
         self._settings.write_text(write_limits(text))
 
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -39,7 +39,8 @@
         self.is_stopping = False
         """Whether the harness has told the process to end."""
         self.is_frozen = False
-        self._fields = fields
+        self.fields = fields
+        """What the platform fills into the settings template."""
         self._settings = folder / f"{name}.ini"
         self._log = folder / f"{name}.log"
         self._process: subprocess.Popen | None = None
@@ -51,7 +52,7 @@
 
     def write_settings(self) -> None:
         """Replace the settings file at once."""
-        text = render_template(TEMPLATE.read_text(), self._fields)
+        text = render_template(TEMPLATE.read_text(), self.fields)
         temporary = self._settings.with_suffix(".new")
         temporary.write_text(text)
         temporary.rename(self._settings)
@@ -59,7 +60,7 @@
     def start(self) -> None:
         """Start the process."""
         self.write_settings()
-        self._fields["bootstrap"] = False
+        self.fields["bootstrap"] = False
         self.is_stopping = False
         self.disturbed_at = time.monotonic()
         with open(self._log, "ab") as log:
@@ -142,7 +143,7 @@
             self.operator_port,
             self.caller_port,
             self.ready_port,
-        ) = _choose_ports(4, ips, rng)
+        ) = choose_ports(4, ips, rng)
         seeds = [f"{ip}:{self.operator_port}" for ip in ips[:CONTROL_COUNT]]
         self.own_ends: list[str] = []
         """Processes that ended by themselves, with their exit codes."""
@@ -212,7 +213,8 @@
             process.kill()
 
 
-def _choose_ports(count: int, ips: list[str], rng: random.Random) -> list[int]:
+def choose_ports(count: int, ips: list[str], rng: random.Random) -> list[int]:
+    """Return ports that are free at each of the addresses."""
     ports: list[int] = []
     while len(ports) < count:
         port = rng.choice(_PORT_RANGE)
