Log and measure why handshakes between VMs end without a link

Failed dials were logged at the debug level only.

At the accepting end a closed connection is now handshake_abandoned (2010, no warning) and a passed limit handshake_timed_out (2011), with the time since the connection was accepted and the number of open handshakes. At the dialling end dial_failed names the reason and the duration, dial_stopped (2012, debug) marks attempts that are no longer wanted, and peer_unreachable (2013) appears at the 8th failure in a row and each time the number has doubled, so that a VM that restarts adds no line. Metrics: open handshakes and their durations by end and outcome, and the entry VMs that follow through a control VM.

--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -87,6 +87,11 @@
             lambda: int(self._replicated_log.has_leader_lease()),
             "1 while this VM leads the replicated log",
         )
+        metrics.register_gauge(
+            "dotterelbridge.fleet.following_entry_vms",
+            self._fleet_feed.count_entry_vms,
+            "Entry VMs that follow through this VM",
+        )
         self._register_speed_gauges()
         self._registry.add("replication", self._replicated_log)
 
--- a/dotterelbridge/peers/events.py
+++ b/dotterelbridge/peers/events.py
@@ -35,7 +35,9 @@
     DIAL_FAILED = (
         2006,
         logging.DEBUG,
-        "A connection to a peer could not be opened; it is retried.",
+        "A connection to a peer could not be opened; it is retried. The "
+        "field reason tells whether this VM's time limit passed, or what "
+        "failed.",
     )
     HANDLER_FAILED = (
         2007,
@@ -48,6 +50,32 @@
         logging.INFO,
         "A peer restarted; the links to its earlier process were closed.",
     )
+    HANDSHAKE_ABANDONED = (
+        2010,
+        logging.INFO,
+        "A peer closed its connection before it was authenticated: it has "
+        "enough links without this one, or its handshake_timeout_ms passed. "
+        "Many at once with a long duration mean that this VM answers late.",
+    )
+    HANDSHAKE_TIMED_OUT = (
+        2011,
+        logging.WARNING,
+        "A peer did not finish the handshake within handshake_timeout_ms; "
+        "the connection was closed. Check the load of both VMs.",
+    )
+    DIAL_STOPPED = (
+        2012,
+        logging.DEBUG,
+        "This VM ended an attempt to dial a peer, as it has enough links "
+        "without it or the peer is no longer listed.",
+    )
+    PEER_UNREACHABLE = (
+        2013,
+        logging.INFO,
+        "Several attempts in a row to dial a peer failed; they continue. "
+        "Logged again each time their number has doubled. Check that the "
+        "peer runs and that the network reaches it.",
+    )
     MESSAGE_NOT_SENT = (
         2009,
         logging.ERROR,
--- a/dotterelbridge/peers/handshake_limit.py
+++ b/dotterelbridge/peers/handshake_limit.py
@@ -20,8 +20,14 @@
     """Counts what arrives, before it is parsed, until authentication."""
 
     is_authenticated = False
+    opened_at = 0.0
+    """When the connection was opened, in the time of the event loop."""
     _received_bytes = 0
 
+    def connection_made(self, transport) -> None:
+        self.opened_at = self.loop.time()
+        super().connection_made(transport)
+
     def data_received(self, data: bytes) -> None:
         if not self.is_authenticated:
             self._received_bytes += len(data)
--- a/dotterelbridge/peers/websocket_network.py
+++ b/dotterelbridge/peers/websocket_network.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 import anyio
+from anyio import get_cancelled_exc_class
 import structlog
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import serve
@@ -35,6 +36,10 @@
 from dotterelbridge.peers.handshake import Identity
 from dotterelbridge.peers.handshake_limit import LimitedClientConnection
 from dotterelbridge.peers.handshake_limit import LimitedServerConnection
+from dotterelbridge.peers.handshake_monitor import Handshake
+from dotterelbridge.peers.handshake_monitor import HandshakeMonitor
+from dotterelbridge.peers.handshake_monitor import HandshakeOutcome
+from dotterelbridge.peers.handshake_monitor import LinkEnd
 from dotterelbridge.peers.link import Link
 from dotterelbridge.peers.link import compute_backoff
 from dotterelbridge.peers.messages import Message
@@ -51,6 +56,9 @@
 _POLICY_VIOLATION_CODE = 1008
 _CLOSE_TIMEOUT_S = 1
 _IDLE_POLL_INTERVAL = timedelta(milliseconds=5)
+_FAILURES_LOGGED = 8
+"""Failed dials in a row after which a peer is logged as unreachable. A VM
+that restarts fails fewer."""
 
 
 class WebsocketNetwork(PeerNetwork, Dumpable):
@@ -85,6 +93,7 @@
         )
         self._handlers: dict[type[Message], Handler] = {}
         self._links: dict[VmId, list[Link]] = {}
+        self._handshakes = HandshakeMonitor(clock)
         self._traffic = {
             vm: TrafficCounter(own_info, info)
             for vm, info in self._vms.items()
@@ -201,6 +210,7 @@
         return {
             "incarnation": self._identity.incarnation,
             "dials": list(self._dialled_peers),
+            "open_handshakes": self._handshakes.describe(),
             "links": {
                 vm: [link.describe() for link in links]
                 for vm, links in self._links.items()
@@ -244,7 +254,7 @@
             if self.is_connected(peer):
                 await self._links[peer][-1].closed.wait()
                 continue
-            if await self._dial_and_run_link(peer):
+            if await self._dial_and_run_link(peer, failures):
                 failures = 0
             else:
                 failures += 1
@@ -253,52 +263,88 @@
                 compute_backoff(failures, self._settings, fraction)
             )
 
-    async def _dial_and_run_link(self, peer: VmId) -> bool:
-        """Open a link and run it until it ends; False if it was never up."""
-        info = self._vms[peer]
-        timeout_s = self._settings.handshake_timeout_ms / 1000
-        link = None
-        try:
-            with anyio.fail_after(timeout_s):
-                connection = await connect(
-                    f"ws://{info.host}:{info.port}",
-                    compression=None,
-                    ping_interval=None,
-                    open_timeout=timeout_s,
-                    create_connection=LimitedClientConnection,
-                    proxy=None,
-                    max_size=self._settings.message_limit_mb * _BYTES_PER_MIB,
+    async def _dial_and_run_link(self, peer: VmId, failures: int) -> bool:
+        """Open a link and run it until it ends; False if it was never up.
+
+        :param failures: attempts in a row that have failed before.
+        """
+        with self._handshakes.measure(LinkEnd.DIALLING) as attempt:
+            try:
+                link = await self._dial(peer, attempt)
+            except PeerError as error:
+                attempt.outcome = HandshakeOutcome.REFUSED
+                self._log_refusal(peer, error)
+                return False
+            except TimeoutError as error:
+                attempt.outcome = HandshakeOutcome.TIMED_OUT
+                self._log_failed_dial(peer, error, attempt, failures)
+                return False
+            except (
+                OSError,
+                ValueError,
+                EOFError,
+                WebSocketException,
+            ) as error:
+                attempt.outcome = HandshakeOutcome.UNREACHABLE
+                self._log_failed_dial(peer, error, attempt, failures)
+                return False
+            except get_cancelled_exc_class():
+                events.log(
+                    _log,
+                    PeerEvent.DIAL_STOPPED,
+                    peer=peer,
+                    duration_ms=attempt.duration_ms,
                 )
-                try:
-                    identity = await handshake.run_client_handshake(
-                        connection, self._identity, peer, self._secret
-                    )
-                    connection.is_authenticated = True
-                except BaseException:
-                    connection.transport.abort()
-                    raise
-            link = self._create_link(connection, identity, self._own_info.vm)
-        except PeerError as error:
-            self._log_refusal(peer, error)
-        except (
-            OSError,
-            TimeoutError,
-            ValueError,
-            EOFError,
-            WebSocketException,
-        ) as error:
-            events.log(
-                _log, PeerEvent.DIAL_FAILED, peer=peer, error=repr(error)
-            )
-        if link is None:
-            return False
+                raise
         await self._run_link(link)
         return True
 
+    async def _dial(self, peer: VmId, attempt: Handshake) -> Link:
+        """Return an authenticated link.
+
+        :raises PeerError: the handshake failed.
+        :raises TimeoutError: handshake_timeout_ms passed.
+        """
+        info = self._vms[peer]
+        timeout_s = self._settings.handshake_timeout_ms / 1000
+        with anyio.fail_after(timeout_s):
+            connection = await connect(
+                f"ws://{info.host}:{info.port}",
+                compression=None,
+                ping_interval=None,
+                open_timeout=timeout_s,
+                create_connection=LimitedClientConnection,
+                proxy=None,
+                max_size=self._settings.message_limit_mb * _BYTES_PER_MIB,
+            )
+            try:
+                identity = await handshake.run_client_handshake(
+                    connection, self._identity, peer, self._secret
+                )
+                connection.is_authenticated = True
+            except BaseException:
+                connection.transport.abort()
+                raise
+        attempt.outcome = HandshakeOutcome.AUTHENTICATED
+        return self._create_link(connection, identity, self._own_info.vm)
+
     async def _handle_connection(self, connection) -> None:
         """Serve one incoming connection; called by the WebSocket server."""
+        waited_s = connection.loop.time() - connection.opened_at
+        with self._handshakes.measure(LinkEnd.ACCEPTING, waited_s) as attempt:
+            identity = await self._accept(connection, attempt)
+        if identity is None:
+            return
+        if identity.vm not in self._vms:
+            self._add_vm(_create_vm_info(identity, connection.remote_address))
+        await self._run_link(
+            self._create_link(connection, identity, identity.vm)
+        )
+
+    async def _accept(self, connection, attempt: Handshake) -> Identity | None:
+        """Return the authenticated peer; None if there is none."""
         timeout_s = self._settings.handshake_timeout_ms / 1000
-        address = connection.remote_address
+        address = str(connection.remote_address)
         try:
             with anyio.fail_after(timeout_s):
                 identity = await handshake.run_server_handshake(
@@ -309,18 +355,25 @@
                 )
                 connection.is_authenticated = True
         except PeerError as error:
-            self._log_refusal(str(address), error)
+            attempt.outcome = HandshakeOutcome.REFUSED
+            self._log_refusal(address, error)
             await connection.close(_POLICY_VIOLATION_CODE, "refused")
-            return
-        except (ConnectionClosed, TimeoutError) as error:
-            self._log_refusal(str(address), error)
+            return None
+        except TimeoutError:
+            attempt.outcome = HandshakeOutcome.TIMED_OUT
+            self._log_ended_handshake(
+                PeerEvent.HANDSHAKE_TIMED_OUT, address, attempt
+            )
             connection.transport.abort()
-            return
-        if identity.vm not in self._vms:
-            self._add_vm(_create_vm_info(identity, address))
-        await self._run_link(
-            self._create_link(connection, identity, identity.vm)
-        )
+            return None
+        except ConnectionClosed:
+            self._log_ended_handshake(
+                PeerEvent.HANDSHAKE_ABANDONED, address, attempt
+            )
+            connection.transport.abort()
+            return None
+        attempt.outcome = HandshakeOutcome.AUTHENTICATED
+        return identity
 
     def _create_link(
         self, connection, identity: Identity, dialled_by: VmId
@@ -398,6 +451,34 @@
     def _list_links(self) -> list[Link]:
         return [link for links in self._links.values() for link in links]
 
+    def _log_ended_handshake(
+        self, event: PeerEvent, address: str, attempt: Handshake
+    ) -> None:
+        events.log(
+            _log,
+            event,
+            peer=address,
+            duration_ms=attempt.duration_ms,
+            open_handshakes=self._handshakes.open_counts[LinkEnd.ACCEPTING],
+        )
+
+    def _log_failed_dial(
+        self, peer: VmId, error: Exception, attempt: Handshake, failures: int
+    ) -> None:
+        fields = {
+            "peer": peer,
+            "reason": attempt.outcome.value,
+            "error": repr(error),
+            "duration_ms": attempt.duration_ms,
+        }
+        events.log(_log, PeerEvent.DIAL_FAILED, **fields)
+        attempts = failures + 1
+        is_power_of_two = attempts & (attempts - 1) == 0
+        if attempts >= _FAILURES_LOGGED and is_power_of_two:
+            events.log(
+                _log, PeerEvent.PEER_UNREACHABLE, attempts=attempts, **fields
+            )
+
     def _log_refusal(self, peer: str, error: Exception) -> None:
         events.log(
             _log,
