Keep the list of control VMs when a source without contact differs

An entry VM that followed a control VM without a group was told an empty list of control VMs. It cut its links to all but its seeds, learned the full list from its next source, dialled them again, and so on. Links came up and were cut again within 50 ms, other entry VMs did the same, and control VMs saw many connections end before they were authenticated (event 2010). A source whose list differs also answers each poll at once instead of after the hold time.

A source now sends its list only if it is not empty and, to a follower that already has one, only while it has contact with the leader of the log. A follower without a list takes any.

The test of the list failed on the old code; the other one, that a starting VM learns the list also from a detached source, passed before and guards the exception.

--- a/dotterelbridge/fleet/feed.py
+++ b/dotterelbridge/fleet/feed.py
@@ -199,9 +199,25 @@
             or poll.revision > self._fleet_state.revision
             or poll.routes_version < self._routes.version
             or poll.quarantine_version < self._quarantine.version
-            or poll.control_vms != self._list_control_vms()
+            or self._find_newer_control_vms(poll) is not None
         )
 
+    def _find_newer_control_vms(
+        self, poll: FleetPoll
+    ) -> tuple[VmId, ...] | None:
+        """Return the control VMs if the follower should replace its list.
+
+        A VM that has joined no group yet, or has lost contact with it, knows
+        fewer or older ones than its followers may have learned elsewhere.
+        """
+        control_vms = self._list_control_vms()
+        if not control_vms or control_vms == poll.control_vms:
+            return None
+        is_detached = self._detached_ms() > self._settings.detached_limit_ms
+        if poll.control_vms and is_detached:
+            return None
+        return control_vms
+
     def _has_changes(self, poll: FleetPoll) -> bool:
         return poll.revision != self._fleet_state.revision
 
@@ -213,7 +229,6 @@
         has_newer_quarantine = (
             self._quarantine.version > poll.quarantine_version
         )
-        control_vms = self._list_control_vms()
         return FleetUpdate(
             epoch=self._fleet_state.epoch,
             revision=self._fleet_state.revision,
@@ -223,9 +238,7 @@
             removed=tuple(removed),
             pending_loads=self._fleet_state.list_pending_loads(),
             routes=self._routes.packed if has_newer_routes else None,
-            control_vms=None
-            if control_vms == poll.control_vms
-            else control_vms,
+            control_vms=self._find_newer_control_vms(poll),
             detached_ms=self._detached_ms(),
             entry_vm_count=max(
                 self.deployment_entry_vm_count, self.count_entry_vms()
--- a/tests/fleet/test_feed.py
+++ b/tests/fleet/test_feed.py
@@ -39,6 +39,7 @@
         self.routes = create_active_routes(create_native_format())
         self.quarantine = create_quarantine(vm)
         self.detached_ms = 0
+        self.control_vms = ("c1", "c2")
         self.feed = FleetFeed(
             harness.network.join(vm),
             self.fleet_state,
@@ -47,7 +48,7 @@
             SETTINGS,
             clock,
             lambda: self.detached_ms,
-            lambda: harness.control_vms,
+            lambda: self.control_vms,
         )
         if is_complete:
             self.fleet_state.mark_complete()
@@ -67,7 +68,6 @@
 
     def __init__(self, tasks) -> None:
         self.network = create_standin_network(["c1", "c2", "f1"])
-        self.control_vms = ("c1", "c2")
         self.sources = {vm: Source(self, vm) for vm in ("c1", "c2")}
         clock = LoopClock()
         self.fleet_state = FleetState(clock)
@@ -147,6 +147,40 @@
     run_feed_test(test)
 
 
+# Seen with real processes: control VMs that had lost their disks told entry
+# VMs an empty list. These cut the links to all control VMs but their seeds
+# and dialled them again after the next reply, several times a second.
+def test_a_detached_source_does_not_replace_the_list_of_control_vms():
+    lists = []
+
+    async def test(harness):
+        first, second = harness.sources.values()
+        await harness.wait(lambda: harness.follower.control_vms)
+        harness.follower.subscribe_control_vms(
+            lambda: lists.append(harness.follower.control_vms)
+        )
+        first.control_vms = ()
+        first.detached_ms = 60_000
+        second.control_vms = ("c0", "c2")
+        second.detached_ms = 60_000
+        await anyio.sleep(5)
+        assert not lists
+        second.detached_ms = 0
+        await harness.wait(lambda: lists == [("c0", "c2")])
+
+    run_feed_test(test)
+
+
+def test_a_starting_vm_learns_the_control_vms_from_a_detached_source():
+    async def test(harness):
+        harness.sources["c1"].control_vms = ()
+        for source in harness.sources.values():
+            source.detached_ms = 60_000
+        await harness.wait(lambda: harness.follower.control_vms)
+
+    run_feed_test(test)
+
+
 def test_an_unreachable_source_is_replaced():
     async def test(harness):
         for source in harness.sources.values():
