Wait longer for a peer that answers a handshake late

When all VMs had been restarted at once on too few cores, control VMs found no leader for many seconds after the last of them had started, and logged bursts of connections that were closed before authentication. Each dialling VM gave a handshake the same handshake_timeout_ms, 1 s in the platform's settings. A peer with more handshakes than it can answer in that time works on all of them in turn, so that most of them time out together, and all VMs dial again within half a second. What the peer has answered by then is lost.

The time to open a connection stays as it was, so that a host that comes back is found as soon as before. The time for the handshake on an open connection doubles after each that took too long, up to fourfold, and the accepting end waits as long as that. An attempt that fails otherwise ends the longer wait.

--- a/dotterelbridge/peers/handshake_monitor.py
+++ b/dotterelbridge/peers/handshake_monitor.py
@@ -46,6 +46,8 @@
 
     def __init__(self, clock: Clock, started_at: float) -> None:
         self.outcome = HandshakeOutcome.ABANDONED
+        self.is_connected = False
+        """Whether the peer's VM has accepted the connection."""
         self._clock = clock
         self._started_at = started_at
 
--- a/dotterelbridge/peers/settings.py
+++ b/dotterelbridge/peers/settings.py
@@ -18,6 +18,8 @@
     """Time without a received frame after which a link is closed and dialled
     again; it is detected at most one ping interval later."""
     handshake_timeout_ms: _Milliseconds = 3000
+    """Time to open a connection, and again for the handshake on it. The
+    latter doubles, up to fourfold, while a peer answers later than that."""
     reconnect_min_ms: _Milliseconds = 100
     reconnect_max_ms: _Milliseconds = 5000
     message_limit_mb: Annotated[int, Meta(ge=1, le=64)] = 4
--- a/dotterelbridge/peers/websocket_network.py
+++ b/dotterelbridge/peers/websocket_network.py
@@ -29,6 +29,8 @@
 from dotterelbridge.membership.view import VmInfo
 from dotterelbridge.peers import frames
 from dotterelbridge.peers import handshake
+from dotterelbridge.peers.dial_history import DialHistory
+from dotterelbridge.peers.dial_history import compute_longest_handshake
 from dotterelbridge.peers.errors import MessageNotEncodable
 from dotterelbridge.peers.errors import RequestNotSent
 from dotterelbridge.peers.events import PeerEvent
@@ -49,6 +51,7 @@
 from dotterelbridge.peers.traffic import TrafficCounter
 from dotterelbridge.sockets import bind_when_free
 from dotterelbridge.sockets import create_listening_socket
+from dotterelbridge.sockets import open_socket
 
 _log = structlog.get_logger(__name__)
 
@@ -182,7 +185,9 @@
             sock=listening,
             compression=None,
             ping_interval=None,
-            open_timeout=self._settings.handshake_timeout_ms / 1000,
+            open_timeout=compute_longest_handshake(
+                self._settings
+            ).total_seconds(),
             create_connection=LimitedServerConnection,
             max_size=self._settings.message_limit_mb * _BYTES_PER_MIB,
         )
@@ -249,36 +254,33 @@
             await self._maintain_link(peer)
 
     async def _maintain_link(self, peer: VmId) -> None:
-        failures = 0
+        history = DialHistory()
         while True:
             if self.is_connected(peer):
                 await self._links[peer][-1].closed.wait()
                 continue
-            if await self._dial_and_run_link(peer, failures):
-                failures = 0
-            else:
-                failures += 1
+            link = await self._try_dial(peer, history)
+            if link is not None:
+                await self._run_link(link)
             fraction = self._random.random()
             await self._clock.sleep(
-                compute_backoff(failures, self._settings, fraction)
+                compute_backoff(history.failures, self._settings, fraction)
             )
 
-    async def _dial_and_run_link(self, peer: VmId, failures: int) -> bool:
-        """Open a link and run it until it ends; False if it was never up.
-
-        :param failures: attempts in a row that have failed before.
-        """
+    async def _try_dial(self, peer: VmId, history: DialHistory) -> Link | None:
+        """Return an authenticated link; None if the attempt failed."""
+        limit = history.compute_handshake_limit(self._settings)
         with self._handshakes.measure(LinkEnd.DIALLING) as attempt:
+            link = None
             try:
-                link = await self._dial(peer, attempt)
+                link = await self._dial(peer, attempt, limit)
+                attempt.outcome = HandshakeOutcome.AUTHENTICATED
             except PeerError as error:
                 attempt.outcome = HandshakeOutcome.REFUSED
                 self._log_refusal(peer, error)
-                return False
             except TimeoutError as error:
                 attempt.outcome = HandshakeOutcome.TIMED_OUT
-                self._log_failed_dial(peer, error, attempt, failures)
-                return False
+                self._log_failed_dial(peer, error, attempt, history)
             except (
                 OSError,
                 ValueError,
@@ -286,8 +288,7 @@
                 WebSocketException,
             ) as error:
                 attempt.outcome = HandshakeOutcome.UNREACHABLE
-                self._log_failed_dial(peer, error, attempt, failures)
-                return False
+                self._log_failed_dial(peer, error, attempt, history)
             except get_cancelled_exc_class():
                 events.log(
                     _log,
@@ -296,23 +297,31 @@
                     duration_ms=attempt.duration_ms,
                 )
                 raise
-        await self._run_link(link)
-        return True
+        history.record(attempt)
+        return link
 
-    async def _dial(self, peer: VmId, attempt: Handshake) -> Link:
+    async def _dial(
+        self, peer: VmId, attempt: Handshake, handshake_limit: timedelta
+    ) -> Link:
         """Return an authenticated link.
 
+        :param handshake_limit: time from the open connection on.
         :raises PeerError: the handshake failed.
-        :raises TimeoutError: handshake_timeout_ms passed.
+        :raises TimeoutError: the connection was not open after
+            handshake_timeout_ms, or the handshake took too long.
         """
         info = self._vms[peer]
-        timeout_s = self._settings.handshake_timeout_ms / 1000
-        with anyio.fail_after(timeout_s):
+        with anyio.fail_after(self._settings.handshake_timeout_ms / 1000):
+            connected = await open_socket(info.host, info.port)
+        attempt.is_connected = True
+        limit_s = handshake_limit.total_seconds()
+        with anyio.fail_after(limit_s):
             connection = await connect(
                 f"ws://{info.host}:{info.port}",
+                sock=connected,
                 compression=None,
                 ping_interval=None,
-                open_timeout=timeout_s,
+                open_timeout=limit_s,
                 create_connection=LimitedClientConnection,
                 proxy=None,
                 max_size=self._settings.message_limit_mb * _BYTES_PER_MIB,
@@ -325,7 +334,6 @@
             except BaseException:
                 connection.transport.abort()
                 raise
-        attempt.outcome = HandshakeOutcome.AUTHENTICATED
         return self._create_link(connection, identity, self._own_info.vm)
 
     async def _handle_connection(self, connection) -> None:
@@ -343,10 +351,10 @@
 
     async def _accept(self, connection, attempt: Handshake) -> Identity | None:
         """Return the authenticated peer; None if there is none."""
-        timeout_s = self._settings.handshake_timeout_ms / 1000
+        limit = compute_longest_handshake(self._settings)
         address = str(connection.remote_address)
         try:
-            with anyio.fail_after(timeout_s):
+            with anyio.fail_after(limit.total_seconds()):
                 identity = await handshake.run_server_handshake(
                     connection,
                     self._identity,
@@ -463,7 +471,11 @@
         )
 
     def _log_failed_dial(
-        self, peer: VmId, error: Exception, attempt: Handshake, failures: int
+        self,
+        peer: VmId,
+        error: Exception,
+        attempt: Handshake,
+        history: DialHistory,
     ) -> None:
         fields = {
             "peer": peer,
@@ -472,7 +484,7 @@
             "duration_ms": attempt.duration_ms,
         }
         events.log(_log, PeerEvent.DIAL_FAILED, **fields)
-        attempts = failures + 1
+        attempts = history.failures + 1
         is_power_of_two = attempts & (attempts - 1) == 0
         if attempts >= _FAILURES_LOGGED and is_power_of_two:
             events.log(
--- a/dotterelbridge/sockets.py
+++ b/dotterelbridge/sockets.py
@@ -1,5 +1,6 @@
 """Listening sockets, which wait for an address that is in use."""
 
+import asyncio
 from collections.abc import Callable
 from datetime import timedelta
 import errno
@@ -41,6 +42,23 @@
     return listening
 
 
+async def open_socket(host: str, port: int) -> socket.socket:
+    """Return a socket that is connected to an IP address and a port.
+
+    :raises OSError: the connection cannot be opened.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    connecting = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    connecting.setblocking(False)
+    try:
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(connecting, (host, port))
+    except BaseException:
+        connecting.close()
+        raise
+    return connecting
+
+
 async def bind_when_free(
     address: str, bind: Callable[[], socket.socket], clock: Clock
 ) -> socket.socket:
