Queue the connections of a large deployment while a VM is suspended

A control VM that was suspended or busy for a moment queued 100 connections. The kernel drops what comes beyond that, and the dialling VM's kernel asks again after a second, when the attempt has just ended. 57 entry VMs that dial twice fill the queue, so that other control VMs do not get in.

The listener had the default length of its library. It now asks for 1,024, three for each VM of the planned size; the kernel's own limit applies.

Evidence: the test opens 330 connections while the event loop is blocked. On the old code it failed with a timeout; it needs no timing to pass.

--- a/dotterelbridge/peers/websocket_network.py
+++ b/dotterelbridge/peers/websocket_network.py
@@ -59,6 +59,10 @@
 _POLICY_VIOLATION_CODE = 1008
 _CLOSE_TIMEOUT_S = 1
 _IDLE_POLL_INTERVAL = timedelta(milliseconds=5)
+_BACKLOG = 1024
+"""Connections that wait to be accepted. The kernel drops what asks for more,
+and the dialling VM's kernel tries again only after a second: each VM of a
+large deployment may dial more than once while this one is suspended."""
 _FAILURES_LOGGED = 8
 """Failed dials in a row after which a peer is logged as unreachable. A VM
 that restarts fails fewer."""
@@ -183,6 +187,7 @@
         server = await serve(
             self._handle_connection,
             sock=listening,
+            backlog=_BACKLOG,
             compression=None,
             ping_interval=None,
             open_timeout=compute_longest_handshake(
--- a/tests/test_peers_handshakes.py
+++ b/tests/test_peers_handshakes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from datetime import timedelta
+import socket
 
 import anyio
 import msgspec
@@ -15,11 +16,13 @@
 from dotterelbridge.peers.handshake_monitor import Handshake
 from dotterelbridge.peers.handshake_monitor import HandshakeOutcome
 from tests.peers_support import FAST_SETTINGS
+from tests.peers_support import WAIT_TIMEOUT_S
 from tests.peers_support import create_network
 from tests.peers_support import create_vms
 from tests.peers_support import wait_until
 
 pytestmark = pytest.mark.anyio
+LARGE_DEPLOYMENT = 330
 SHORT_TIMEOUT = msgspec.structs.replace(FAST_SETTINGS, handshake_timeout_ms=50)
 
 
@@ -69,6 +72,19 @@
         assert not find_events(logs, "authentication_refused")
 
 
+# While a control VM is suspended, all entry VMs dial it. Connections beyond
+# the queue are dropped without an answer, those of other control VMs too.
+async def test_suspended_vm_keeps_the_connections_of_a_large_deployment():
+    vms = create_vms(2)
+    address = (vms[0].host, vms[0].port)
+    async with run_network(vms=vms), contextlib.AsyncExitStack() as stack:
+        # Nothing here awaits, so the network accepts no connection.
+        for _ in range(LARGE_DEPLOYMENT):
+            dialling = stack.enter_context(socket.socket())
+            dialling.settimeout(WAIT_TIMEOUT_S)
+            dialling.connect(address)
+
+
 # Failed dials were logged at the debug level only, so that the log of a VM
 # that reached nobody was empty. Each attempt at the info level would fill it.
 async def test_unreachable_peer_is_logged_after_several_attempts():
