Limit the handshakes with entry VMs that are in progress at once

A control VM that all entry VMs dialled at the same time worked on all handshakes in turn. Each of them took as long as all together, so that with many or slow ones all ran into their time limits, and the links to the other control VMs, without which there is no leader, were among them.

The test that a handshake waits for a place failed on the old code; the one that a control VM needs none guards the new limit and passed before.

--- a/dotterelbridge/peers/websocket_network.py
+++ b/dotterelbridge/peers/websocket_network.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
+import contextlib
 from datetime import timedelta
 import random as random_module
 from typing import Any
@@ -63,6 +64,9 @@
 """Connections that wait to be accepted. The kernel drops what asks for more,
 and the dialling VM's kernel tries again only after a second: each VM of a
 large deployment may dial more than once while this one is suspended."""
+_HANDSHAKES_LIMIT = 16
+"""Handshakes in progress at once with VMs that this one does not dial. With
+all of them in progress, each would take as long as all together."""
 _FAILURES_LOGGED = 8
 """Failed dials in a row after which a peer is logged as unreachable. A VM
 that restarts fails fewer."""
@@ -101,6 +105,7 @@
         self._handlers: dict[type[Message], Handler] = {}
         self._links: dict[VmId, list[Link]] = {}
         self._handshakes = HandshakeMonitor(clock)
+        self._handshake_slots = anyio.Semaphore(_HANDSHAKES_LIMIT)
         self._traffic = {
             vm: TrafficCounter(own_info, info)
             for vm, info in self._vms.items()
@@ -354,18 +359,30 @@
             self._create_link(connection, identity, identity.vm)
         )
 
+    def _choose_handshake_slots(self, connection):
+        """Return what limits the handshakes that are in progress at once.
+
+        Peers that this VM dials itself do not wait for others: without links
+        between them, control VMs elect no leader.
+        """
+        host = connection.remote_address[0]
+        if any(self._vms[vm].host == host for vm in self._dialled_peers):
+            return contextlib.nullcontext()
+        return self._handshake_slots
+
     async def _accept(self, connection, attempt: Handshake) -> Identity | None:
         """Return the authenticated peer; None if there is none."""
         limit = compute_longest_handshake(self._settings)
         address = str(connection.remote_address)
         try:
-            with anyio.fail_after(limit.total_seconds()):
-                identity = await handshake.run_server_handshake(
-                    connection,
-                    self._identity,
-                    None if self._accept_unknown else set(self._vms),
-                    self._secret,
-                )
+            async with self._choose_handshake_slots(connection):
+                with anyio.fail_after(limit.total_seconds()):
+                    identity = await handshake.run_server_handshake(
+                        connection,
+                        self._identity,
+                        None if self._accept_unknown else set(self._vms),
+                        self._secret,
+                    )
                 connection.is_authenticated = True
         except PeerError as error:
             attempt.outcome = HandshakeOutcome.REFUSED
--- a/tests/test_peers_handshakes.py
+++ b/tests/test_peers_handshakes.py
@@ -15,6 +15,7 @@
 from dotterelbridge.peers.dial_history import DialHistory
 from dotterelbridge.peers.handshake_monitor import Handshake
 from dotterelbridge.peers.handshake_monitor import HandshakeOutcome
+from standins.ports import find_free_ports
 from tests.peers_support import FAST_SETTINGS
 from tests.peers_support import WAIT_TIMEOUT_S
 from tests.peers_support import create_network
@@ -22,7 +23,9 @@
 from tests.peers_support import wait_until
 
 pytestmark = pytest.mark.anyio
+ENTRY_HOST = "127.0.0.5"
 LARGE_DEPLOYMENT = 330
+SLOTS = 16
 SHORT_TIMEOUT = msgspec.structs.replace(FAST_SETTINGS, handshake_timeout_ms=50)
 
 
@@ -118,6 +121,60 @@
         assert line["duration_ms"] >= factor * limit_ms
 
 
+async def open_silent_connections(stack, url, count) -> list:
+    """Open connections from another host that begin no handshake."""
+    return [
+        await stack.enter_async_context(
+            connect(url, local_addr=(ENTRY_HOST, 0))
+        )
+        for _ in range(count)
+    ]
+
+
+# Guards against control VMs whose links come up only after those of all entry
+# VMs: without them there is no leader, and entry VMs have nothing to follow.
+async def test_link_between_control_vms_does_not_wait_for_entry_vms():
+    vms = create_vms(2)
+    (unused_port,) = find_free_ports(1)
+    known = [vms[0], msgspec.structs.replace(vms[1], port=unused_port)]
+    control = create_network(vms[1], vms, dial=["v0"])
+    async with (
+        run_network(dial=["v1"], vms=known) as (network, url, _),
+        contextlib.AsyncExitStack() as stack,
+    ):
+        await open_silent_connections(stack, url, SLOTS)
+        await wait_until(
+            lambda: network.dump()["open_handshakes"]["accepting"] == SLOTS
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(control.run)
+            await wait_until(lambda: network.is_connected("v1"))
+            group.cancel_scope.cancel()
+
+
+async def test_handshake_of_an_entry_vm_begins_once_another_has_ended():
+    vms = create_vms(2)
+    async with (
+        run_network(dial=["v1"], vms=vms) as (network, url, _),
+        contextlib.AsyncExitStack() as stack,
+    ):
+        network.set_dialled_peers([])
+        silent = await open_silent_connections(stack, url, SLOTS)
+        await wait_until(
+            lambda: network.dump()["open_handshakes"]["accepting"] == SLOTS
+        )
+        entry = create_network(vms[1], vms, dial=["v0"])
+        async with anyio.create_task_group() as group:
+            group.start_soon(entry.run)
+            await wait_until(
+                lambda: network.dump()["open_handshakes"]["accepting"] > SLOTS
+            )
+            assert not network.is_connected("v1")
+            silent[0].transport.abort()
+            await wait_until(lambda: network.is_connected("v1"))
+            group.cancel_scope.cancel()
+
+
 # A host without power must be tried again after the same short time: a
 # connection that is opened once more reaches it as soon as it is back.
 @pytest.mark.parametrize(
