--- a/dotterelbridge/peers/websocket_network.py
+++ b/dotterelbridge/peers/websocket_network.py
@@ -8,11 +8,13 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
+import contextlib
 from datetime import timedelta
 import random as random_module
 from typing import Any
 
 import anyio
+from anyio import get_cancelled_exc_class
 import structlog
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import serve
@@ -28,6 +30,8 @@
 from dotterelbridge.membership.view import VmInfo
 from dotterelbridge.peers import frames
 from dotterelbridge.peers import handshake
+from dotterelbridge.peers.dial_history import DialHistory
+from dotterelbridge.peers.dial_history import compute_longest_handshake
 from dotterelbridge.peers.errors import MessageNotEncodable
 from dotterelbridge.peers.errors import RequestNotSent
 from dotterelbridge.peers.events import PeerEvent
@@ -35,6 +39,10 @@
 from dotterelbridge.peers.handshake import Identity
 from dotterelbridge.peers.handshake_limit import LimitedClientConnection
 from dotterelbridge.peers.handshake_limit import LimitedServerConnection
+from dotterelbridge.peers.handshake_monitor import Handshake
+from dotterelbridge.peers.handshake_monitor import HandshakeMonitor
+from dotterelbridge.peers.handshake_monitor import HandshakeOutcome
+from dotterelbridge.peers.handshake_monitor import LinkEnd
 from dotterelbridge.peers.link import Link
 from dotterelbridge.peers.link import compute_backoff
 from dotterelbridge.peers.messages import Message
@@ -44,6 +52,7 @@
 from dotterelbridge.peers.traffic import TrafficCounter
 from dotterelbridge.sockets import bind_when_free
 from dotterelbridge.sockets import create_listening_socket
+from dotterelbridge.sockets import open_socket
 
 _log = structlog.get_logger(__name__)
 
@@ -51,6 +60,16 @@
 _POLICY_VIOLATION_CODE = 1008
 _CLOSE_TIMEOUT_S = 1
 _IDLE_POLL_INTERVAL = timedelta(milliseconds=5)
+_BACKLOG = 1024
+"""Connections that wait to be accepted. The kernel drops what asks for more,
+and the dialling VM's kernel tries again only after a second: each VM of a
+large deployment may dial more than once while this one is suspended."""
+_HANDSHAKES_LIMIT = 16
+"""Handshakes in progress at once with VMs that this one does not dial. With
+all of them in progress, each would take as long as all together."""
+_FAILURES_LOGGED = 8
+"""Failed dials in a row after which a peer is logged as unreachable. A VM
+that restarts fails fewer."""
 
 
 class WebsocketNetwork(PeerNetwork, Dumpable):
@@ -85,6 +104,8 @@
         )
         self._handlers: dict[type[Message], Handler] = {}
         self._links: dict[VmId, list[Link]] = {}
+        self._handshakes = HandshakeMonitor(clock)
+        self._handshake_slots = anyio.Semaphore(_HANDSHAKES_LIMIT)
         self._traffic = {
             vm: TrafficCounter(own_info, info)
             for vm, info in self._vms.items()
@@ -171,9 +192,12 @@
         server = await serve(
             self._handle_connection,
             sock=listening,
+            backlog=_BACKLOG,
             compression=None,
             ping_interval=None,
-            open_timeout=self._settings.handshake_timeout_ms / 1000,
+            open_timeout=compute_longest_handshake(
+                self._settings
+            ).total_seconds(),
             create_connection=LimitedServerConnection,
             max_size=self._settings.message_limit_mb * _BYTES_PER_MIB,
         )
@@ -201,6 +225,7 @@
         return {
             "incarnation": self._identity.incarnation,
             "dials": list(self._dialled_peers),
+            "open_handshakes": self._handshakes.describe(),
             "links": {
                 vm: [link.describe() for link in links]
                 for vm, links in self._links.items()
@@ -239,89 +264,147 @@
             await self._maintain_link(peer)
 
     async def _maintain_link(self, peer: VmId) -> None:
-        failures = 0
+        history = DialHistory()
         while True:
             if self.is_connected(peer):
                 await self._links[peer][-1].closed.wait()
                 continue
-            if await self._dial_and_run_link(peer):
-                failures = 0
-            else:
-                failures += 1
+            link = await self._try_dial(peer, history)
+            if link is not None:
+                await self._run_link(link)
             fraction = self._random.random()
             await self._clock.sleep(
-                compute_backoff(failures, self._settings, fraction)
+                compute_backoff(history.failures, self._settings, fraction)
             )
 
-    async def _dial_and_run_link(self, peer: VmId) -> bool:
-        """Open a link and run it until it ends; False if it was never up."""
-        info = self._vms[peer]
-        timeout_s = self._settings.handshake_timeout_ms / 1000
-        link = None
-        try:
-            with anyio.fail_after(timeout_s):
-                connection = await connect(
-                    f"ws://{info.host}:{info.port}",
-                    compression=None,
-                    ping_interval=None,
-                    open_timeout=timeout_s,
-                    create_connection=LimitedClientConnection,
-                    proxy=None,
-                    max_size=self._settings.message_limit_mb * _BYTES_PER_MIB,
+    async def _try_dial(self, peer: VmId, history: DialHistory) -> Link | None:
+        """Return an authenticated link; None if the attempt failed."""
+        limit = history.compute_handshake_limit(self._settings)
+        with self._handshakes.measure(LinkEnd.DIALLING) as attempt:
+            link = None
+            try:
+                link = await self._dial(peer, attempt, limit)
+                attempt.outcome = HandshakeOutcome.AUTHENTICATED
+            except PeerError as error:
+                attempt.outcome = HandshakeOutcome.REFUSED
+                self._log_refusal(peer, error)
+            except TimeoutError as error:
+                attempt.outcome = HandshakeOutcome.TIMED_OUT
+                self._log_failed_dial(peer, error, attempt, history)
+            except (
+                OSError,
+                ValueError,
+                EOFError,
+                WebSocketException,
+            ) as error:
+                attempt.outcome = HandshakeOutcome.UNREACHABLE
+                self._log_failed_dial(peer, error, attempt, history)
+            except get_cancelled_exc_class():
+                events.log(
+                    _log,
+                    PeerEvent.DIAL_STOPPED,
+                    peer=peer,
+                    duration_ms=attempt.duration_ms,
                 )
-                try:
-                    identity = await handshake.run_client_handshake(
-                        connection, self._identity, peer, self._secret
-                    )
-                    connection.is_authenticated = True
-                except BaseException:
-                    connection.transport.abort()
-                    raise
-            link = self._create_link(connection, identity, self._own_info.vm)
-        except PeerError as error:
-            self._log_refusal(peer, error)
-        except (
-            OSError,
-            TimeoutError,
-            ValueError,
-            EOFError,
-            WebSocketException,
-        ) as error:
-            events.log(
-                _log, PeerEvent.DIAL_FAILED, peer=peer, error=repr(error)
+                raise
+        history.record(attempt)
+        return link
+
+    async def _dial(
+        self, peer: VmId, attempt: Handshake, handshake_limit: timedelta
+    ) -> Link:
+        """Return an authenticated link.
+
+        :param handshake_limit: time from the open connection on.
+        :raises PeerError: the handshake failed.
+        :raises TimeoutError: the connection was not open after
+            handshake_timeout_ms, or the handshake took too long.
+        """
+        info = self._vms[peer]
+        with anyio.fail_after(self._settings.handshake_timeout_ms / 1000):
+            connected = await open_socket(info.host, info.port)
+        attempt.is_connected = True
+        limit_s = handshake_limit.total_seconds()
+        with anyio.fail_after(limit_s):
+            connection = await connect(
+                f"ws://{info.host}:{info.port}",
+                sock=connected,
+                compression=None,
+                ping_interval=None,
+                open_timeout=limit_s,
+                create_connection=LimitedClientConnection,
+                proxy=None,
+                max_size=self._settings.message_limit_mb * _BYTES_PER_MIB,
             )
-        if link is None:
-            return False
-        await self._run_link(link)
-        return True
+            try:
+                identity = await handshake.run_client_handshake(
+                    connection, self._identity, peer, self._secret
+                )
+                connection.is_authenticated = True
+            except BaseException:
+                connection.transport.abort()
+                raise
+        return self._create_link(connection, identity, self._own_info.vm)
 
     async def _handle_connection(self, connection) -> None:
         """Serve one incoming connection; called by the WebSocket server."""
-        timeout_s = self._settings.handshake_timeout_ms / 1000
-        address = connection.remote_address
-        try:
-            with anyio.fail_after(timeout_s):
-                identity = await handshake.run_server_handshake(
-                    connection,
-                    self._identity,
-                    None if self._accept_unknown else set(self._vms),
-                    self._secret,
-                )
-                connection.is_authenticated = True
-        except PeerError as error:
-            self._log_refusal(str(address), error)
-            await connection.close(_POLICY_VIOLATION_CODE, "refused")
-            return
-        except (ConnectionClosed, TimeoutError) as error:
-            self._log_refusal(str(address), error)
-            connection.transport.abort()
+        waited_s = connection.loop.time() - connection.opened_at
+        with self._handshakes.measure(LinkEnd.ACCEPTING, waited_s) as attempt:
+            identity = await self._accept(connection, attempt)
+        if identity is None:
             return
         if identity.vm not in self._vms:
-            self._add_vm(_create_vm_info(identity, address))
+            self._add_vm(_create_vm_info(identity, connection.remote_address))
         await self._run_link(
             self._create_link(connection, identity, identity.vm)
         )
 
+    def _choose_handshake_slots(self, connection):
+        """Return what limits the handshakes that are in progress at once.
+
+        Peers that this VM dials itself do not wait for others: without links
+        between them, control VMs elect no leader.
+        """
+        host = connection.remote_address[0]
+        if any(self._vms[vm].host == host for vm in self._dialled_peers):
+            return contextlib.nullcontext()
+        return self._handshake_slots
+
+    async def _accept(self, connection, attempt: Handshake) -> Identity | None:
+        """Return the authenticated peer; None if there is none."""
+        limit = compute_longest_handshake(self._settings)
+        address = str(connection.remote_address)
+        try:
+            async with self._choose_handshake_slots(connection):
+                with anyio.fail_after(limit.total_seconds()):
+                    identity = await handshake.run_server_handshake(
+                        connection,
+                        self._identity,
+                        None if self._accept_unknown else set(self._vms),
+                        self._secret,
+                    )
+                connection.is_authenticated = True
+        except PeerError as error:
+            attempt.outcome = HandshakeOutcome.REFUSED
+            self._log_refusal(address, error)
+            await connection.close(_POLICY_VIOLATION_CODE, "refused")
+            return None
+        except TimeoutError:
+            attempt.outcome = HandshakeOutcome.TIMED_OUT
+            self._log_ended_handshake(
+                PeerEvent.HANDSHAKE_TIMED_OUT, address, attempt
+            )
+            connection.transport.abort()
+            return None
+        except ConnectionClosed:
+            self._log_ended_handshake(
+                PeerEvent.HANDSHAKE_ABANDONED, address, attempt
+            )
+            connection.transport.abort()
+            return None
+        attempt.outcome = HandshakeOutcome.AUTHENTICATED
+        return identity
+
     def _create_link(
         self, connection, identity: Identity, dialled_by: VmId
     ) -> Link:
@@ -398,6 +481,38 @@
     def _list_links(self) -> list[Link]:
         return [link for links in self._links.values() for link in links]
 
+    def _log_ended_handshake(
+        self, event: PeerEvent, address: str, attempt: Handshake
+    ) -> None:
+        events.log(
+            _log,
+            event,
+            peer=address,
+            duration_ms=attempt.duration_ms,
+            open_handshakes=self._handshakes.open_counts[LinkEnd.ACCEPTING],
+        )
+
+    def _log_failed_dial(
+        self,
+        peer: VmId,
+        error: Exception,
+        attempt: Handshake,
+        history: DialHistory,
+    ) -> None:
+        fields = {
+            "peer": peer,
+            "reason": attempt.outcome.value,
+            "error": repr(error),
+            "duration_ms": attempt.duration_ms,
+        }
+        events.log(_log, PeerEvent.DIAL_FAILED, **fields)
+        attempts = history.failures + 1
+        is_power_of_two = attempts & (attempts - 1) == 0
+        if attempts >= _FAILURES_LOGGED and is_power_of_two:
+            events.log(
+                _log, PeerEvent.PEER_UNREACHABLE, attempts=attempts, **fields
+            )
+
     def _log_refusal(self, peer: str, error: Exception) -> None:
         events.log(
             _log,
