Log why the replicated log has no leader

While no leader was found, a control VM logged only that a read was refused. Whether the voters were gone, not connected, answered too late or held newer logs could not be told apart.

A member now logs what it recovered from its disk (3024), each election that ended without a leader with the replies of the voters and the reason for those that are missing (3025), each refused vote with its reason (3026), and how long no leader had been heard when a read or command is refused (3027).

--- a/dotterelbridge/replication/context.py
+++ b/dotterelbridge/replication/context.py
@@ -11,6 +11,7 @@
 from dotterelbridge.ids import VmId
 from dotterelbridge.peers.network import PeerNetwork
 from dotterelbridge.replication.entry_applier import EntryApplier
+from dotterelbridge.replication.event_limiter import EventLimiter
 from dotterelbridge.replication.settings import ReplicationSettings
 from dotterelbridge.replication.state import MemberState
 from dotterelbridge.replication.storage_writer import StorageWriter
@@ -27,6 +28,7 @@
     state: MemberState
     storage_writer: StorageWriter
     entry_applier: EntryApplier
+    event_limiter: EventLimiter
     initial_voters: tuple[VmId, ...]
     """The VMs that form the group if none of them has a log yet."""
     list_contacts: Callable[[], Sequence[VmId]]
--- a/dotterelbridge/replication/election.py
+++ b/dotterelbridge/replication/election.py
@@ -3,10 +3,12 @@
 from datetime import timedelta
 
 import anyio
+import msgspec
 import structlog
 
 from dotterelbridge import events
 from dotterelbridge.errors import PeerError
+from dotterelbridge.ids import LogIndex
 from dotterelbridge.ids import Term
 from dotterelbridge.ids import VmId
 from dotterelbridge.replication.context import MemberContext
@@ -21,6 +23,16 @@
 _log = structlog.get_logger(__name__)
 
 
+class _Tally(msgspec.Struct):
+    """The replies of the other voters in one round of an election."""
+
+    granted: list[VmId] = []
+    refused: dict[VmId, Term] = {}
+    """The terms of the voters that refused."""
+    unanswered: dict[VmId, str] = {}
+    """Why no reply arrived."""
+
+
 class ElectionManager:
     """Grants votes to other members and requests votes for this one."""
 
@@ -35,15 +47,17 @@
         if not accepts_message(self._context, request):
             return None
         if self._must_refuse(request):
-            return self._create_reply(granted=False)
+            return self._create_refusal(request)
         async with self._context.storage_writer.lock:
             if self._must_refuse(request):
-                return self._create_reply(granted=False)
+                return self._create_refusal(request)
             if request.pre_vote:
-                return self._create_reply(
-                    granted=self._would_grant_vote(request)
-                )
-            return self._create_reply(granted=await self._cast_vote(request))
+                granted = self._would_grant_vote(request)
+            else:
+                granted = await self._cast_vote(request)
+            if not granted:
+                return self._create_refusal(request)
+            return self._create_reply(granted=True)
 
     async def campaign(self, leadership_transfer: bool = False) -> bool:
         """Run an election; returns whether this member leads now.
@@ -57,6 +71,7 @@
             if not await self._collect_votes(request_term, pre_vote=True):
                 return False
             if self._has_live_leader():
+                self._log_failure(request_term, "a leader was heard")
                 return False
         return await self._run_election(request_term, leadership_transfer)
 
@@ -87,6 +102,7 @@
     ) -> bool:
         async with self._context.storage_writer.lock:
             if self._state.term >= request_term:
+                self._log_failure(request_term, "a higher term was seen")
                 return False
             await self._context.storage_writer.write_ballot(
                 Ballot(term=request_term, voted_for=self._state.member_id)
@@ -112,6 +128,33 @@
             return True
         return self._has_live_leader() and not request.leadership_transfer
 
+    def _create_refusal(self, request: VoteRequest) -> VoteReply:
+        self._context.event_limiter.log(
+            ReplicationEvent.VOTE_REFUSED,
+            request.candidate_id,
+            candidate=request.candidate_id,
+            candidate_term=request.term,
+            candidate_last=(request.last_term, request.last_index),
+            pre_vote=request.pre_vote,
+            reason=self._find_refusal_reason(request),
+            term=self._state.term,
+            own_last=self._describe_log_end(),
+        )
+        return self._create_reply(granted=False)
+
+    def _find_refusal_reason(self, request: VoteRequest) -> str:
+        if self._state.role is Role.FAILED:
+            return "the storage failed"
+        if self._must_refuse(request):
+            return "a leader was heard, or this VM started, recently"
+        if not self._state.is_log_up_to_date(
+            request.last_index, request.last_term
+        ):
+            return "the candidate's log is older"
+        if request.term < self._state.term or request.pre_vote:
+            return "the candidate's term is not newer"
+        return "already voted in this term"
+
     def _has_live_leader(self) -> bool:
         return self._state.is_leader or self._state.heard_leader_within(
             self._context.election_timeout
@@ -153,23 +196,46 @@
         granted = {self._state.member_id}
         if configuration.has_majority(granted):
             return True
+        tally = _Tally()
         async with anyio.create_task_group() as group:
 
             async def ask(member: Member) -> None:
                 reply = await self._request_vote(
-                    member, term, pre_vote, leadership_transfer
+                    member, term, pre_vote, leadership_transfer, tally
                 )
                 if reply is None:
                     return
                 if reply.granted:
                     granted.add(reply.member_id)
+                    tally.granted.append(member.vm)
+                else:
+                    tally.refused[member.vm] = reply.term
                 if configuration.has_majority(granted):
                     group.cancel_scope.cancel()
 
             for member in configuration.list_voters():
                 if member.member_id != self._state.member_id:
                     group.start_soon(ask, member)
-        return configuration.has_majority(granted)
+        if configuration.has_majority(granted):
+            return True
+        stage = "pre-vote" if pre_vote else "vote"
+        self._log_failure(term, f"the {stage} found no majority", tally)
+        return False
+
+    def _log_failure(
+        self, term: Term, reason: str, tally: _Tally | None = None
+    ) -> None:
+        self._context.event_limiter.log(
+            ReplicationEvent.ELECTION_FAILED,
+            reason,
+            reason=reason,
+            term=term,
+            own_last=self._describe_log_end(),
+            **({} if tally is None else msgspec.structs.asdict(tally)),
+        )
+
+    def _describe_log_end(self) -> tuple[Term, LogIndex]:
+        return self._state.log.last_term, self._state.log.last_index
 
     async def _request_vote(
         self,
@@ -177,6 +243,7 @@
         term: Term,
         pre_vote: bool,
         leadership_transfer: bool,
+        tally: _Tally,
     ) -> VoteReply | None:
         request = VoteRequest(
             log_name=self._context.log_name,
@@ -193,12 +260,14 @@
             reply = await self._context.network.request(
                 member.vm, request, self._get_vote_timeout(pre_vote)
             )
-        except PeerError:
+        except PeerError as error:
+            tally.unanswered[member.vm] = error.problem
             return None
         if (
             not isinstance(reply, VoteReply)
             or reply.member_id != member.member_id
         ):
+            tally.unanswered[member.vm] = "another member replied"
             return None
         if reply.term > self._state.term:
             await adopt_term(self._context, reply.term)
--- a/dotterelbridge/replication/events.py
+++ b/dotterelbridge/replication/events.py
@@ -70,6 +70,32 @@
         logging.INFO,
         "The members of the replicated log changed.",
     )
+    STATE_RECOVERED = (
+        3024,
+        logging.INFO,
+        "This VM read its stored state and takes part from there; 'empty' "
+        "says whether its data folder held nothing.",
+    )
+    ELECTION_FAILED = (
+        3025,
+        logging.INFO,
+        "An election of this VM ended without a leader; the fields list "
+        "which voters granted, refused and did not answer. Repetitions are "
+        "logged at growing intervals.",
+    )
+    VOTE_REFUSED = (
+        3026,
+        logging.INFO,
+        "This VM refused its vote, or a pre-vote; 'reason' says why. "
+        "Repetitions are logged at growing intervals.",
+    )
+    LEADER_UNREACHABLE = (
+        3027,
+        logging.INFO,
+        "A read or command was refused because no leader could be reached; "
+        "'silence_s' says since when none was heard. Check the voters that "
+        "are not connected.",
+    )
     SNAPSHOT_TAKEN = (
         3030,
         logging.INFO,
--- a/dotterelbridge/replication/member.py
+++ b/dotterelbridge/replication/member.py
@@ -7,7 +7,9 @@
 from typing import Any
 
 import anyio
+import structlog
 
+from dotterelbridge import events
 from dotterelbridge.clock import Clock
 from dotterelbridge.dump import Dumpable
 from dotterelbridge.errors import CommitUnknown
@@ -26,6 +28,8 @@
 from dotterelbridge.replication.entries import Configuration
 from dotterelbridge.replication.entries import EntryKind
 from dotterelbridge.replication.entry_applier import EntryApplier
+from dotterelbridge.replication.event_limiter import EventLimiter
+from dotterelbridge.replication.events import ReplicationEvent
 from dotterelbridge.replication.follower import Follower
 from dotterelbridge.replication.forwarding import Deadline
 from dotterelbridge.replication.forwarding import Forwarder
@@ -55,6 +59,8 @@
 from dotterelbridge.replication.storage import LogStorage
 from dotterelbridge.replication.storage_writer import StorageWriter
 
+_log = structlog.get_logger(__name__)
+
 _TIMEOUT_JITTER_SHARE = 0.7
 """Voters wait up to this share of the election timeout longer, at random.
 
@@ -134,6 +140,7 @@
 
     async def run(self) -> None:
         """Take part in the group until cancelled."""
+        self._log_recovered_state()
         self._register_handlers()
         snapshot = self._context.storage_writer.snapshot
         if snapshot:
@@ -166,7 +173,7 @@
                 )
             if result is not None:
                 return result
-            await self._forwarder.wait_before_retry(deadline)
+            await self._wait_before_retry(deadline)
 
     async def read_barrier(self, timeout: timedelta) -> LogIndex:
         deadline = Deadline(self._context.clock, timeout)
@@ -174,7 +181,7 @@
             index = await self._find_read_index(deadline)
             if index is not None:
                 break
-            await self._forwarder.wait_before_retry(deadline)
+            await self._wait_before_retry(deadline)
         try:
             with anyio.fail_after(deadline.get_remaining().total_seconds()):
                 await self._entry_applier.wait_for_applied(index)
@@ -351,8 +358,50 @@
         while self._state.role is not Role.FAILED:
             await self._state.role_changed.wait()
 
+    def _log_recovered_state(self) -> None:
+        state = self._state
+        events.log(
+            _log,
+            ReplicationEvent.STATE_RECOVERED,
+            member=state.member_id,
+            empty=not (state.term or state.log.last_index),
+            term=state.term,
+            voted_for=state.ballot.voted_for,
+            last_index=state.log.last_index,
+            last_term=state.log.last_term,
+            commit_index=state.commit_index,
+            voters=self._describe_voters(),
+        )
+
+    def _describe_voters(self) -> dict[MemberId, VmId]:
+        return {
+            voter.member_id: voter.vm
+            for voter in self._state.configuration.list_voters()
+        }
+
     # Proposals and reads
 
+    async def _wait_before_retry(self, deadline: Deadline) -> None:
+        try:
+            await self._forwarder.wait_before_retry(deadline)
+        except NotCommitted:
+            self._log_unreachable_leader()
+            raise
+
+    def _log_unreachable_leader(self) -> None:
+        contacts = self._context.list_contacts()
+        is_connected = self._context.network.is_connected
+        self._context.event_limiter.log(
+            ReplicationEvent.LEADER_UNREACHABLE,
+            None,
+            silence_s=round(self.get_leader_silence_s(), 3),
+            leader=self._state.leader_vm,
+            role=self._state.role.value,
+            term=self._state.term,
+            voters=self._describe_voters(),
+            connected=[vm for vm in contacts if is_connected(vm)],
+        )
+
     def _check_command(self, command: bytes) -> None:
         limit_kb = self._context.settings.command_limit_kb
         if len(command) > limit_kb * _BYTES_PER_KB:
@@ -577,6 +626,7 @@
         state=state,
         storage_writer=storage_writer,
         entry_applier=EntryApplier(settings, state, storage_writer),
+        event_limiter=EventLimiter(clock),
         initial_voters=tuple(voters),
         list_contacts=list_contacts,
     )
