Pass a request to join on to the leader

Callers saw reads of the routes refused for good at a control VM that had started with an empty disk, and, after the next loss of disks, at all of them: "no leader of the replicated log could be reached".

Cause: a VM without a log has links to its seeds only. It asked the VM that a seed called leader to add it, but had no link to that VM, and the seeds refused because they did not lead. Unless a seed led, it never joined. The VM that it replaced, or its own former disk, stayed a voter, so that the next allowed loss of disks left no majority.

A member that does not lead now passes the request on to the leader, with the VM that asked. The leader adds it and dials it as any member. A request is passed on once only.

--- a/dotterelbridge/replication/joining.py
+++ b/dotterelbridge/replication/joining.py
@@ -10,6 +10,7 @@
 from datetime import timedelta
 
 import anyio
+import msgspec
 import structlog
 
 from dotterelbridge import events
@@ -37,6 +38,8 @@
 
 _FIRST_TERM = Term(1)
 _GROUP_ID_BITS = 64
+_JOIN_TIMEOUT_COUNT = 4
+"""Join intervals that the leader has to add a learner."""
 _REJOIN_ELECTION_TIMEOUT_COUNT = 4
 """Election timeouts without a leader message before joining again."""
 
@@ -79,12 +82,29 @@
         request: JoinRequest,
         leadership: Leadership | None,
     ) -> JoinReply:
-        """Add the sender as a learner, if this member leads."""
-        accepted = False
+        """Add a VM as a learner, or pass the request on to the leader."""
         if leadership is not None:
-            accepted = await self._add_learner(leadership, request, sender)
+            vm = request.vm or sender
+            accepted = await self._add_learner(leadership, request, vm)
+        elif request.vm is None:
+            accepted = await self._pass_on_join(sender, request)
+        else:
+            accepted = False
         return JoinReply(leader_vm=self._state.leader_vm, accepted=accepted)
 
+    async def _pass_on_join(self, vm: VmId, request: JoinRequest) -> bool:
+        leader_vm = self._state.leader_vm
+        if leader_vm in (None, vm):
+            return False
+        request = msgspec.structs.replace(request, vm=vm)
+        try:
+            reply = await self._context.network.request(
+                leader_vm, request, self._join_timeout
+            )
+        except PeerError:
+            return False
+        return isinstance(reply, JoinReply) and reply.accepted
+
     def _should_join(self) -> bool:
         """Return whether the group may not list this member.
 
@@ -106,17 +126,22 @@
         # does not notify members that it removed.
         return not own.voter or self._context.settings.losses_tolerated > 0
 
+    @property
+    def _join_timeout(self) -> timedelta:
+        interval_ms = self._context.settings.join_interval_ms
+        return timedelta(milliseconds=interval_ms) * _JOIN_TIMEOUT_COUNT
+
     def _belongs_to_group(self) -> bool:
         return bool(self._state.configuration.group_id)
 
     async def _add_learner(
-        self, leadership: Leadership, request: JoinRequest, sender: VmId
+        self, leadership: Leadership, request: JoinRequest, vm: VmId
     ) -> bool:
         try:
             with anyio.fail_after(
                 leadership.configuration_change_timeout.total_seconds()
             ):
-                await leadership.add_learner(request.member_id, sender)
+                await leadership.add_learner(request.member_id, vm)
         except (ReplicationError, TimeoutError):
             return False
         return True
@@ -126,7 +151,7 @@
         own_group = self._state.configuration.group_id
         groups = {r.group_id for r in replies.values() if r.group_id}
         if own_group in groups or (groups and not own_group):
-            await self._request_join(replies, timeout)
+            await self._request_join(replies)
         elif self._may_form_group(replies) and not self._belongs_to_group():
             await self._form_group(replies)
 
@@ -152,9 +177,7 @@
                     group.start_soon(request_status, vm)
         return replies
 
-    async def _request_join(
-        self, replies: dict[VmId, StatusReply], timeout: timedelta
-    ) -> None:
+    async def _request_join(self, replies: dict[VmId, StatusReply]) -> None:
         """Ask the VMs that were reported as leader first, then the others."""
         leader_vms = [r.leader_vm for r in replies.values() if r.leader_vm]
         request = JoinRequest(
@@ -165,7 +188,7 @@
                 continue
             try:
                 reply = await self._context.network.request(
-                    vm, request, timeout * 4
+                    vm, request, self._join_timeout
                 )
             except PeerError:
                 continue
--- a/dotterelbridge/replication/messages.py
+++ b/dotterelbridge/replication/messages.py
@@ -119,9 +119,15 @@
 
 @register_message("replication.join")
 class JoinRequest(GroupMessage, frozen=True, kw_only=True, array_like=True):
-    """Asks the leader to add the sender as a learner."""
+    """Asks the leader to add a VM as a learner.
+
+    A member that does not lead passes it on to the leader, to which the VM
+    may have no link yet.
+    """
 
     member_id: MemberId
+    vm: VmId | None = None
+    """The VM to add, if the request was passed on; else it is the sender."""
 
 
 @register_message("replication.join_reply")
--- a/standins/network.py
+++ b/standins/network.py
@@ -55,16 +55,16 @@
         self.handler_errors: list[Exception] = []
         """Exceptions that handlers raised; tests check that it is empty."""
         self._random = random_module.Random(seed)
-        self._endpoints: dict[VmId, _StandinEndpoint] = {}
+        self._endpoints: dict[VmId, StandinEndpoint] = {}
         self._blocked_links: set[tuple[VmId, VmId]] = set()
         self._holding_vms: set[VmId] = set()
-        self._held_messages: list[tuple[_StandinEndpoint, VmId, bytes]] = []
+        self._held_messages: list[tuple[StandinEndpoint, VmId, bytes]] = []
         self._tasks: set[asyncio.Task] = set()
 
     def join(self, vm: VmId) -> PeerNetwork:
         """Return a new endpoint of the VM; its previous one is stopped."""
         self.leave(vm)
-        self._endpoints[vm] = _StandinEndpoint(self, vm)
+        self._endpoints[vm] = StandinEndpoint(self, vm)
         return self._endpoints[vm]
 
     def leave(self, vm: VmId) -> None:
@@ -115,7 +115,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def transmit(
-        self, sender: "_StandinEndpoint", destination: VmId, data: bytes
+        self, sender: "StandinEndpoint", destination: VmId, data: bytes
     ) -> None:
         """Schedule delivery of a frame, or drop or duplicate it."""
         source = sender.own_id
@@ -154,7 +154,7 @@
         return delay
 
     def _deliver(
-        self, source: VmId, endpoint: "_StandinEndpoint | None", data: bytes
+        self, source: VmId, endpoint: "StandinEndpoint | None", data: bytes
     ) -> None:
         if (
             endpoint is None
@@ -176,7 +176,7 @@
             self.handler_errors.append(task.exception())
 
 
-class _StandinEndpoint(PeerNetwork):
+class StandinEndpoint(PeerNetwork):
     """One VM's endpoint on the stand-in network."""
 
     def __init__(self, network: StandinNetwork, vm: VmId) -> None:
