Ask members that contact an empty VM for the group

Callers saw reads of the routes refused for good at a control VM that had lost its disk, although the group answered elsewhere and was linked to it.

Cause: an empty VM asked only the seeds of its settings. These come from a list that lags: they can be gone, or have lost their disks too. The members of the group keep links to the VM and send it messages for its former identity, and nobody asked them. Until it joined, its former identity stayed a voter.

The senders of messages between members are now contacts while a VM knows no members. Links to other VMs are not: entry VMs are linked to control VMs too, and hold no log.

--- a/dotterelbridge/replication/context.py
+++ b/dotterelbridge/replication/context.py
@@ -1,7 +1,5 @@
 """Settings, state and collaborators shared by the parts of a member."""
 
-from collections.abc import Callable
-from collections.abc import Sequence
 from datetime import timedelta
 import random as random_module
 
@@ -10,6 +8,7 @@
 from dotterelbridge.clock import Clock
 from dotterelbridge.ids import VmId
 from dotterelbridge.peers.network import PeerNetwork
+from dotterelbridge.replication.contacts import Contacts
 from dotterelbridge.replication.entry_applier import EntryApplier
 from dotterelbridge.replication.event_limiter import EventLimiter
 from dotterelbridge.replication.settings import ReplicationSettings
@@ -31,8 +30,8 @@
     event_limiter: EventLimiter
     initial_voters: tuple[VmId, ...]
     """The VMs that form the group if none of them has a log yet."""
-    list_contacts: Callable[[], Sequence[VmId]]
-    """Returns the VMs to ask for the group and its leader."""
+    contacts: Contacts
+    """The VMs to ask for the group and its leader."""
 
     @property
     def heartbeat_interval(self) -> timedelta:
--- a/dotterelbridge/replication/joining.py
+++ b/dotterelbridge/replication/joining.py
@@ -172,7 +172,7 @@
                 replies[vm] = reply
 
         async with anyio.create_task_group() as group:
-            for vm in self._context.list_contacts():
+            for vm in self._context.contacts.list_vms():
                 if vm != self._state.vm:
                     group.start_soon(request_status, vm)
         return replies
--- a/dotterelbridge/replication/member.py
+++ b/dotterelbridge/replication/member.py
@@ -19,9 +19,11 @@
 from dotterelbridge.ids import MemberId
 from dotterelbridge.ids import Term
 from dotterelbridge.ids import VmId
+from dotterelbridge.peers.messages import Message
 from dotterelbridge.peers.network import PeerNetwork
 from dotterelbridge.replication import instruments
 from dotterelbridge.replication.change_notifier import ChangeNotifier
+from dotterelbridge.replication.contacts import Contacts
 from dotterelbridge.replication.context import MemberContext
 from dotterelbridge.replication.election import ElectionManager
 from dotterelbridge.replication.election import accepts_message
@@ -43,6 +45,7 @@
 from dotterelbridge.replication.messages import HandOverRequest
 from dotterelbridge.replication.messages import JoinReply
 from dotterelbridge.replication.messages import JoinRequest
+from dotterelbridge.replication.messages import MemberMessage
 from dotterelbridge.replication.messages import Outcome
 from dotterelbridge.replication.messages import ProposeReply
 from dotterelbridge.replication.messages import ProposeRequest
@@ -52,6 +55,7 @@
 from dotterelbridge.replication.messages import StatusRequest
 from dotterelbridge.replication.messages import VoteRequest
 from dotterelbridge.replication.reply_cache import ReplyCache
+from dotterelbridge.replication.router import GroupHandler
 from dotterelbridge.replication.router import get_log_router
 from dotterelbridge.replication.settings import ReplicationSettings
 from dotterelbridge.replication.state import MemberState
@@ -389,7 +393,6 @@
             raise
 
     def _log_unreachable_leader(self) -> None:
-        contacts = self._context.list_contacts()
         is_connected = self._context.network.is_connected
         self._context.event_limiter.log(
             ReplicationEvent.LEADER_UNREACHABLE,
@@ -399,7 +402,11 @@
             role=self._state.role.value,
             term=self._state.term,
             voters=self._describe_voters(),
-            connected=[vm for vm in contacts if is_connected(vm)],
+            connected=[
+                vm
+                for vm in self._context.contacts.list_vms()
+                if is_connected(vm)
+            ],
         )
 
     def _check_command(self, command: bytes) -> None:
@@ -511,10 +518,21 @@
             ReadRequest: self._handle_read,
         }
         for message_type, handler in handlers.items():
+            if issubclass(message_type, MemberMessage):
+                handler = self._record_senders(handler)
             router.register_handler(
                 self._context.log_name, message_type, handler
             )
 
+    def _record_senders(self, handler: GroupHandler) -> GroupHandler:
+        async def handle(
+            sender: VmId, message: MemberMessage
+        ) -> Message | None:
+            self._context.contacts.record_sender(sender)
+            return await handler(sender, message)
+
+        return handle
+
     async def _handle_join(
         self, sender: VmId, request: JoinRequest
     ) -> JoinReply:
@@ -611,12 +629,7 @@
     stored = storage.open()
     state = MemberState(network.own_id, stored, clock)
     storage_writer = StorageWriter(storage, state, stored.snapshot, clock)
-
-    def list_contacts() -> list[VmId]:
-        members = [member.vm for member in state.configuration.members]
-        seeds = voters if list_seeds is None else list_seeds()
-        return list(dict.fromkeys([*members, *seeds]))
-
+    contacts = Contacts(state, list_seeds or (lambda: voters))
     context = MemberContext(
         log_name=log_name,
         settings=settings,
@@ -628,7 +641,7 @@
         entry_applier=EntryApplier(settings, state, storage_writer),
         event_limiter=EventLimiter(clock),
         initial_voters=tuple(voters),
-        list_contacts=list_contacts,
+        contacts=contacts,
     )
-    forwarder = Forwarder(log_name, network, clock, list_contacts, random)
+    forwarder = Forwarder(log_name, network, clock, contacts.list_vms, random)
     return LogMember(context, forwarder)
