Ask reloaded seeds for the group of a control VM

Callers saw reads refused for good at a control VM that had started empty while its seeds were outdated, also after its settings had been updated.

Cause: a reload gave the new seeds only to the directory of links. The replicated log kept the seeds of the settings at the start. The VM dialled the new seeds and never asked them for the group.

The log now reads the node's present seeds. The VMs that may form the group when the deployment starts for the first time stay those of the start.

--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -155,7 +155,7 @@
             self._clock,
             bootstrap_vms,
             self._rng,
-            list_seeds=settings.list_seeds,
+            list_seeds=lambda: self._seeds,
         )
 
     def _create_route_parts(
--- a/dotterelbridge/nodes/node.py
+++ b/dotterelbridge/nodes/node.py
@@ -52,6 +52,7 @@
         self._rng = random.SystemRandom()
         self._settings = settings
         self._settings_path = settings_path
+        self._seeds = settings.list_seeds()
         self._clock = clock
         self._own_vm = settings.describe_own_vm()
         self._network = create_peer_network(
@@ -99,7 +100,8 @@
     def reload(self) -> None:
         """Read the settings file again; only changed seeds take effect."""
         settings = load_node_settings(self._settings_path)
-        self._directory.set_seeds(settings.list_seeds())
+        self._seeds = settings.list_seeds()
+        self._directory.set_seeds(self._seeds)
 
     def write_dump(self) -> str | None:
         """Log the state of all parts; no file is written."""
--- a/tests/nodes/test_platform_path.py
+++ b/tests/nodes/test_platform_path.py
@@ -123,13 +123,21 @@
             {"id": "i-9", "service": "llm", "address": "nowhere"},
         ]
 
-    def load_settings(self, name, role, address, **options):
+    def load_settings(
+        self,
+        name,
+        role,
+        address,
+        seeds=CONTROL_ADDRESSES,
+        bootstrap=True,
+        **options,
+    ):
         lines = ["[node]", f"name = {name}", f"role = {role}"]
         lines += [f"address = {address}", "failure_domain = a"]
         lines += [f"peer_port = {self.peer_port}"]
         lines += [f"{key} = {value}" for key, value in options.items()]
-        lines += ["[discovery]", f"seeds = {','.join(CONTROL_ADDRESSES)}"]
-        lines += ["bootstrap = true", "secret = s"]
+        lines += ["[discovery]", f"seeds = {','.join(seeds)}"]
+        lines += [f"bootstrap = {bootstrap}", "secret = s"]
         lines += ["[failure_domain:a]", "region = r"]
         lines += ["[replication]", "losses_tolerated = 1"]
         lines += ["[serving]", "balancer_lead_s = 0"]
@@ -142,7 +150,7 @@
         path.write_text("\n".join(lines))
         return load_node_settings(str(path)), str(path)
 
-    def create_control(self, number, address):
+    def create_control(self, number, address, **options):
         settings, path = self.load_settings(
             f"c{number}",
             "control",
@@ -150,6 +158,7 @@
             operator_address=f"{address}:{self.operator_port}",
             data_folder=self.folder / f"c{number}",
             platform_address=f"127.0.0.1:{self.list_listener.port}",
+            **options,
         )
         return create_control_node(
             settings,
