Wait longer for pre-votes that arrive too late

Callers saw commands and reads refused for as long as all control VMs were busy: no election ended with a leader.

Cause: a pre-vote waited for a third of the election timeout, 233 ms, however often it failed. Where each reply takes longer, no pre-vote finds a majority, although the voters run, are linked and would grant it.

After a pre-vote that failed while a connected voter did not reply, the next one waits twice as long, up to the election timeout. One that is granted, or that fails for another reason, takes the wait back to a third, so that a silent voter still delays no more than the attempts that need it.

--- a/dotterelbridge/replication/election.py
+++ b/dotterelbridge/replication/election.py
@@ -8,6 +8,7 @@
 
 from dotterelbridge import events
 from dotterelbridge.errors import PeerError
+from dotterelbridge.errors import PeerUnreachable
 from dotterelbridge.ids import LogIndex
 from dotterelbridge.ids import Term
 from dotterelbridge.ids import VmId
@@ -23,6 +24,11 @@
 _log = structlog.get_logger(__name__)
 
 
+_PRE_VOTE_SHARE = 1 / 3
+"""Share of the election timeout that a pre-vote waits for replies, as long
+as voters do not reply late."""
+
+
 class _Tally(msgspec.Struct):
     """The replies of the other voters in one round of an election."""
 
@@ -31,6 +37,8 @@
     """The terms of the voters that refused."""
     unanswered: dict[VmId, str] = {}
     """Why no reply arrived."""
+    has_late_reply: bool = False
+    """Whether a connected voter did not reply in time."""
 
 
 class ElectionManager:
@@ -39,6 +47,7 @@
     def __init__(self, context: MemberContext) -> None:
         self._context = context
         self._state = context.state
+        self._pre_vote_timeout = context.election_timeout * _PRE_VOTE_SHARE
 
     async def handle_vote(
         self, sender: VmId, request: VoteRequest
@@ -216,7 +225,11 @@
             for member in configuration.list_voters():
                 if member.member_id != self._state.member_id:
                     group.start_soon(ask, member)
-        if configuration.has_majority(granted):
+        has_majority = configuration.has_majority(granted)
+        if pre_vote:
+            is_late = tally.has_late_reply and not has_majority
+            self._adapt_pre_vote_timeout(is_late)
+        if has_majority:
             return True
         stage = "pre-vote" if pre_vote else "vote"
         self._log_failure(term, f"the {stage} found no majority", tally)
@@ -262,6 +275,8 @@
             )
         except PeerError as error:
             tally.unanswered[member.vm] = error.problem
+            if isinstance(error, PeerUnreachable):
+                tally.has_late_reply |= self._is_connected(member)
             return None
         if (
             not isinstance(reply, VoteReply)
@@ -280,8 +295,26 @@
         writes nothing, and an unresponsive voter must not delay the next
         attempt.
         """
-        timeout = self._context.election_timeout
-        return timeout / 3 if pre_vote else timeout
+        if pre_vote:
+            return self._pre_vote_timeout
+        return self._context.election_timeout
+
+    def _adapt_pre_vote_timeout(self, is_late: bool) -> None:
+        """Wait longer in the next pre-vote if voters replied too late.
+
+        With a fixed timeout, no leader would be elected while the voters
+        are busy.
+        """
+        election_timeout = self._context.election_timeout
+        if is_late:
+            self._pre_vote_timeout = min(
+                self._pre_vote_timeout * 2, election_timeout
+            )
+        else:
+            self._pre_vote_timeout = election_timeout * _PRE_VOTE_SHARE
+
+    def _is_connected(self, member: Member) -> bool:
+        return self._context.network.is_connected(member.vm)
 
     def _create_reply(self, granted: bool) -> VoteReply:
         return VoteReply(
--- a/tests/test_replication_faults.py
+++ b/tests/test_replication_faults.py
@@ -514,3 +514,15 @@
             assert clock_s() - killed_at < 2
             group.start(leader)
             await group.wait_until_equal()
+
+
+# Guards against a group without a leader for as long as its voters are busy,
+# because each reply to a pre-vote arrives after its timeout.
+@in_virtual_time
+async def test_leader_is_elected_while_all_replies_are_slow():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        group.network.conditions.delay_min_s = ELECTION_TIMEOUT_S * 0.18
+        group.network.conditions.delay_max_s = ELECTION_TIMEOUT_S * 0.2
+        group.kill(leader)
+        await group.propose_until_committed(await group.wait_leader(), b"new")
