Send heartbeats without waiting for the last reply

Callers saw commands and reads refused again and again while all control VMs were busy: a leader was elected and stopped leading a second later.

Cause: the leader had one heartbeat in flight for each member and dropped replies that took longer than two heartbeat intervals, 300 ms. With slower replies, or two round trips in an election timeout, it recorded too few acknowledgements to renew its lease, and stopped with event 3003, although every message arrived.

Evidence: the new test (replies after 350 to 420 ms, election timeout 700 ms) fails on the old code, with event 3003 in term after term.

A heartbeat now leaves in each interval, and its reply counts for an election timeout. The lease still starts when the acknowledged message was sent. In calm, the number of messages is the same.

--- a/dotterelbridge/replication/leadership.py
+++ b/dotterelbridge/replication/leadership.py
@@ -320,23 +320,27 @@
         """Keep the member's election timeout from expiring.
 
         Heartbeats are separate from entries, which are acknowledged only
-        after the member's disk has synced them.
+        after the member's disk has synced them. The next one does not wait
+        for the reply to the last one, so that a member that is slow to reply
+        still acknowledges one in each interval.
         """
-        while True:
-            request = self._create_append(progress, progress.match_index, [])
-            sent_at = self._context.clock.monotonic()
-            reply = await self._send_request(
-                progress, request, self._context.heartbeat_interval * 2
-            )
-            if reply is not None:
-                self._record_ack(progress, sent_at)
-            elif not self._state.configuration.is_voter(
-                progress.member.member_id
-            ):
-                await self._check_identity(progress)
-            elapsed = self._context.clock.monotonic() - sent_at
-            left = self._context.heartbeat_interval.total_seconds() - elapsed
-            await self._context.clock.sleep(timedelta(seconds=max(left, 0)))
+        async with anyio.create_task_group() as group:
+            while True:
+                group.start_soon(self._send_heartbeat, progress)
+                await self._context.clock.sleep(
+                    self._context.heartbeat_interval
+                )
+
+    async def _send_heartbeat(self, progress: _MemberProgress) -> None:
+        request = self._create_append(progress, progress.match_index, [])
+        sent_at = self._context.clock.monotonic()
+        reply = await self._send_request(
+            progress, request, self._context.election_timeout
+        )
+        if reply is not None:
+            self._record_ack(progress, sent_at)
+        elif not self._state.configuration.is_voter(progress.member.member_id):
+            await self._check_identity(progress)
 
     async def _check_identity(self, progress: _MemberProgress) -> None:
         """Check whether the VM of a learner now has another member id.
--- a/tests/test_replication_faults.py
+++ b/tests/test_replication_faults.py
@@ -526,3 +526,18 @@
         group.network.conditions.delay_max_s = ELECTION_TIMEOUT_S * 0.2
         group.kill(leader)
         await group.propose_until_committed(await group.wait_leader(), b"new")
+
+
+# Guards against a leader that stops leading while all members are busy,
+# because it drops replies that arrive after two heartbeat intervals.
+@in_virtual_time
+async def test_leader_keeps_its_lease_while_all_replies_are_slow():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        term = _get_term(group, leader)
+        group.network.conditions.delay_min_s = ELECTION_TIMEOUT_S * 0.25
+        group.network.conditions.delay_max_s = ELECTION_TIMEOUT_S * 0.3
+        await anyio.sleep(LONG_WAIT_S)
+        assert group.find_leader() == leader
+        assert _get_term(group, leader) == term
+        await group.propose(leader, b"slow")
