Wait longer after each lost vote

Callers saw reads refused for up to 16 s after a final loss of disks, while the control VMs were busy: the voters that were left needed each other's votes and held elections that nobody won.

Cause: a candidate started again 70 to 280 ms after a lost vote. With replies after 200 to 400 ms all candidates had voted for themselves before they heard of each other, term after term. The wait for pre-votes also fell back to its shortest after each one that was granted, so that every second attempt ended early.

Evidence: three of five voters restart with messages of 100 to 200 ms.

The longest wait now doubles with each lost vote, up to eight times, until a leader is heard. An election that fails without a vote, as without a majority in reach, does not count. The wait for pre-votes stays as long as it had to be until one fails with all replies in.

--- a/dotterelbridge/replication/election.py
+++ b/dotterelbridge/replication/election.py
@@ -48,6 +48,9 @@
         self._context = context
         self._state = context.state
         self._pre_vote_timeout = context.election_timeout * _PRE_VOTE_SHARE
+        self._vote_lost_at = float("-inf")
+        self.lost_vote_count = 0
+        """Votes that this member lost since a leader was last heard."""
 
     async def handle_vote(
         self, sender: VmId, request: VoteRequest
@@ -75,6 +78,8 @@
             has given up its lease, so voters need not wait until they
             have not heard from it for an election timeout.
         """
+        if self._state.leader_heard_at > self._vote_lost_at:
+            self.lost_vote_count = 0
         request_term = await self._start_campaign()
         if not leadership_transfer:
             if not await self._collect_votes(request_term, pre_vote=True):
@@ -128,7 +133,10 @@
             or self._state.role is not Role.CANDIDATE
         ):
             self._state.step_down("the election was not won")
+            self.lost_vote_count += 1
+            self._vote_lost_at = self._context.clock.monotonic()
             return False
+        self.lost_vote_count = 0
         self._state.become_leader()
         return True
 
@@ -225,12 +233,10 @@
             for member in configuration.list_voters():
                 if member.member_id != self._state.member_id:
                     group.start_soon(ask, member)
-        has_majority = configuration.has_majority(granted)
-        if pre_vote:
-            is_late = tally.has_late_reply and not has_majority
-            self._adapt_pre_vote_timeout(is_late)
-        if has_majority:
+        if configuration.has_majority(granted):
             return True
+        if pre_vote:
+            self._adapt_pre_vote_timeout(tally.has_late_reply)
         stage = "pre-vote" if pre_vote else "vote"
         self._log_failure(term, f"the {stage} found no majority", tally)
         return False
--- a/dotterelbridge/replication/member.py
+++ b/dotterelbridge/replication/member.py
@@ -70,6 +70,10 @@
 
 This makes it unlikely that two voters start elections at the same time.
 """
+_BACKOFF_SHARE = 0.3
+_BACKOFF_DOUBLINGS = 3
+"""The wait after an election that was not won: up to this share of the
+election timeout, doubled for each lost vote up to this number of times."""
 _RESUME_RETRY_INTERVAL = timedelta(milliseconds=30)
 """Time between attempts of a restarted leader to lead again, while other
 VMs start up: about the latency of the slowest link."""
@@ -333,7 +337,14 @@
             await self._transfer_request_received.wait()
 
     async def _back_off_after_election(self) -> None:
-        delay_share = 0.1 + 0.3 * self._context.random.random()
+        """Wait at random, and longer after each lost vote.
+
+        If all candidates need each other's votes, they have to start at
+        intervals longer than a vote takes.
+        """
+        doublings = min(self._elections.lost_vote_count, _BACKOFF_DOUBLINGS)
+        longest_share = _BACKOFF_SHARE * 2**doublings
+        delay_share = 0.1 + longest_share * self._context.random.random()
         await self._context.clock.sleep(
             self._context.election_timeout * delay_share
         )
--- a/tests/test_replication_faults.py
+++ b/tests/test_replication_faults.py
@@ -541,3 +541,21 @@
         assert group.find_leader() == leader
         assert _get_term(group, leader) == term
         await group.propose(leader, b"slow")
+
+
+# Guards against a majority without a spare voter that finds no leader for
+# long, because the candidates start again before they hear of each other.
+@pytest.mark.parametrize("seed", [15, 18, 24, 32, 35])
+@in_virtual_time
+async def test_votes_are_not_split_again_and_again(seed):
+    async with run_group(5, seed) as group:
+        leader = await group.wait_leader()
+        await group.wait_until_equal()
+        for vm in group.vms:
+            group.kill(vm)
+        group.network.conditions.delay_min_s = 0.1
+        group.network.conditions.delay_max_s = 0.2
+        for vm in _list_other_vms(group, leader)[:3]:
+            group.start(vm)
+        with anyio.fail_after(10):
+            await group.wait_leader()
