--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -273,7 +273,7 @@
             endpoint,
             parse_vm_id(vm),
             seeds,
-            lambda: {m.vm for m in log.configuration.members},
+            lambda: [m.vm for m in log.configuration.members],
             clock,
         )
         node = ControlVm(log, machine, anyio.CancelScope())
