Dial the seeds while a VM is detached

Found by looking for other lists of contacts that leave out the useful ones; not seen on a deployment.

A VM dialled its seeds only while none of the control VMs that it knew was connected. An entry VM that was cut off together with one control VM, while the others were replaced, stayed with that one: it knew to be detached, and dialled only the VMs that were gone, although its seeds named the present ones. The new test fails on the old code. A detached VM now dials all it knows and its seeds.

--- a/dotterelbridge/nodes/directory.py
+++ b/dotterelbridge/nodes/directory.py
@@ -22,8 +22,8 @@
 class ControlVmDirectory:
     """Keeps links to the control VMs, and ranks them by distance.
 
-    The seeds are included until the control VMs are known, and whenever
-    none of the known ones is connected.
+    The seeds are included until the control VMs are known, whenever none of
+    the known ones is connected, and while this VM is detached.
     """
 
     def __init__(
@@ -63,7 +63,8 @@
         known_vms = [
             vm for vm in self._list_known_vms() if vm != self._own_vm.vm
         ]
-        if any(self._network.is_connected(vm) for vm in known_vms):
+        is_connected = any(map(self._network.is_connected, known_vms))
+        if is_connected and not self._is_detached():
             return self._select_links(known_vms)
         return [
             vm
@@ -78,11 +79,7 @@
         of them. One link more than the failure domain's own and its
         region's goes to another region.
         """
-        if (
-            self._links_kept is None
-            or len(known_vms) <= self._links_kept
-            or self._is_detached()
-        ):
+        if self._links_kept is None or len(known_vms) <= self._links_kept:
             return known_vms
         nearest = sorted(known_vms, key=self._create_link_key)
         kept = nearest[: self._links_kept]
--- a/tests/nodes/test_directory.py
+++ b/tests/nodes/test_directory.py
@@ -81,6 +81,27 @@
     assert len(directory.list_control_vms()) == LINKS_KEPT
 
 
+# Guards against a VM that stays with the only known control VM that is left,
+# which is cut off itself, while its seeds name the present ones.
+def test_detached_vm_also_connects_to_its_seeds():
+    network = FakeNetwork()
+    known, seed = list(CONTROL_VMS)[:2]
+    network.identities[known] = FakeIdentity("00", "0")
+    is_detached = False
+    directory = ControlVmDirectory(
+        network,
+        parse_vm_id("10.9.0.1:7380"),
+        (seed,),
+        lambda: [known],
+        ManualClock(),
+        LINKS_KEPT,
+        lambda: is_detached,
+    )
+    assert directory.list_control_vms() == [known]
+    is_detached = True
+    assert directory.list_control_vms() == [known, seed]
+
+
 # Seen on a day on which the core was cut in two: entry VMs whose three linked
 # control VMs stood in the minority stayed with them for 3.6 s.
 def test_detached_vm_connects_to_all_control_vms():
