--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -163,7 +163,7 @@
             self._clock,
             bootstrap_vms,
             self._rng,
-            list_seeds=settings.list_seeds,
+            list_seeds=lambda: self._seeds,
         )
 
     def _create_route_parts(
--- a/dotterelbridge/replication/member.py
+++ b/dotterelbridge/replication/member.py
@@ -7,7 +7,9 @@
 from typing import Any
 
 import anyio
+import structlog
 
+from dotterelbridge import events
 from dotterelbridge.clock import Clock
 from dotterelbridge.dump import Dumpable
 from dotterelbridge.errors import CommitUnknown
@@ -17,15 +19,19 @@
 from dotterelbridge.ids import MemberId
 from dotterelbridge.ids import Term
 from dotterelbridge.ids import VmId
+from dotterelbridge.peers.messages import Message
 from dotterelbridge.peers.network import PeerNetwork
 from dotterelbridge.replication import instruments
 from dotterelbridge.replication.change_notifier import ChangeNotifier
+from dotterelbridge.replication.contacts import Contacts
 from dotterelbridge.replication.context import MemberContext
 from dotterelbridge.replication.election import ElectionManager
 from dotterelbridge.replication.election import accepts_message
 from dotterelbridge.replication.entries import Configuration
 from dotterelbridge.replication.entries import EntryKind
 from dotterelbridge.replication.entry_applier import EntryApplier
+from dotterelbridge.replication.event_limiter import EventLimiter
+from dotterelbridge.replication.events import ReplicationEvent
 from dotterelbridge.replication.follower import Follower
 from dotterelbridge.replication.forwarding import Deadline
 from dotterelbridge.replication.forwarding import Forwarder
@@ -39,6 +45,7 @@
 from dotterelbridge.replication.messages import HandOverRequest
 from dotterelbridge.replication.messages import JoinReply
 from dotterelbridge.replication.messages import JoinRequest
+from dotterelbridge.replication.messages import MemberMessage
 from dotterelbridge.replication.messages import Outcome
 from dotterelbridge.replication.messages import ProposeReply
 from dotterelbridge.replication.messages import ProposeRequest
@@ -48,6 +55,7 @@
 from dotterelbridge.replication.messages import StatusRequest
 from dotterelbridge.replication.messages import VoteRequest
 from dotterelbridge.replication.reply_cache import ReplyCache
+from dotterelbridge.replication.router import GroupHandler
 from dotterelbridge.replication.router import get_log_router
 from dotterelbridge.replication.settings import ReplicationSettings
 from dotterelbridge.replication.state import MemberState
@@ -55,11 +63,17 @@
 from dotterelbridge.replication.storage import LogStorage
 from dotterelbridge.replication.storage_writer import StorageWriter
 
+_log = structlog.get_logger(__name__)
+
 _TIMEOUT_JITTER_SHARE = 0.7
 """Voters wait up to this share of the election timeout longer, at random.
 
 This makes it unlikely that two voters start elections at the same time.
 """
+_BACKOFF_SHARE = 0.3
+_BACKOFF_DOUBLINGS = 3
+"""The wait after an election that was not won: up to this share of the
+election timeout, doubled for each lost vote up to this number of times."""
 _RESUME_RETRY_INTERVAL = timedelta(milliseconds=30)
 """Time between attempts of a restarted leader to lead again, while other
 VMs start up: about the latency of the slowest link."""
@@ -134,6 +148,7 @@
 
     async def run(self) -> None:
         """Take part in the group until cancelled."""
+        self._log_recovered_state()
         self._register_handlers()
         snapshot = self._context.storage_writer.snapshot
         if snapshot:
@@ -166,7 +181,7 @@
                 )
             if result is not None:
                 return result
-            await self._forwarder.wait_before_retry(deadline)
+            await self._wait_before_retry(deadline)
 
     async def read_barrier(self, timeout: timedelta) -> LogIndex:
         deadline = Deadline(self._context.clock, timeout)
@@ -174,7 +189,7 @@
             index = await self._find_read_index(deadline)
             if index is not None:
                 break
-            await self._forwarder.wait_before_retry(deadline)
+            await self._wait_before_retry(deadline)
         try:
             with anyio.fail_after(deadline.get_remaining().total_seconds()):
                 await self._entry_applier.wait_for_applied(index)
@@ -322,7 +337,14 @@
             await self._transfer_request_received.wait()
 
     async def _back_off_after_election(self) -> None:
-        delay_share = 0.1 + 0.3 * self._context.random.random()
+        """Wait at random, and longer after each lost vote.
+
+        If all candidates need each other's votes, they have to start at
+        intervals longer than a vote takes.
+        """
+        doublings = min(self._elections.lost_vote_count, _BACKOFF_DOUBLINGS)
+        longest_share = _BACKOFF_SHARE * 2**doublings
+        delay_share = 0.1 + longest_share * self._context.random.random()
         await self._context.clock.sleep(
             self._context.election_timeout * delay_share
         )
@@ -351,8 +373,53 @@
         while self._state.role is not Role.FAILED:
             await self._state.role_changed.wait()
 
+    def _log_recovered_state(self) -> None:
+        state = self._state
+        events.log(
+            _log,
+            ReplicationEvent.STATE_RECOVERED,
+            member=state.member_id,
+            empty=not (state.term or state.log.last_index),
+            term=state.term,
+            voted_for=state.ballot.voted_for,
+            last_index=state.log.last_index,
+            last_term=state.log.last_term,
+            commit_index=state.commit_index,
+            voters=self._describe_voters(),
+        )
+
+    def _describe_voters(self) -> dict[MemberId, VmId]:
+        return {
+            voter.member_id: voter.vm
+            for voter in self._state.configuration.list_voters()
+        }
+
     # Proposals and reads
 
+    async def _wait_before_retry(self, deadline: Deadline) -> None:
+        try:
+            await self._forwarder.wait_before_retry(deadline)
+        except NotCommitted:
+            self._log_unreachable_leader()
+            raise
+
+    def _log_unreachable_leader(self) -> None:
+        is_connected = self._context.network.is_connected
+        self._context.event_limiter.log(
+            ReplicationEvent.LEADER_UNREACHABLE,
+            None,
+            silence_s=round(self.get_leader_silence_s(), 3),
+            leader=self._state.leader_vm,
+            role=self._state.role.value,
+            term=self._state.term,
+            voters=self._describe_voters(),
+            connected=[
+                vm
+                for vm in self._context.contacts.list_vms()
+                if is_connected(vm)
+            ],
+        )
+
     def _check_command(self, command: bytes) -> None:
         limit_kb = self._context.settings.command_limit_kb
         if len(command) > limit_kb * _BYTES_PER_KB:
@@ -462,10 +529,21 @@
             ReadRequest: self._handle_read,
         }
         for message_type, handler in handlers.items():
+            if issubclass(message_type, MemberMessage):
+                handler = self._record_senders(handler)
             router.register_handler(
                 self._context.log_name, message_type, handler
             )
 
+    def _record_senders(self, handler: GroupHandler) -> GroupHandler:
+        async def handle(
+            sender: VmId, message: MemberMessage
+        ) -> Message | None:
+            self._context.contacts.record_sender(sender)
+            return await handler(sender, message)
+
+        return handle
+
     async def _handle_join(
         self, sender: VmId, request: JoinRequest
     ) -> JoinReply:
@@ -562,12 +640,7 @@
     stored = storage.open()
     state = MemberState(network.own_id, stored, clock)
     storage_writer = StorageWriter(storage, state, stored.snapshot, clock)
-
-    def list_contacts() -> list[VmId]:
-        members = [member.vm for member in state.configuration.members]
-        seeds = voters if list_seeds is None else list_seeds()
-        return list(dict.fromkeys([*members, *seeds]))
-
+    contacts = Contacts(state, list_seeds or (lambda: voters))
     context = MemberContext(
         log_name=log_name,
         settings=settings,
@@ -577,8 +650,9 @@
         state=state,
         storage_writer=storage_writer,
         entry_applier=EntryApplier(settings, state, storage_writer),
+        event_limiter=EventLimiter(clock),
         initial_voters=tuple(voters),
-        list_contacts=list_contacts,
+        contacts=contacts,
     )
-    forwarder = Forwarder(log_name, network, clock, list_contacts, random)
+    forwarder = Forwarder(log_name, network, clock, contacts.list_vms, random)
     return LogMember(context, forwarder)
--- a/tests/test_replication_faults.py
+++ b/tests/test_replication_faults.py
@@ -514,3 +514,48 @@
             assert clock_s() - killed_at < 2
             group.start(leader)
             await group.wait_until_equal()
+
+
+# Guards against a group without a leader for as long as its voters are busy,
+# because each reply to a pre-vote arrives after its timeout.
+@in_virtual_time
+async def test_leader_is_elected_while_all_replies_are_slow():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        group.network.conditions.delay_min_s = ELECTION_TIMEOUT_S * 0.18
+        group.network.conditions.delay_max_s = ELECTION_TIMEOUT_S * 0.2
+        group.kill(leader)
+        await group.propose_until_committed(await group.wait_leader(), b"new")
+
+
+# Guards against a leader that stops leading while all members are busy,
+# because it drops replies that arrive after two heartbeat intervals.
+@in_virtual_time
+async def test_leader_keeps_its_lease_while_all_replies_are_slow():
+    async with run_group(3) as group:
+        leader = await group.wait_leader()
+        term = _get_term(group, leader)
+        group.network.conditions.delay_min_s = ELECTION_TIMEOUT_S * 0.25
+        group.network.conditions.delay_max_s = ELECTION_TIMEOUT_S * 0.3
+        await anyio.sleep(LONG_WAIT_S)
+        assert group.find_leader() == leader
+        assert _get_term(group, leader) == term
+        await group.propose(leader, b"slow")
+
+
+# Guards against a majority without a spare voter that finds no leader for
+# long, because the candidates start again before they hear of each other.
+@pytest.mark.parametrize("seed", [15, 18, 24, 32, 35])
+@in_virtual_time
+async def test_votes_are_not_split_again_and_again(seed):
+    async with run_group(5, seed) as group:
+        leader = await group.wait_leader()
+        await group.wait_until_equal()
+        for vm in group.vms:
+            group.kill(vm)
+        group.network.conditions.delay_min_s = 0.1
+        group.network.conditions.delay_max_s = 0.2
+        for vm in _list_other_vms(group, leader)[:3]:
+            group.start(vm)
+        with anyio.fail_after(10):
+            await group.wait_leader()
