Bind the response on a reused connection to its request's ID

Callers were told "not run, send it again" for a booking that ran, and a call got the answer of another one. A target had written an earlier response once more on a kept connection, without the request's ID.

Cause: a response without an ID was taken for the response to the request that is under way, on any connection. Connections are reused only after a response with its ID, but that says nothing of the copies that follow. Probes have no ID at all, and their connections were kept for callers' requests.

A response without an ID now ends an exchange on a reused connection. What became of its request is unknown, so that only a repeatable request is sent again. Requests without an ID get a new connection, which carries no other request. Control calls, whose clients serve nothing else, are as before.

A check for unread bytes before a connection is reused would leave a gap: the copy may arrive just after it. The ID needs no such check.

Copies with an ID were told apart before.

--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -65,6 +65,10 @@
     fresh_connection: bool = False
     """Whether to open a new connection. The target may just be closing an
     idle one, which leaves unknown whether the request ran."""
+    is_control: bool = False
+    """Whether it is a control call, whose response carries no ID. Its
+    connection is kept all the same, so that its client must serve control
+    calls only."""
     reused_first_byte_limit: timedelta | None = None
     """Timeout of the first byte on a reused connection."""
     new_first_byte_limit: timedelta | None = None
@@ -257,6 +261,7 @@
                 request.body,
                 request.attempt,
                 request.method,
+                needs_id=not request.is_control,
             )
             await connection.read_head()
             self.record_answer_head(
@@ -485,8 +490,9 @@
     async def _acquire_connection(
         self, request: ExchangeRequest
     ) -> TargetConnection:
-        if not request.fresh_connection:
-            connection = self._take_idle_connection(request.used_connections)
+        is_identified = bool(request.attempt) or request.is_control
+        if is_identified and not request.fresh_connection:
+            connection = self._take_idle_connection(request)
             if connection is not None:
                 return connection
         if len(self._busy_connections) >= self._settings.connections_limit:
@@ -498,11 +504,11 @@
         return await self._connect()
 
     def _take_idle_connection(
-        self, excluded: set[ConnectionId]
+        self, request: ExchangeRequest
     ) -> TargetConnection | None:
         """Return the connection that was idle for the shortest time."""
         for connection in reversed(self._idle_connections.copy()):
-            if connection.id in excluded:
+            if connection.id in request.used_connections:
                 continue
             self._idle_connections.remove(connection)
             if connection.is_closed:
--- a/dotterelbridge/targets/connection.py
+++ b/dotterelbridge/targets/connection.py
@@ -85,6 +85,7 @@
         self._chunks: list[bytes] = []
         self._attempt = b""
         self._is_id_echoed = False
+        self._needs_id = True
         self._has_no_body = False
         self.framing = BodyFraming.NONE
         self.status = 0
@@ -117,7 +118,7 @@
             and self._keep_alive
             # Without the ID, a second copy of this response could not be
             # told from the response to the next request.
-            and (self._is_id_echoed or not self._attempt)
+            and (self._is_id_echoed or not self._needs_id)
             and self.framing is not BodyFraming.CONNECTION
             and not self._has_no_body
             # A target may respond before it has read a long request body.
@@ -125,9 +126,18 @@
         )
 
     def send_request(
-        self, head: bytes, body: bytes, attempt: str, method: str
-    ):
-        """Write a request; from here on the target may have received it."""
+        self,
+        head: bytes,
+        body: bytes,
+        attempt: str,
+        method: str,
+        needs_id: bool = True,
+    ) -> None:
+        """Write a request; from here on the target may have received it.
+
+        :param needs_id: whether only a response with the request's ID lets
+            the connection carry another request, and answers that one.
+        """
         self._parser = httptools.HttpResponseParser(self)
         self._error = None
         self._chunks = []
@@ -136,6 +146,7 @@
         self._progress_size = 0
         self.body_size = 0
         self._attempt = attempt.encode()
+        self._needs_id = needs_id
         self._is_id_echoed = False
         self._has_no_body = method == "HEAD"
         self.framing = BodyFraming.NONE
@@ -368,6 +379,8 @@
             else:
                 self._is_skipping_response = True
                 return
+        elif self._lacks_request_id():
+            self._fail_id_missing()
         codings = [
             value.strip().lower()
             for name, value in self.headers
@@ -445,6 +458,25 @@
                 self._is_id_echoed = True
         return True
 
+    def _lacks_request_id(self) -> bool:
+        """Return whether the response may be a copy of an earlier one.
+
+        The responses to the earlier requests on the connection had IDs.
+        """
+        return (
+            self.exchange_count > 1
+            and self._needs_id
+            and not self._is_id_echoed
+        )
+
+    def _fail_id_missing(self) -> None:
+        self._fail(
+            ResponseIdMismatch(
+                "the response on a reused connection carries no request ID",
+                "report the target to its owner",
+            )
+        )
+
     def _fail_id_mismatch(self) -> None:
         self._fail(
             ResponseIdMismatch(
--- a/dotterelbridge/targets/errors.py
+++ b/dotterelbridge/targets/errors.py
@@ -17,7 +17,7 @@
 
 
 class ResponseIdMismatch(TargetExchangeFailed):
-    """The response carries the ID of another request."""
+    """The response cannot be told from one to another request."""
 
 
 class ConnectionClosed(TargetExchangeFailed):
--- a/dotterelbridge/targets/events.py
+++ b/dotterelbridge/targets/events.py
@@ -19,8 +19,8 @@
     ANSWER_CROSSED = (
         9002,
         logging.ERROR,
-        "A response carried the ID of another request and was discarded. "
-        "Report the target to its owner.",
+        "A response carried the ID of another request, or none on a reused "
+        "connection, and was discarded. Report the target to its owner.",
     )
     ANSWER_UNSOLICITED = (
         9003,
--- a/tests/gateway/test_faulty_targets.py
+++ b/tests/gateway/test_faulty_targets.py
@@ -313,6 +313,48 @@
     run_async(check)()
 
 
+@pytest.mark.parametrize("status", [503, 429, 408, 421])
+@pytest.mark.parametrize("path", ["/book/a", "/look/a"])
+@pytest.mark.parametrize(
+    ("request_id", "copied_id"), [("r2", "r1"), ("r2", None)]
+)
+def test_copy_of_an_earlier_refusal_does_not_answer_a_request(
+    path, status, request_id, copied_id
+):
+    # Guards against "not run" for a booking that runs (REFUSED, TWICE): the
+    # copy has no ID.
+    rejection = SIGNED_HEADERS | NOT_RUN_HEADERS
+    writers = []
+    ran = []
+
+    async def handle(received):
+        writers.append(received.writer)
+        if len(writers) == 1:
+            await received.answer(b"{}", status, rejection)
+            return
+        own_headers = received.headers
+        if len(writers) > 2 and received.writer is writers[0]:
+            received.headers = {"x-request-id": copied_id} if copied_id else {}
+            await received.answer(b"{}", status, rejection)
+            received.headers = own_headers
+        ran.append(received.headers["x-request-id"])
+        # Leaves the first connection alone in the pool.
+        await received.answer(
+            b"-", headers=SIGNED_HEADERS | {"connection": "close"}
+        )
+
+    async def check():
+        async with run_gateway() as gateway:
+            await gateway.add_target("t1", handle)
+            assert (await gateway.call(path)).status_code == 200
+            ran.clear()
+            response = await gateway.call(path, request=request_id)
+            assert response.status_code in (200, 502)
+            assert path == "/look/a" or ran == [request_id]
+
+    run_async(check)()
+
+
 @run_async
 async def test_request_is_not_sent_after_its_deadline():
     """A process that was paused while it opened a connection wakes late."""
--- a/tests/serving/test_streams.py
+++ b/tests/serving/test_streams.py
@@ -668,3 +668,24 @@
         for number in (1, 2):
             response = await client.post(CHAT, json={"model": "quote"})
             assert response.json() == {"answer": number}
+
+
+@run_async
+async def test_copy_without_id_answers_no_other_request():
+    # Guards against the response of another caller's request, where a target
+    # repeats IDs in its responses but not in a late copy.
+    writers = []
+
+    async def answer(received):
+        writers.append(received.writer)
+        if writers.count(received.writer) > 1:
+            own_headers, received.headers = received.headers, {}
+            await received.answer(b'{"answer": 1}')
+            received.headers = own_headers
+        await received.answer(b'{"answer": %d}' % min(len(writers), 2))
+
+    async with run_serving() as harness, create_client(harness) as client:
+        await harness.add_engine("e1", answer)
+        for number in (1, 2):
+            response = await client.post(CHAT, json={"model": "quote"})
+            assert response.json() == {"answer": number}
