Send requests with the same ID over different connections

A caller's booking was refused, and the caller sent it again under the same ID. A late copy of the first refusal arrived where the answer to the second request was expected: the caller was told "not run" for a booking that ran.

Cause: an ID names a request, not one sending of it. The attempts at one request already avoid the connections that have carried it, but another request of a caller with the same ID did not.

A connection now remembers the IDs of the last 64 requests it has carried, as hashes, and carries none of them again. A copy can only arrive on the connection of its request, so that a response with the right ID on it is the right one. An ID that comes again after more than 64 other requests on the same connection is not noticed.

Evidence: five of the tests' cases fail on the code before: the booking is answered 408, 421, 429 and 503 though it has run, and the same connection carries the ID again. They pass with the change.

--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -507,9 +507,12 @@
         self, request: ExchangeRequest
     ) -> TargetConnection | None:
         """Return the connection that was idle for the shortest time."""
+        attempt = request.attempt
         for connection in reversed(self._idle_connections.copy()):
             if connection.id in request.used_connections:
                 continue
+            if attempt and connection.has_carried(attempt):
+                continue
             self._idle_connections.remove(connection)
             if connection.is_closed:
                 self._log_if_unsolicited(connection)
--- a/dotterelbridge/targets/connection.py
+++ b/dotterelbridge/targets/connection.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 import enum
 import itertools
@@ -28,6 +29,8 @@
 """Bytes that are read at once; each connection may hold so many."""
 _PROGRESS_BYTES = 1024
 """Part of a body that counts as progress, however it is split."""
+_RECENT_ATTEMPTS_LIMIT = 64
+"""Request IDs that a connection remembers."""
 
 
 class BodyFraming(enum.Enum):
@@ -84,6 +87,10 @@
         """Bytes of the body received so far."""
         self._chunks: list[bytes] = []
         self._attempt = b""
+        self._recent_attempts: deque[int] = deque(
+            maxlen=_RECENT_ATTEMPTS_LIMIT
+        )
+        """Hashes of the IDs, as callers choose the IDs and their length."""
         self._is_id_echoed = False
         self._needs_id = True
         self._has_no_body = False
@@ -125,6 +132,14 @@
             and not self._transport.get_write_buffer_size()
         )
 
+    def has_carried(self, attempt: str) -> bool:
+        """Return whether a recent request had this ID.
+
+        Requests of a caller may share an ID. A late second copy of the first
+        one's response could not be told from the next one's response.
+        """
+        return hash(attempt) in self._recent_attempts
+
     def send_request(
         self,
         head: bytes,
@@ -146,6 +161,7 @@
         self._progress_size = 0
         self.body_size = 0
         self._attempt = attempt.encode()
+        self._recent_attempts.append(hash(attempt))
         self._needs_id = needs_id
         self._is_id_echoed = False
         self._has_no_body = method == "HEAD"
--- a/tests/gateway/test_faulty_targets.py
+++ b/tests/gateway/test_faulty_targets.py
@@ -316,13 +316,13 @@
 @pytest.mark.parametrize("status", [503, 429, 408, 421])
 @pytest.mark.parametrize("path", ["/book/a", "/look/a"])
 @pytest.mark.parametrize(
-    ("request_id", "copied_id"), [("r2", "r1"), ("r2", None)]
+    ("request_id", "copied_id"), [("r2", "r1"), ("r2", None), ("r1", "r1")]
 )
 def test_copy_of_an_earlier_refusal_does_not_answer_a_request(
     path, status, request_id, copied_id
 ):
     # Guards against "not run" for a booking that runs (REFUSED, TWICE): the
-    # copy has no ID.
+    # copy has no ID, or a caller has used the ID of its request again.
     rejection = SIGNED_HEADERS | NOT_RUN_HEADERS
     writers = []
     ran = []
--- a/tests/targets/test_late_copies.py
+++ b/tests/targets/test_late_copies.py
@@ -124,6 +124,18 @@
         assert target.connections == 2
 
 
+@run_async
+async def test_request_id_that_is_used_again_gets_another_connection():
+    # Guards against a request that is sent again under the same ID, by its
+    # caller, and is answered with the copy of the first response.
+    async with run_client(answer_after()) as (target, client):
+        for _ in range(2):
+            assert await fetch(client, "a1") == b"a1"
+        assert target.connections == 2
+        assert await fetch(client, "a2") == b"a2"
+        assert target.connections == 2
+
+
 @run_async
 async def test_copy_of_a_probe_response_answers_no_request():
     # Probes have no ID: the copy of their response cannot be told from a
