Stream only what a target's head says is an event stream

A stream had begun and broke off, and the next target answered with a page or a document of its own. Callers found that text in the middle of their stream, or the stream ended as if it were complete, after a 204.

Cause: on a streaming route every signed answer with a status of 2xx was forwarded as the rest of the stream, whatever its type.

An answer is now forwarded as a stream only if its type is text/event-stream or not named, and without a content encoding; once a stream has begun, only with status 200. Another answer ends the attempt: the stream is resumed elsewhere or broken off, without its last chunk, or by a reset where its end is that of the connection. As the first answer of a request it is passed on unchanged once it is complete; before, it was forwarded in parts, and a 502 took its place if it did not end with an empty line.

Evidence: cases of a second answer by status, type, encoding, a head that is malformed or cut, another ID and interim responses, each with a length, chunks and the end of the connection for both targets, to callers of HTTP/1.0 and 1.1. On the code before, 204, 206, HTML, JSON and encoded answers fail in all of these, and so do all nine cases of a first answer that is no event stream. Errors of 302, 404, 500 and 503, unsigned ones and malformed heads never reached a stream. All pass with the change.

--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -45,6 +45,9 @@
 from dotterelbridge.targets.errors import ResponseTruncated
 from dotterelbridge.targets.errors import SendNotPermitted
 from dotterelbridge.targets.errors import TargetHeldBack
+from dotterelbridge.targets.media_types import EVENT_STREAM_TYPE
+from dotterelbridge.targets.media_types import has_content_encoding
+from dotterelbridge.targets.media_types import read_media_type
 from dotterelbridge.teams.permission import KeyPermission
 
 _log = structlog.get_logger(__name__)
@@ -54,6 +57,7 @@
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that tell a caller that the request has not run. They are only
 forwarded if the target has confirmed this with its header."""
+_OK_STATUS = 200
 _SERVER_ERROR_STATUS = 500
 _SUCCESS_STATUSES = range(200, 300)
 _STOP_RETRY_AFTER = timedelta(0)
@@ -322,13 +326,22 @@
             )
 
     def _is_event_stream(self, exchange: Exchange) -> bool:
-        return exchange.status in _SUCCESS_STATUSES and self.call.is_stream
+        if not self.call.is_stream or has_content_encoding(exchange.headers):
+            return False
+        statuses = _SUCCESS_STATUSES
+        if self.call.has_response_started:
+            statuses = (_OK_STATUS,)
+        media_type = read_media_type(exchange.headers)
+        return exchange.status in statuses and (
+            media_type in (b"", EVENT_STREAM_TYPE)
+        )
 
     async def _forward_response(self, exchange: Exchange) -> None:
         """Forward a response after it was received completely."""
         if self.call.has_response_started:
             raise MalformedResponse(
-                f"the resumed stream began with status {exchange.status}",
+                "the answer to a resumed stream is no event stream (status "
+                f"{exchange.status})",
                 "check that the target resumes streams",
             )
         body = await exchange.read_all(
--- a/dotterelbridge/targets/completeness.py
+++ b/dotterelbridge/targets/completeness.py
@@ -10,8 +10,8 @@
 from dotterelbridge.targets.client import Exchange
 from dotterelbridge.targets.connection import BodyFraming
 from dotterelbridge.targets.errors import ResponseTruncated
+from dotterelbridge.targets.media_types import read_media_type
 
-_CONTENT_TYPE_HEADER = b"content-type"
 _JSON_TYPE = b"application/json"
 _JSON_SUFFIX = b"+json"
 _SELF_DELIMITING_JSON = (b"{", b"[", b'"')
@@ -46,10 +46,5 @@
 
 
 def _is_json(exchange: Exchange) -> bool:
-    for name, value in exchange.headers:
-        if name == _CONTENT_TYPE_HEADER:
-            media_type = value.partition(b";")[0].strip().lower()
-            return media_type == _JSON_TYPE or media_type.endswith(
-                _JSON_SUFFIX
-            )
-    return False
+    media_type = read_media_type(exchange.headers)
+    return media_type == _JSON_TYPE or media_type.endswith(_JSON_SUFFIX)
