Check that a resumed stream goes on after its last event

A stream broke off and the next target began it anew, or wrote an error's text or a whole head with status 200: callers found events twice, or that text in the middle of their stream. A caller that resumed a stream itself got the same.

Cause: whatever a target sent up to an empty line was forwarded as events.

The first event of an answer that has to go on after an event must have an ID after that event's: a larger one if both are numbers, else another one. Otherwise the attempt ends before any byte of it is forwarded. This holds on routes whose streams are resumable; on others a target may ignore the caller's Last-Event-Id.

What cannot be told: an error in an event whose ID follows, events that are left out, and wrong bytes behind a right first event.

--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -378,7 +378,7 @@
 
     async def _forward_stream(self, exchange: Exchange) -> None:
         """Forward the events of a stream as they arrive."""
-        self._parser.start_response()
+        self._parser.start_response(continues=self.call.route.is_resumable)
 
         def forward(data: bytes) -> bool:
             events_data = self._parser.feed(data)
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -3,6 +3,8 @@
 import anyio
 import pytest
 
+from dotterelbridge.gateway.event_stream import EventStreamParser
+from dotterelbridge.targets.errors import MalformedResponse
 from tests.gateway.support import NOT_RUN_HEADERS
 from tests.gateway.support import SIGNED_HEADERS
 from tests.gateway.support import create_event
@@ -29,8 +31,14 @@
     "html": (200, {"content-type": "text/html"}, b"<html>\n\n<p>\n\n"),
     "json": (200, JSON, ERROR),
     "json-with-id": (200, JSON, b"id: 2\n" + ERROR),
+    "untyped": (200, {}, ERROR),
     "unsigned": (200, STREAM | {"x-signature": ""}, create_event(2)),
     "encoded": (200, STREAM | {"content-encoding": "gzip"}, create_event(2)),
+    "text": (200, STREAM, b"Internal error\n\n"),
+    "head": (200, STREAM, HEAD),
+    "no-id": (200, STREAM, b"event: error\n" + b"data: " + ERROR),
+    "repeat": (200, STREAM, create_event(1) + create_event(2)),
+    "restart": (200, STREAM, b": hi\n\n" + EVENTS + create_event(2)),
 }
 """Status, headers and body of what is no continuation of a stream."""
 RAW_ERRORS = {
@@ -93,10 +101,12 @@
     return handle
 
 
-async def read_raw(gateway, version: str) -> tuple[bytes, bytes, bool]:
+async def read_raw(
+    gateway, version: str, *headers: str
+) -> tuple[bytes, bytes, bool]:
     """Return head and body of a stream, and whether it was reset."""
     lines = create_request_lines("/drafts/", version=version)
-    lines.append("connection: close")
+    lines += ["connection: close", *headers]
     received = b""
     stream = await anyio.connect_tcp("127.0.0.1", gateway.listener.port)
     async with stream:
@@ -179,3 +189,45 @@
             assert head.startswith((b"HTTP/1.1 502", b"HTTP/1.1 504"))
 
     run_async(check)()
+
+
+# Guards against events that come twice where the caller itself resumes.
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize(
+    "case", ["text", "head", "no-id", "repeat", "restart"]
+)
+def test_stream_that_its_caller_resumes_goes_on_or_fails(case, framing):
+    async def check():
+        handler = create_handler(case, framing)
+        async with run_gateway() as gateway:
+            target = await gateway.add_target("e1", handler, service=LLM)
+            header = "last-event-id: 1"
+            head, _, _ = await read_raw(gateway, "1.1", header)
+            assert head.startswith((b"HTTP/1.1 502", b"HTTP/1.1 504"))
+            assert target.received[0].headers["last-event-id"] == "1"
+
+    run_async(check)()
+
+
+@pytest.mark.parametrize(
+    ("previous", "event", "follows"),
+    [
+        (b"9", b"10", True),
+        (b"10", b"9", False),
+        (b"010", b"10", False),
+        (b"9" * 5000, b"9" * 5001, True),
+        (b"a", b"b", True),
+        (b"a", b"a", False),
+        (b"", b"0", True),
+    ],
+)
+def test_first_event_has_to_follow_the_last_one(previous, event, follows):
+    parser = EventStreamParser(65536)
+    parser.last_id = previous
+    parser.start_response(continues=True)
+    data = b": hi\n\nx-version: 2\nid: %b\ndata: -\n\n" % event
+    if follows:
+        assert parser.feed(data) == data
+        return
+    with pytest.raises(MalformedResponse):
+        parser.feed(data)
