Do not resume a stream whose events have no IDs

A resumable stream of events without IDs broke off; the next target began it anew, and the caller got its events twice.

Cause: without an ID there is no Last-Event-Id to send, and the request went out once more as it had come. The stream now breaks off instead, which the caller can tell from its end.

Evidence: the new test fails on the code before, as the first event comes once from each target.

--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -485,7 +485,7 @@
             call.route.is_repeatable
             and not self._router.is_suspected(call)
             and len(call.possibly_ran_at) < max(1, call.route.attempts)
-            and (not call.has_response_started or call.route.is_resumable)
+            and (not call.has_response_started or self._can_resume())
         )
         will_retry = (
             is_repeatable and call.remaining_s(self._clock.monotonic()) > 0
@@ -528,6 +528,13 @@
             await self._clock.sleep(timedelta(seconds=delay_s))
         return True
 
+    def _can_resume(self) -> bool:
+        """Return whether a stream that has begun can go on elsewhere.
+
+        Without an event ID it would begin anew.
+        """
+        return self.call.route.is_resumable and bool(self._parser.last_id)
+
     def _describe_response(self) -> dict[str, str | int]:
         """Return log fields on what was received of the latest response."""
         if self._exchange is None:
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -231,3 +231,18 @@
         return
     with pytest.raises(MalformedResponse):
         parser.feed(data)
+
+
+@run_async
+async def test_stream_without_event_ids_is_not_resumed():
+    # Guards against a stream that begins anew within a response.
+    async def break_off(received):
+        await received.start_stream(SIGNED_HEADERS)
+        await received.send_chunk(b"data: a\n\n")
+        received.writer.close()
+
+    async with run_gateway() as gateway:
+        for name in ("e1", "e2"):
+            await gateway.add_target(name, break_off, service=LLM)
+        _, body, _ = await read_raw(gateway, "1.1")
+    assert decode_chunks(body) == (b"data: a\n\n", False)
