Do not end a resumed stream with an answer without events

A stream broke off, and the next target answered 200 with an empty body or with comments only: the stream ended as if it were complete.

Cause: an end marked by a length or chunks counted as the stream's end, even if the answer had no event.

Such an answer now counts as broken off. Where only the end of a stream was lost, an empty rest would be right; the two cannot be told apart, and the caller that resumes the stream gets that answer as it came.

Evidence: the 18 new cases (an empty body with and without a type, comments; each framing and HTTP version) failed before; they pass with the change.

--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -424,6 +424,12 @@
                 "the stream ended in the middle of an event",
                 "resume the stream",
             )
+        if self.call.has_response_started and not self._parser.has_events:
+            raise ResponseTruncated(
+                "an answer without events does not show that the resumed "
+                "stream is complete",
+                "resume the stream",
+            )
         if exchange.framing is not BodyFraming.CONNECTION:
             return
         if not self._parser.has_events:
