Resume chats with unencoded event streams only

On the project's own API a chat's stream broke off, and the next engine sent a body with a content encoding: bytes of it reached the caller's stream.

An answer now goes on with a stream only if its media type is text/event-stream and it has no content encoding; else the attempt has failed. As a first answer it is passed on whole, with its headers.

--- a/dotterelbridge/serving/stream.py
+++ b/dotterelbridge/serving/stream.py
@@ -27,9 +27,11 @@
 from dotterelbridge.targets.client import Exchange
 from dotterelbridge.targets.client import ExchangeRequest
 from dotterelbridge.targets.errors import MalformedResponse
+from dotterelbridge.targets.media_types import EVENT_STREAM_TYPE
+from dotterelbridge.targets.media_types import has_content_encoding
+from dotterelbridge.targets.media_types import read_media_type
 
 RESUME_HEADER = b"x-resume-offset"
-_EVENT_STREAM = b"text/event-stream"
 _BYTES_PER_KB = 1024
 _OK_STATUS = 200
 
@@ -218,9 +220,8 @@
 
 
 def _is_event_stream(exchange: Exchange) -> bool:
-    if exchange.status != _OK_STATUS:
-        return False
-    return any(
-        name == b"content-type" and value.lower().startswith(_EVENT_STREAM)
-        for name, value in exchange.headers
+    return (
+        exchange.status == _OK_STATUS
+        and read_media_type(exchange.headers) == EVENT_STREAM_TYPE
+        and not has_content_encoding(exchange.headers)
     )
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -107,14 +107,22 @@
 async def read_raw(
     gateway, version: str, *headers: str
 ) -> tuple[bytes, bytes, bool]:
-    """Return head and body of a stream, and whether it was reset."""
+    """Send a request for a stream and return what arrives."""
     lines = create_request_lines("/drafts/", version=version)
-    lines += ["connection: close", *headers]
+    lines += ["connection: close", *headers, "", ""]
+    return await receive_response(
+        gateway.listener.port, "\r\n".join(lines).encode()
+    )
+
+
+async def receive_response(
+    port: int, request: bytes
+) -> tuple[bytes, bytes, bool]:
+    """Return the head and body of a response, and whether it was reset."""
     received = b""
-    stream = await anyio.connect_tcp("127.0.0.1", gateway.listener.port)
-    async with stream:
-        await stream.send("\r\n".join([*lines, "", ""]).encode())
-        is_reset = False
+    is_reset = False
+    async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+        await stream.send(request)
         try:
             while True:
                 received += await stream.receive()
