Reject text that is no event in a chat's stream

A chat's stream broke off, and the next engine wrote an error's text, or a whole head, into an event stream: the caller found it in the middle of its stream.

Cause: whatever came before an empty line was forwarded as an event. An event needs a line with one of the format's four fields, or a comment; else the answer is malformed and the stream goes on elsewhere or breaks off.

What cannot be told: an error within the data of an event. The tokens have no IDs either, so that an engine which ignores the offset repeats them.

--- a/dotterelbridge/serving/sse.py
+++ b/dotterelbridge/serving/sse.py
@@ -1,9 +1,14 @@
 """Splits a body into server-sent events; each event carries one token."""
 
+import re
+
 from dotterelbridge.targets.errors import MalformedResponse
 
 _CLOSING_DATA = b"[DONE]"
 _DATA_FIELD = b"data:"
+_find_field = re.compile(
+    rb"^(?::|(?:data|event|id|retry)(?::|$))", re.MULTILINE
+).search
 
 
 class EventSplitter:
@@ -32,8 +37,8 @@
     def feed(self, data: bytes) -> tuple[bytes, int]:
         """Return the complete events and the number of tokens in them.
 
-        :raises MalformedResponse: an event exceeds the size limit, or another
-            event follows the closing one.
+        :raises MalformedResponse: an event exceeds the size limit, has no
+            field, or follows the closing one.
         """
         if self._partial_event:
             data = self._partial_event + data
@@ -79,6 +84,11 @@
                     "events follow the closing event",
                     "report the target to its owner",
                 )
+            if not _find_field(event):
+                raise MalformedResponse(
+                    "the body of an event stream contains other text",
+                    "report the target to its owner",
+                )
             kept.append(event + b"\n\n")
             if not _has_data(event):
                 continue
--- a/tests/serving/test_broken_streams.py
+++ b/tests/serving/test_broken_streams.py
@@ -18,15 +18,7 @@
 TOKENS = token_event(0) + token_event(1)
 # Tokens have no IDs and answers no signature, so that other events under the
 # right type cannot be told from a continuation. Comments carry no token.
-INDISTINCT = {
-    "unsigned",
-    "no-id",
-    "repeat",
-    "restart",
-    "comments",
-    "text",
-    "head",
-}
+INDISTINCT = {"unsigned", "no-id", "repeat", "restart", "comments"}
 CASES = [c for c in [*ERRORS, *RAW_ERRORS] if c not in INDISTINCT]
 
 
