Read event IDs in streams with CR line ends

The ID of an event in a stream whose lines end with CR alone was read as the whole rest of what had arrived, or not found. A stream that broke off was then resumed after the wrong event, with a line end within Last-Event-Id.

Both line ends are now searched for, and the ID ends at either.

Evidence: the case of CR fails on the code before; LF and CRLF passed.

--- a/dotterelbridge/gateway/event_stream.py
+++ b/dotterelbridge/gateway/event_stream.py
@@ -88,15 +88,17 @@
             )
 
     def _update_last_id(self, events: bytes) -> None:
-        position = events.rfind(b"\n" + _ID_FIELD)
+        position = max(
+            events.rfind(b"\n" + _ID_FIELD), events.rfind(b"\r" + _ID_FIELD)
+        )
         if position >= 0:
             line = events[position + 1 :]
         elif events.startswith(_ID_FIELD):
             line = events
         else:
             return
-        value = line.partition(b"\n")[0][len(_ID_FIELD) :]
-        self.last_id = value.strip()
+        value = line.partition(b"\n")[0].partition(b"\r")[0]
+        self.last_id = value[len(_ID_FIELD) :].strip()
 
 
 def count_events(events: bytes) -> int:
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -257,3 +257,15 @@
             await gateway.add_target(name, break_off, service=LLM)
         _, body, _ = await read_raw(gateway, "1.1")
     assert decode_chunks(body) == (b"data: a\n\n", False)
+
+
+# Guards against a wrong Last-Event-Id, with which events come twice.
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_last_id_is_found_at_all_line_ends(line_end):
+    parser = EventStreamParser(65536)
+    for number in range(3):
+        parser.feed(create_event(number).replace(b"\n", line_end))
+        assert parser.last_id == b"%d" % number
+    events = create_event(3) + create_event(4)
+    parser.feed(events.replace(b"\n", line_end))
+    assert parser.last_id == b"4"
