--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -48,6 +48,9 @@
 from dotterelbridge.targets.errors import ResponseTruncated
 from dotterelbridge.targets.errors import SendNotPermitted
 from dotterelbridge.targets.errors import TargetHeldBack
+from dotterelbridge.targets.media_types import EVENT_STREAM_TYPE
+from dotterelbridge.targets.media_types import has_content_encoding
+from dotterelbridge.targets.media_types import read_media_type
 from dotterelbridge.teams.permission import KeyPermission
 
 _log = structlog.get_logger(__name__)
@@ -57,6 +60,7 @@
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that tell a caller that the request has not run. They are only
 forwarded if the target has confirmed this with its header."""
+_OK_STATUS = 200
 _SERVER_ERROR_STATUS = 500
 _SUCCESS_STATUSES = range(200, 300)
 _STOP_RETRY_AFTER = timedelta(0)
@@ -333,13 +337,22 @@
             )
 
     def _is_event_stream(self, exchange: Exchange) -> bool:
-        return exchange.status in _SUCCESS_STATUSES and self.call.is_stream
+        if not self.call.is_stream or has_content_encoding(exchange.headers):
+            return False
+        statuses = _SUCCESS_STATUSES
+        if self.call.has_response_started:
+            statuses = (_OK_STATUS,)
+        media_type = read_media_type(exchange.headers)
+        return exchange.status in statuses and (
+            media_type in (b"", EVENT_STREAM_TYPE)
+        )
 
     async def _forward_response(self, exchange: Exchange) -> None:
         """Forward a response after it was received completely."""
         if self.call.has_response_started:
             raise MalformedResponse(
-                f"the resumed stream began with status {exchange.status}",
+                "the answer to a resumed stream is no event stream (status "
+                f"{exchange.status})",
                 "check that the target resumes streams",
             )
         body = await exchange.read_all(
@@ -376,7 +389,7 @@
 
     async def _forward_stream(self, exchange: Exchange) -> None:
         """Forward the events of a stream as they arrive."""
-        self._parser.start_response()
+        self._parser.start_response(continues=self.call.route.is_resumable)
 
         def forward(data: bytes) -> bool:
             events_data = self._parser.feed(data)
@@ -454,6 +467,12 @@
                 "the stream ended in the middle of an event",
                 "resume the stream",
             )
+        if self.call.has_response_started and not self._parser.has_events:
+            raise ResponseTruncated(
+                "an answer without events does not show that the resumed "
+                "stream is complete",
+                "resume the stream",
+            )
         if exchange.framing is not BodyFraming.CONNECTION:
             return
         if not self._parser.has_events:
@@ -515,7 +534,7 @@
             call.route.is_repeatable
             and not self._router.is_suspected(call)
             and len(call.possibly_ran_at) < max(1, call.route.attempts)
-            and (not call.has_response_started or call.route.is_resumable)
+            and (not call.has_response_started or self._can_resume())
         )
         will_retry = (
             is_repeatable and call.remaining_s(self._clock.monotonic()) > 0
@@ -559,6 +578,13 @@
             await self._clock.sleep(timedelta(seconds=delay_s))
         return True
 
+    def _can_resume(self) -> bool:
+        """Return whether a stream that has begun can go on elsewhere.
+
+        Without an event ID it would begin anew.
+        """
+        return self.call.route.is_resumable and bool(self._parser.last_id)
+
     def _describe_response(self) -> dict[str, str | int]:
         """Return log fields on what was received of the latest response."""
         if self._exchange is None:
--- a/dotterelbridge/targets/connection.py
+++ b/dotterelbridge/targets/connection.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 import enum
 import itertools
@@ -28,6 +29,8 @@
 """Bytes that are read at once; each connection may hold so many."""
 _PROGRESS_BYTES = 1024
 """Part of a body that counts as progress, however it is split."""
+_RECENT_ATTEMPTS_LIMIT = 64
+"""Request IDs that a connection remembers."""
 
 
 class BodyFraming(enum.Enum):
@@ -84,7 +87,12 @@
         """Bytes of the body received so far."""
         self._chunks: list[bytes] = []
         self._attempt = b""
+        self._recent_attempts: deque[int] = deque(
+            maxlen=_RECENT_ATTEMPTS_LIMIT
+        )
+        """Hashes of the IDs, as callers choose the IDs and their length."""
         self._is_id_echoed = False
+        self._needs_id = True
         self._has_no_body = False
         self.framing = BodyFraming.NONE
         self.status = 0
@@ -117,17 +125,34 @@
             and self._keep_alive
             # Without the ID, a second copy of this response could not be
             # told from the response to the next request.
-            and (self._is_id_echoed or not self._attempt)
+            and (self._is_id_echoed or not self._needs_id)
             and self.framing is not BodyFraming.CONNECTION
             and not self._has_no_body
             # A target may respond before it has read a long request body.
             and not self._transport.get_write_buffer_size()
         )
 
+    def has_carried(self, attempt: str) -> bool:
+        """Return whether a recent request had this ID.
+
+        Requests of a caller may share an ID. A late second copy of the first
+        one's response could not be told from the next one's response.
+        """
+        return hash(attempt) in self._recent_attempts
+
     def send_request(
-        self, head: bytes, body: bytes, attempt: str, method: str
-    ):
-        """Write a request; from here on the target may have received it."""
+        self,
+        head: bytes,
+        body: bytes,
+        attempt: str,
+        method: str,
+        needs_id: bool = True,
+    ) -> None:
+        """Write a request; from here on the target may have received it.
+
+        :param needs_id: whether only a response with the request's ID lets
+            the connection carry another request, and answers that one.
+        """
         self._parser = httptools.HttpResponseParser(self)
         self._error = None
         self._chunks = []
@@ -136,6 +161,8 @@
         self._progress_size = 0
         self.body_size = 0
         self._attempt = attempt.encode()
+        self._recent_attempts.append(hash(attempt))
+        self._needs_id = needs_id
         self._is_id_echoed = False
         self._has_no_body = method == "HEAD"
         self.framing = BodyFraming.NONE
@@ -368,6 +395,8 @@
             else:
                 self._is_skipping_response = True
                 return
+        elif self._lacks_request_id():
+            self._fail_id_missing()
         codings = [
             value.strip().lower()
             for name, value in self.headers
@@ -445,6 +474,25 @@
                 self._is_id_echoed = True
         return True
 
+    def _lacks_request_id(self) -> bool:
+        """Return whether the response may be a copy of an earlier one.
+
+        The responses to the earlier requests on the connection had IDs.
+        """
+        return (
+            self.exchange_count > 1
+            and self._needs_id
+            and not self._is_id_echoed
+        )
+
+    def _fail_id_missing(self) -> None:
+        self._fail(
+            ResponseIdMismatch(
+                "the response on a reused connection carries no request ID",
+                "report the target to its owner",
+            )
+        )
+
     def _fail_id_mismatch(self) -> None:
         self._fail(
             ResponseIdMismatch(
