--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -15,6 +15,7 @@
 from dotterelbridge.gateway.settings import GatewaySettings
 from dotterelbridge.gateway.stream_gaps import StreamGaps
 from dotterelbridge.ids import TargetId
+from dotterelbridge.resumption.recorder import StreamOrigin
 from dotterelbridge.resumption.recorder import StreamRecorder
 from dotterelbridge.routes.model import Repeatability
 from dotterelbridge.routes.model import TrafficShare
@@ -185,3 +186,18 @@
 
 def create_event(number: int) -> bytes:
     return b"id: %d\ndata: t%d\n\n" % (number, number)
+
+
+class SoleVersionRecorder(StreamRecorder):
+    """Has no record; vouches for one origin."""
+
+    def __init__(self, origin) -> None:
+        self.queries = []
+        self._origin = origin
+
+    def record_begun(self, *_) -> None:
+        """Record nothing."""
+
+    async def find_origin(self, request_id, *query) -> StreamOrigin:
+        self.queries.append((request_id, *query))
+        return self._origin
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -4,9 +4,12 @@
 import pytest
 
 from dotterelbridge.gateway.event_stream import EventStreamParser
+from dotterelbridge.ids import SoftwareVersion
+from dotterelbridge.resumption.recorder import StreamOrigin
 from dotterelbridge.targets.errors import MalformedResponse
 from tests.gateway.support import NOT_RUN_HEADERS
 from tests.gateway.support import SIGNED_HEADERS
+from tests.gateway.support import SoleVersionRecorder
 from tests.gateway.support import create_event
 from tests.gateway.support import run_gateway
 from tests.gateway.test_unframed_answers import create_request_lines
@@ -210,7 +213,9 @@
 def test_stream_that_its_caller_resumes_goes_on_or_fails(case, framing):
     async def check():
         handler = create_handler(case, framing)
-        async with run_gateway() as gateway:
+        origin = StreamOrigin(LLM, SoftwareVersion(""))
+        recorder = SoleVersionRecorder(origin)
+        async with run_gateway(stream_recorder=recorder) as gateway:
             target = await gateway.add_target("e1", handler, service=LLM)
             header = "last-event-id: 1"
             head, _, _ = await read_raw(gateway, "1.1", header)
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -17,11 +17,11 @@
 from dotterelbridge.gateway.outcomes import AttemptOutcome
 from dotterelbridge.resumption.local_recorder import create_local_recorder
 from dotterelbridge.resumption.recorder import StreamOrigin
-from dotterelbridge.resumption.recorder import StreamRecorder
 from standins.virtual_time import run_in_virtual_time
 from tests.fleet.support import create_target
 from tests.gateway.support import HOST
 from tests.gateway.support import SIGNED_HEADERS
+from tests.gateway.support import SoleVersionRecorder
 from tests.gateway.support import run_gateway
 from tests.gateway.support import wait_until
 from tests.gateway.test_router import RouterHarness
@@ -335,21 +335,6 @@
     check()
 
 
-class SoleVersionRecorder(StreamRecorder):
-    """Has no record; vouches for one origin."""
-
-    def __init__(self, origin) -> None:
-        self.queries = []
-        self._origin = origin
-
-    def record_begun(self, *_) -> None:
-        """Record nothing."""
-
-    async def find_origin(self, request_id, *query) -> StreamOrigin:
-        self.queries.append((request_id, *query))
-        return self._origin
-
-
 # Guards against refusals of all streams where records are lost but only one
 # version served, and against runs at a service that the route has left.
 @pytest.mark.parametrize(
