Read the settings again while no control VM is linked

Only a signal made it read newer seeds, and the settings may change without one.

A VM that has no link to any control VM now reads its settings every 2 s. The case without a signal of test_empty_control_vm_joins_through_reloaded_seeds failed before.

--- a/dotterelbridge/nodes/directory.py
+++ b/dotterelbridge/nodes/directory.py
@@ -59,6 +59,12 @@
         self._seeds = tuple(seeds)
         self.update_links()
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether there are other control VMs and no link to any is up."""
+        vms = self.list_control_vms()
+        return bool(vms) and not any(map(self._network.is_connected, vms))
+
     def list_control_vms(self) -> list[VmId]:
         """Return the control VMs to connect to, without this VM."""
         known_vms = [
--- a/dotterelbridge/nodes/node.py
+++ b/dotterelbridge/nodes/node.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import Iterable
+import contextlib
 from datetime import timedelta
 import random
 from typing import Any
@@ -13,6 +14,7 @@
 from dotterelbridge import metrics
 from dotterelbridge.clock import Clock
 from dotterelbridge.dump import DumpRegistry
+from dotterelbridge.errors import SettingsError
 from dotterelbridge.events import CoreEvent
 from dotterelbridge.fleet.fleet_state import FleetState
 from dotterelbridge.loop_lag import LoopMonitor
@@ -35,6 +37,8 @@
 FLUSH_TIMEOUT = timedelta(milliseconds=500)
 """Time to send queued messages to peers before a node stops."""
 _MS_PER_S = 1000
+_ISOLATED_RELOAD_INTERVAL = timedelta(seconds=2)
+"""Time between two readings of the settings while no control VM is linked."""
 
 
 class Node(abc.ABC):
@@ -103,6 +107,18 @@
         self._seeds = settings.list_seeds()
         self._directory.set_seeds(self._seeds)
 
+    async def _reload_while_isolated(self) -> None:
+        """Read the settings again while all seeds may be gone.
+
+        They may be replaced without a signal, and nobody knows of a new VM
+        none of whose seeds exists.
+        """
+        while True:
+            await self._clock.sleep(_ISOLATED_RELOAD_INTERVAL)
+            if self._directory.is_isolated:
+                with contextlib.suppress(SettingsError):
+                    self.reload()
+
     def write_dump(self) -> str | None:
         """Log the state of all parts; no file is written."""
         state: dict[str, Any] = self._registry.dump_all()
@@ -122,7 +138,11 @@
         """
         async with anyio.create_task_group() as group:
             group.start_soon(self._network.run)
-            for run in (LoopMonitor(self._clock).run, *parts):
+            common_parts = (
+                LoopMonitor(self._clock).run,
+                self._reload_while_isolated,
+            )
+            for run in (*common_parts, *parts):
                 group.start_soon(run_supervised, run, self._clock)
             for listener in (*listeners, *self._metrics_listeners):
                 group.start_soon(listener.run)
--- a/tests/nodes/test_seeds.py
+++ b/tests/nodes/test_seeds.py
@@ -22,7 +22,10 @@
 
 # Guards against a VM that stays empty, because it asks only the seeds that
 # its settings named at its start for the group.
-async def test_empty_control_vm_joins_through_reloaded_seeds(tmp_path):
+@pytest.mark.parametrize("is_signalled", [True, False])
+async def test_empty_control_vm_joins_through_reloaded_seeds(
+    tmp_path, is_signalled
+):
     async with run_deployment(tmp_path) as deployment:
         await deployment.submit(create_configuration())
         node = deployment.create_control(
@@ -37,7 +40,8 @@
                     GONE_ADDRESS, CONTROL_ADDRESSES[0]
                 )
             )
-            node.reload()
+            if is_signalled:
+                node.reload()
             async with httpx.AsyncClient(timeout=5) as client:
                 with anyio.fail_after(WAIT_TIMEOUT_S):
                     while True:
