Promote only learners that answer

Found by a review of the members' changes; not seen on a deployment.

A learner was promoted when it held all that was committed, whether or not anyone had heard it lately. One that was gone held it for as long as nothing was committed, and took the place of a silent voter. The group then counted a VM that was gone: commands and reads were refused with the next loss.

A learner now has caught up only if it acknowledged a message within the last election timeout.

--- a/dotterelbridge/replication/leadership.py
+++ b/dotterelbridge/replication/leadership.py
@@ -655,8 +655,22 @@
         return self._context.clock.monotonic() - heard_at > limit_s
 
     def has_caught_up(self, member_id: MemberId) -> bool:
-        """Return whether a member holds all committed entries."""
-        return self.get_match_index(member_id) >= self._state.commit_index
+        """Return whether a member answers and holds all committed entries.
+
+        A member that is gone still holds them while nothing is committed.
+        """
+        return (
+            self._answers(member_id)
+            and self.get_match_index(member_id) >= self._state.commit_index
+        )
+
+    def _answers(self, member_id: MemberId) -> bool:
+        """Return whether a member acknowledged a recent message."""
+        progress = self._progress.get(member_id)
+        if progress is None:
+            return member_id == self._state.member_id
+        elapsed = self._context.clock.monotonic() - progress.acked_at
+        return elapsed <= self._context.election_timeout.total_seconds()
 
     async def _try_change_configuration(self, change: Configuration) -> None:
         try:
