Count the silence of voters across leaders

Found by a review of the members' changes; not seen on a deployment.

Each new leader counted the silence of all voters from its own start. A leader that was lost for good so counted as a voter for the election and 3 s more; its successor had 4 s to catch up, and the next allowed loss of a disk could leave no majority, so that reads and commands were refused. A voter that was gone counted for as long as leaders changed more often than every 3 s.

A leader now counts its predecessor's silence from the last message that it received, and tells the members which voters are silent and for how long, for the next leader. Voters get an election timeout to answer a new leader before they count as silent. Messages of earlier releases lack the new field, which then is empty; earlier releases ignore it.

Of the new tests, both cases of the replaced leader and the one with changing leaders failed on the code before; all pass now.

tests/test_replication_rules.py recognised messages with entries by their last field; it now looks for the field's name, as the entries are no longer last.

--- a/dotterelbridge/replication/follower.py
+++ b/dotterelbridge/replication/follower.py
@@ -43,6 +43,7 @@
         """Answer an AppendRequest once its entries are synced."""
         if not await self._accept_leader(sender, request):
             return self._refuse_stale(request)
+        self._state.record_silences(request.leader_id, request.silences_ms)
         if not request.entries:
             return self._handle_heartbeat(request)
         async with self._context.storage_writer.lock:
--- a/dotterelbridge/replication/leadership.py
+++ b/dotterelbridge/replication/leadership.py
@@ -83,6 +83,8 @@
         self._progress: dict[MemberId, _MemberProgress] = {}
         self._first_index = LogIndex(0)
         self._started_at = context.clock.monotonic()
+        self._heard_before = dict(context.state.voters_heard_at)
+        """When members were last heard before this term."""
         self._is_transferring = False
         self._ack_received = ChangeNotifier()
         self._progress_changed = ChangeNotifier()
@@ -433,6 +435,7 @@
             previous_term=self._state.log.get_term(previous) or NO_TERM,
             commit_index=self._state.commit_index,
             entries=entries,
+            silences_ms=self._list_silences_ms(),
         )
 
     def _record_match(
@@ -694,13 +697,39 @@
         return None
 
     def _is_silent(self, member: Member) -> bool:
-        if member.member_id == self._state.member_id:
+        # A new leader gives voters that it knew as silent time to answer.
+        elapsed = self._context.clock.monotonic() - self._started_at
+        if elapsed <= self._context.election_timeout.total_seconds():
             return False
-        progress = self._progress.get(member.member_id)
-        acked_at = progress.acked_at if progress else _NEVER
-        heard_at = max(acked_at, self._started_at)
         limit_s = self._context.settings.silent_voter_ms / 1000
-        return self._context.clock.monotonic() - heard_at > limit_s
+        return self._measure_silence_s(member.member_id) > limit_s
+
+    def _measure_silence_s(self, member_id: MemberId) -> float:
+        """Return for how long a member was not heard by any leader.
+
+        A new leader knows since when its predecessor is silent, and which
+        voters this one reported; for other members its own term counts.
+        """
+        now = self._context.clock.monotonic()
+        if member_id == self._state.member_id:
+            return 0.0
+        progress = self._progress.get(member_id)
+        acked_at = progress.acked_at if progress else _NEVER
+        started_at = self._heard_before.get(member_id, self._started_at)
+        return now - max(acked_at, started_at)
+
+    def _list_silences_ms(self) -> dict[MemberId, int]:
+        """Return the silences that the next leader should know of."""
+        limit_s = self._context.election_timeout.total_seconds()
+        silences_s = {
+            member.member_id: self._measure_silence_s(member.member_id)
+            for member in self._state.configuration.list_voters()
+        }
+        return {
+            member_id: int(silence_s * 1000)
+            for member_id, silence_s in silences_s.items()
+            if silence_s > limit_s
+        }
 
     def has_caught_up(self, member_id: MemberId) -> bool:
         """Return whether a member answers and holds all committed entries.
--- a/dotterelbridge/replication/messages.py
+++ b/dotterelbridge/replication/messages.py
@@ -57,6 +57,9 @@
     previous_term: Term
     commit_index: LogIndex
     entries: list[Entry]
+    silences_ms: dict[MemberId, int] = {}
+    """Voters that the leader has not heard for an election timeout or
+    longer, and for how long; empty from older releases."""
 
 
 @register_message("replication.append_reply")
--- a/dotterelbridge/replication/state.py
+++ b/dotterelbridge/replication/state.py
@@ -68,6 +68,9 @@
         after it, votes are refused."""
         self.election_timer_started_at = self.leader_heard_at
         """When the election timer was last reset."""
+        self.voters_heard_at: dict[MemberId, float] = {}
+        """When voters were last heard: the last leader, and the voters that
+        it reported as silent."""
         self.entries_appended = ChangeNotifier()
         self.commit_index_advanced = ChangeNotifier()
         self.role_changed = ChangeNotifier()
@@ -154,6 +157,18 @@
         self.leader_vm = vm
         self.leader_heard_at = self._clock.monotonic()
         self.election_timer_started_at = self.leader_heard_at
+        self.voters_heard_at[member_id] = self.leader_heard_at
+
+    def record_silences(
+        self, leader_id: MemberId, silences_ms: dict[MemberId, int]
+    ) -> None:
+        """Replace what is known of the voters by a leader's report."""
+        now = self._clock.monotonic()
+        self.voters_heard_at = {
+            member_id: now - silence_ms / 1000
+            for member_id, silence_ms in silences_ms.items()
+        }
+        self.voters_heard_at[leader_id] = now
 
     def clear_leader(self) -> None:
         """Forget the leader, which was silent for too long."""
--- a/tests/test_control_group_members.py
+++ b/tests/test_control_group_members.py
@@ -1,5 +1,7 @@
 """Which members of a group of control VMs count, with faults on the way."""
 
+from datetime import timedelta
+
 import anyio
 import pytest
 
@@ -126,3 +128,41 @@
         )
 
     run_scenario(test, losses=0)
+
+
+# Guards against a leader that was replaced and still counts when its successor
+# has had 4 s to catch up, so that the next loss leaves no majority.
+@pytest.mark.parametrize("seed", [1, 5])
+def test_next_voter_may_be_lost_after_a_leader_was_replaced(seed):
+    async def test(group):
+        await propose(group, b"before")
+        leader = group.find_leader()
+        others = [vm for vm in VMS[:3] if vm != leader]
+        await anyio.sleep(1)
+        group.stop(leader, lose_disk=True, power_loss=True)
+        group.start(VMS[3], others)
+        await anyio.sleep(4)
+        vm = next(vm for vm in others if vm != group.find_leader())
+        group.stop(vm, lose_disk=True)
+        group.start(vm, VMS[:3])
+        await anyio.sleep(3)
+        await wait_for_any_read(group, b"before")
+
+    run_scenario(test, seed=seed, latency_s=(0.002, 0.012))
+
+
+# Guards against a voter that is gone and counts for as long as leaders change
+# within silent_voter_ms.
+def test_gone_voter_is_replaced_while_leaders_change():
+    async def test(group):
+        gone = find_follower(group)
+        group.stop(gone, lose_disk=True)
+        group.start(VMS[3], VMS[:3])
+        for _ in range(4):
+            await anyio.sleep(2.5)
+            log = group.nodes[group.find_leader()].log
+            await log.transfer_leadership(timedelta(seconds=1))
+            await wait_until(group.find_leader, step_s=0.01)
+        assert group.list_voters() == {*VMS[:4]} - {gone}
+
+    run_scenario(test)
--- a/tests/test_replication_rules.py
+++ b/tests/test_replication_rules.py
@@ -9,6 +9,7 @@
 from dotterelbridge.replication.entries import EntryKind
 from dotterelbridge.replication.entries import Member
 from dotterelbridge.replication.entries import encode_configuration
+from dotterelbridge.replication.messages import AppendRequest
 from dotterelbridge.replication.messages import VoteRequest
 from dotterelbridge.replication.storage import Ballot
 from dotterelbridge.replication.storage import create_memory_storage
@@ -41,7 +42,8 @@
     """Return whether a frame is an append with entries, or a snapshot."""
     if frame.name == "replication.snapshot":
         return True
-    return frame.name == "replication.append" and bool(frame.body[-1])
+    position = AppendRequest.__struct_fields__.index("entries")
+    return frame.name == "replication.append" and bool(frame.body[position])
 
 
 def _get_commit_index(group, vm):
