Form the group of its initial voters after a reload of the seeds

Found by a review of the members' changes; not seen on a deployment.

Since reloaded seeds are asked for the group, a reload before the group is formed could prevent it: the voter that forms it asked only the VMs of the new list, and waited for replies of all VMs of the old one. With a list that named more VMs it made a VM a voter that no settings had listed as one at its start.

A VM without a group now asks its initial voters too, and the group is formed of these only. Both cases of the new test failed on the code before and pass now. A group whose initial voters are gone before it is formed still needs a restart with the new list.

--- a/dotterelbridge/replication/joining.py
+++ b/dotterelbridge/replication/joining.py
@@ -171,8 +171,13 @@
             if isinstance(reply, StatusReply):
                 replies[vm] = reply
 
+        vms = self._context.contacts.list_vms()
+        if not self._belongs_to_group():
+            # Seeds that were reloaded may name others, and the group is
+            # formed of all initial voters.
+            vms = dict.fromkeys([*vms, *self._context.initial_voters])
         async with anyio.create_task_group() as group:
-            for vm in self._context.contacts.list_vms():
+            for vm in vms:
                 if vm != self._state.vm:
                     group.start_soon(request_status, vm)
         return replies
@@ -210,7 +215,7 @@
             group_id=group_id,
             members=tuple(
                 Member(member_id=member_ids[vm], vm=vm, voter=True)
-                for vm in sorted(member_ids)
+                for vm in sorted(self._context.initial_voters)
             ),
         )
         entry = Entry(
