Remove learners that were silent for long

Found by a review of the members' changes; not seen on a deployment.

A learner whose VM was gone stayed a member for good, as did a former voter whose request to join arrived late. Each of them was sent messages, was dialled, and was named to the entry VMs as a control VM; one that was near to an entry VM made that one keep links to all control VMs.

With a target number of voters the leader now removes a learner that it has not heard for three times silent_voter_ms. One that was only away asks to join again. Not changed: an entry VM keeps links to all control VMs while a near one is listed and down.

--- a/dotterelbridge/replication/leadership.py
+++ b/dotterelbridge/replication/leadership.py
@@ -39,13 +39,20 @@
 
 _BYTES_PER_KB = 1024
 _NEVER = float("-inf")
+_LEARNER_SILENCE_COUNT = 3
+"""Periods of silent_voter_ms after which a silent learner is removed. A
+learner costs only messages, and may be a voter that is still away."""
 
 
 class _MemberProgress:
     """Replication progress of one member."""
 
-    def __init__(self, member: Member, next_index: LogIndex) -> None:
+    def __init__(
+        self, member: Member, next_index: LogIndex, added_at: float
+    ) -> None:
         self.member = member
+        self.added_at = added_at
+        """When the leader began to send messages to the member."""
         self.next_index = next_index
         self.match_index = LogIndex(0)
         self.acked_at = _NEVER
@@ -594,7 +601,8 @@
         for member_id, member in members.items():
             if member_id not in self._progress:
                 next_index = LogIndex(self._state.log.last_index + 1)
-                progress = _MemberProgress(member, next_index)
+                added_at = self._context.clock.monotonic()
+                progress = _MemberProgress(member, next_index, added_at)
                 self._progress[member_id] = progress
                 group.start_soon(self._replicate, progress)
 
@@ -682,7 +690,13 @@
     def _find_learner_removal(
         self, configuration: Configuration
     ) -> Configuration | None:
-        """Return the configuration without a learner that has ended."""
+        """Return the configuration without a learner that has ended.
+
+        A learner that was only away for long asks to join again. Without a
+        target number of voters, only an operator removes it.
+        """
+        limit_ms = self._context.settings.silent_voter_ms
+        limit_s = limit_ms * _LEARNER_SILENCE_COUNT / 1000
         for member in configuration.members:
             progress = self._progress.get(member.member_id)
             if member.voter or progress is None:
@@ -694,6 +708,9 @@
             )
             if progress.identity_changed and not is_needed:
                 return configuration.without_member(member.member_id)
+            silence_s = self._measure_learner_silence_s(progress)
+            if self._target_count and silence_s > limit_s:
+                return configuration.without_member(member.member_id)
         return None
 
     def _is_silent(self, member: Member) -> bool:
@@ -718,6 +735,10 @@
         started_at = self._heard_before.get(member_id, self._started_at)
         return now - max(acked_at, started_at)
 
+    def _measure_learner_silence_s(self, progress: _MemberProgress) -> float:
+        heard_at = max(progress.acked_at, progress.added_at)
+        return self._context.clock.monotonic() - heard_at
+
     def _list_silences_ms(self) -> dict[MemberId, int]:
         """Return the silences that the next leader should know of."""
         limit_s = self._context.election_timeout.total_seconds()
--- a/tests/test_control_group_members.py
+++ b/tests/test_control_group_members.py
@@ -166,3 +166,47 @@
         assert group.list_voters() == {*VMS[:4]} - {gone}
 
     run_scenario(test)
+
+
+# Guards against members that stay listed for VMs that are gone for good, each
+# of which costs messages, dialling and links.
+def test_learners_that_are_gone_are_removed():
+    async def test(group):
+        for vm in VMS[3:5]:
+            group.start(vm, VMS[:3])
+            await wait_until(lambda vm=vm: vm in list_member_vms(group))
+            group.stop(vm, lose_disk=True, power_loss=True)
+        await wait_until(lambda: list_member_vms(group) == set(VMS[:3]))
+
+    run_scenario(test)
+
+
+# Guards against a learner that stays out after it was away for long.
+def test_removed_learner_joins_again_when_it_is_back():
+    async def test(group):
+        group.start(VMS[3], VMS[:3])
+        await wait_until(lambda: VMS[3] in list_member_vms(group))
+        await propose(group, b"before")
+        group.network.isolate([VMS[3]])
+        await wait_until(lambda: VMS[3] not in list_member_vms(group))
+        group.network.restore_links()
+        await wait_until(lambda: VMS[3] in list_member_vms(group))
+
+    run_scenario(test)
+
+
+# Guards against ended members that stay listed, because requests to join in
+# their name arrive late.
+def test_late_request_to_join_leaves_no_ended_member():
+    async def test(group):
+        vm = find_follower(group)
+        ended_id = group.nodes[vm].log.member_id
+        group.stop(vm, lose_disk=True, power_loss=True)
+        group.start(VMS[3], VMS[:3])
+        expected = {*VMS[:4]} - {vm}
+        await wait_until(lambda: list_member_vms(group) == expected)
+        leader = group.nodes[group.find_leader()].log
+        await leader.add_learner(ended_id, vm)
+        await wait_until(lambda: list_member_vms(group) == expected)
+
+    run_scenario(test)
