Hand leadership over only to a voter that answers

Found by a review of the members' changes; not seen on a deployment.

A leader that stopped handed over to the voter with the most entries, the first of several, also if that one was gone. The hand-over failed, and the group had no leader for an election timeout, in which commands and reads waited.

Only voters that acknowledged a message within the last election timeout are considered now. The new test failed on the code before and passes now.

--- a/dotterelbridge/replication/leadership.py
+++ b/dotterelbridge/replication/leadership.py
@@ -246,11 +246,12 @@
         return self._state.is_leader and self._state.term == self._term
 
     def _find_successor(self) -> _MemberProgress | None:
-        """Return the voter with the most entries synced."""
+        """Return the voter that answers and has the most entries synced."""
         voters = [
             progress
             for member_id, progress in self._progress.items()
             if self._state.configuration.is_voter(member_id)
+            and self._answers(member_id)
         ]
         return max(voters, key=lambda p: p.match_index, default=None)
 
--- a/tests/test_control_group_members.py
+++ b/tests/test_control_group_members.py
@@ -210,3 +210,18 @@
         await wait_until(lambda: list_member_vms(group) == expected)
 
     run_scenario(test)
+
+
+# Guards against a leader that stops and hands over to a voter that is gone, so
+# that the group waits for an election timeout.
+def test_leader_that_stops_hands_over_to_a_voter_that_answers():
+    async def test(group):
+        await propose(group, b"before")
+        await anyio.sleep(1)
+        leader = group.find_leader()
+        group.stop(next(vm for vm in VMS[:5] if vm != leader))
+        await anyio.sleep(2)
+        await group.nodes[leader].log.transfer_leadership(timedelta(seconds=2))
+        await wait_until(lambda: group.find_leader() not in (None, leader))
+
+    run_scenario(test, count=5, losses=2)
