Share the support of the tests of control groups

The tests of joining use the scenario that those of the members have. The description of silent_voter_ms also says when a silent learner is removed.

--- a/dotterelbridge/replication/settings.py
+++ b/dotterelbridge/replication/settings.py
@@ -49,6 +49,7 @@
     settings list."""
     silent_voter_ms: _Milliseconds = 3000
     """With losses_tolerated set, a voter that the leader has not heard from
-    for this period is replaced by a learner that has caught up."""
+    for this period is replaced by a learner that has caught up. A learner
+    that is silent for three times as long is removed."""
     join_interval_ms: _Milliseconds = 500
     """Time between two attempts of an empty VM to join its group."""
--- a/tests/test_control_group.py
+++ b/tests/test_control_group.py
@@ -1,50 +1,18 @@
 """Control VMs that find each other through seeds and their links."""
 
-from datetime import timedelta
-import random
-
 import anyio
 
 from dotterelbridge.errors import ReplicationError
-from dotterelbridge.replication.settings import ReplicationSettings
-from standins.virtual_time import run_in_virtual_time
-from tests.control_group import ControlGroup
-from tests.control_group import LinkedNetwork
+from tests.control_group_scenario import VMS as ALL_VMS
+from tests.control_group_scenario import propose
+from tests.control_group_scenario import run_scenario
 
-VMS = tuple(f"10.0.0.{number}:7380" for number in (1, 2, 3))
+VMS = ALL_VMS[:3]
 NEW_VM = "10.0.0.4:7380"
 GONE_VMS = ("10.0.0.8:7380", "10.0.0.9:7380")
 WAIT_TIMEOUT_S = 20
 
 
-def run_scenario(test, losses=1) -> None:
-    """Run a test with a group of three voters that has a leader."""
-
-    async def main():
-        async with anyio.create_task_group() as tasks:
-            group = ControlGroup(
-                tasks,
-                ReplicationSettings(losses_tolerated=losses),
-                LinkedNetwork(0, (0.001, 0.002)),
-                random.Random(0),
-            )
-            for vm in VMS:
-                group.start(vm, VMS, bootstrap=True)
-            await wait_until(lambda: group.list_voters() == set(VMS))
-            await test(group)
-            await group.network.close()
-            tasks.cancel_scope.cancel()
-            assert group.network.handler_errors == []
-
-    run_in_virtual_time(main)
-
-
-async def wait_until(condition) -> None:
-    with anyio.fail_after(WAIT_TIMEOUT_S):
-        while not condition():
-            await anyio.sleep(0.05)
-
-
 async def wait_for_read(group, vm, command) -> None:
     """Wait until a read through a VM finds the command."""
     with anyio.fail_after(WAIT_TIMEOUT_S):
@@ -57,11 +25,6 @@
                 return
 
 
-async def propose(group, command) -> None:
-    log = group.nodes[group.find_leader()].log
-    await log.propose("history", command, timedelta(seconds=2))
-
-
 # Guards against a VM that never joins, because its seeds do not name the
 # leader: it stayed empty, and the VM that it replaced stayed a voter.
 def test_vm_joins_through_seeds_that_do_not_lead():
