--- a/dotterelbridge/replication/leadership.py
+++ b/dotterelbridge/replication/leadership.py
@@ -27,6 +27,8 @@
 from dotterelbridge.replication.entries import encode_configuration
 from dotterelbridge.replication.entries import encode_leader
 from dotterelbridge.replication.events import ReplicationEvent
+from dotterelbridge.replication.member_changes import MemberChanges
+from dotterelbridge.replication.member_changes import MemberObserver
 from dotterelbridge.replication.messages import AppendReply
 from dotterelbridge.replication.messages import AppendRequest
 from dotterelbridge.replication.messages import HandOverRequest
@@ -85,7 +87,7 @@
         self._next_at = self._clock.monotonic() + self._interval_s
 
 
-class Leadership:
+class Leadership(MemberObserver):
     """The leader's work in one term; ends when the member steps down."""
 
     def __init__(self, context: MemberContext) -> None:
@@ -98,6 +100,11 @@
         self._heard_before = dict(context.state.voters_heard_at)
         """When members were last heard before this term."""
         self._is_transferring = False
+        self._member_changes = MemberChanges(
+            self,
+            context.settings.losses_tolerated,
+            context.initial_voters,
+        )
         self._ack_received = ChangeNotifier()
         self._progress_changed = ChangeNotifier()
 
@@ -602,7 +609,7 @@
             if self._is_removed():
                 self._state.step_down("this member was removed")
                 return
-            change = self._find_next_configuration()
+            change = self._member_changes.find_next(self._state.configuration)
             if change is not None:
                 await self._try_change_configuration(change)
 
@@ -629,114 +636,19 @@
             state.log.configuration_index <= state.commit_index
         )
 
-    def _find_next_configuration(self) -> Configuration | None:
-        """Return the next step to the wanted members; None if all is well.
-
-        A voter that is gone loses its vote before another member gets it.
-        The other way round both count for a moment, and the loss of the new
-        one would leave the group without a majority.
-        """
-        configuration = self._state.configuration
-        superseded = configuration.find_superseded_member()
-        if superseded:
-            return configuration.without_member(superseded.member_id)
-        replaced = self._find_replaced_voter(configuration)
-        if replaced:
-            return configuration.without_vote(replaced.member_id)
-        return (
-            self._find_promotion(configuration)
-            or self._find_silent_voter_change(configuration)
-            or self._find_learner_removal(configuration)
-        )
-
-    def _find_replaced_voter(
-        self, configuration: Configuration
-    ) -> Member | None:
-        """Return a voter whose VM answers as a learner that has caught up."""
-        for member in configuration.list_voters():
-            for later in configuration.list_later_members(member):
-                if self.has_caught_up(later.member_id):
-                    return member
-        return None
-
-    @property
-    def _target_count(self) -> int:
-        """Number of voters that the group grows to; 0 without a target."""
-        losses = self._context.settings.losses_tolerated
-        return 2 * losses + 1 if losses else 0
-
-    def _find_promotion(
-        self, configuration: Configuration
-    ) -> Configuration | None:
-        if self._target_count:
-            # A VM that replaces its own former member is preferred.
-            learners = configuration.list_promotable_learners(())
-            learners += [m for m in configuration.members if not m.voter]
-            if len(configuration.list_voters()) >= self._target_count:
-                return None
-        else:
-            learners = configuration.list_promotable_learners(
-                self._context.initial_voters
-            )
-        for learner in learners:
-            if self.has_caught_up(learner.member_id):
-                return configuration.with_voter(learner.member_id)
-        return None
-
-    def _find_silent_voter_change(
-        self, configuration: Configuration
-    ) -> Configuration | None:
-        """Return the configuration in which a silent voter has no vote.
-
-        It keeps its vote until a learner can replace it, so that a VM which
-        restarts while no learner is available stays a voter.
-        """
-        voters = configuration.list_voters()
-        if not self._target_count or len(voters) < self._target_count:
-            return None
-        silent = [m for m in voters if self._is_silent(m)]
-        can_replace = len(voters) > self._target_count or any(
-            self.has_caught_up(member.member_id)
-            for member in configuration.members
-            if not member.voter
-        )
-        if silent and can_replace:
-            return configuration.without_vote(silent[0].member_id)
-        return None
-
-    def _find_learner_removal(
-        self, configuration: Configuration
-    ) -> Configuration | None:
-        """Return the configuration without a learner that has ended.
+    def has_ended(self, member_id: MemberId) -> bool:
+        """Return whether the VM of a learner answers with another id."""
+        progress = self._progress.get(member_id)
+        return progress is not None and progress.identity_changed
 
-        A learner that was only away for long asks to join again. Without a
-        target number of voters, only an operator removes it.
-        """
-        limit_ms = self._context.settings.silent_voter_ms
-        limit_s = limit_ms * _LEARNER_SILENCE_COUNT / 1000
-        for member in configuration.members:
-            progress = self._progress.get(member.member_id)
-            if member.voter or progress is None:
-                continue
-            # Without a target number of voters, the former voter shows that
-            # the later learner on its VM is to be promoted.
-            is_needed = not self._target_count and (
-                configuration.list_later_members(member)
-            )
-            if progress.identity_changed and not is_needed:
-                return configuration.without_member(member.member_id)
-            silence_s = self._measure_learner_silence_s(progress)
-            if self._target_count and silence_s > limit_s:
-                return configuration.without_member(member.member_id)
-        return None
-
-    def _is_silent(self, member: Member) -> bool:
+    def is_voter_silent(self, member_id: MemberId) -> bool:
+        """Return whether a voter was silent long enough to be replaced."""
         # A new leader gives voters that it knew as silent time to answer.
         elapsed = self._context.clock.monotonic() - self._started_at
         if elapsed <= self._context.election_timeout.total_seconds():
             return False
         limit_s = self._context.settings.silent_voter_ms / 1000
-        return self._measure_silence_s(member.member_id) > limit_s
+        return self._measure_silence_s(member_id) > limit_s
 
     def _measure_silence_s(self, member_id: MemberId) -> float:
         """Return for how long a member was not heard by any leader.
@@ -752,9 +664,15 @@
         started_at = self._heard_before.get(member_id, self._started_at)
         return now - max(acked_at, started_at)
 
-    def _measure_learner_silence_s(self, progress: _MemberProgress) -> float:
+    def is_learner_silent(self, member_id: MemberId) -> bool:
+        """Return whether a learner was silent long enough to be removed."""
+        progress = self._progress.get(member_id)
+        if progress is None:
+            return False
+        limit_ms = self._context.settings.silent_voter_ms
+        limit_s = limit_ms * _LEARNER_SILENCE_COUNT / 1000
         heard_at = max(progress.acked_at, progress.added_at)
-        return self._context.clock.monotonic() - heard_at
+        return self._context.clock.monotonic() - heard_at > limit_s
 
     def _list_silences_ms(self) -> dict[MemberId, int]:
         """Return the silences that the next leader should know of."""
