--- a/dotterelbridge/replication/leadership.py
+++ b/dotterelbridge/replication/leadership.py
@@ -27,6 +27,8 @@
 from dotterelbridge.replication.entries import encode_configuration
 from dotterelbridge.replication.entries import encode_leader
 from dotterelbridge.replication.events import ReplicationEvent
+from dotterelbridge.replication.member_changes import MemberChanges
+from dotterelbridge.replication.member_changes import MemberObserver
 from dotterelbridge.replication.messages import AppendReply
 from dotterelbridge.replication.messages import AppendRequest
 from dotterelbridge.replication.messages import HandOverRequest
@@ -39,17 +41,29 @@
 
 _BYTES_PER_KB = 1024
 _NEVER = float("-inf")
+_LEARNER_SILENCE_COUNT = 3
+"""Periods of silent_voter_ms after which a silent learner is removed. A
+learner costs only messages, and may be a voter that is still away."""
 
 
 class _MemberProgress:
     """Replication progress of one member."""
 
-    def __init__(self, member: Member, next_index: LogIndex) -> None:
+    def __init__(
+        self, member: Member, next_index: LogIndex, added_at: float
+    ) -> None:
         self.member = member
+        self.added_at = added_at
+        """When the leader began to send messages to the member."""
         self.next_index = next_index
         self.match_index = LogIndex(0)
         self.acked_at = _NEVER
         """When the newest message that the member acknowledged was sent."""
+        self.round_started_at = _NEVER
+        self.round_index = LogIndex(0)
+        """What was committed then; the round ends when the member holds it."""
+        self.caught_up_at = _NEVER
+        """Start of the newest round that has ended."""
         self.probing = True
         """Whether to send no entries until the logs are known to match."""
         self.identity_changed = False
@@ -73,7 +87,7 @@
         self._next_at = self._clock.monotonic() + self._interval_s
 
 
-class Leadership:
+class Leadership(MemberObserver):
     """The leader's work in one term; ends when the member steps down."""
 
     def __init__(self, context: MemberContext) -> None:
@@ -83,7 +97,14 @@
         self._progress: dict[MemberId, _MemberProgress] = {}
         self._first_index = LogIndex(0)
         self._started_at = context.clock.monotonic()
+        self._heard_before = dict(context.state.voters_heard_at)
+        """When members were last heard before this term."""
         self._is_transferring = False
+        self._member_changes = MemberChanges(
+            self,
+            context.settings.losses_tolerated,
+            context.initial_voters,
+        )
         self._ack_received = ChangeNotifier()
         self._progress_changed = ChangeNotifier()
 
@@ -237,11 +258,12 @@
         return self._state.is_leader and self._state.term == self._term
 
     def _find_successor(self) -> _MemberProgress | None:
-        """Return the voter with the most entries synced."""
+        """Return the voter that answers and has the most entries synced."""
         voters = [
             progress
             for member_id, progress in self._progress.items()
             if self._state.configuration.is_voter(member_id)
+            and self._answers(member_id)
         ]
         return max(voters, key=lambda p: p.match_index, default=None)
 
@@ -433,6 +455,7 @@
             previous_term=self._state.log.get_term(previous) or NO_TERM,
             commit_index=self._state.commit_index,
             entries=entries,
+            silences_ms=self._list_silences_ms(),
         )
 
     def _record_match(
@@ -440,10 +463,22 @@
     ) -> None:
         if match > progress.match_index:
             progress.match_index = match
+            self._update_round(progress)
             self._progress_changed.notify()
         progress.next_index = LogIndex(progress.match_index + 1)
         self._advance_commit_index()
 
+    def _update_round(self, progress: _MemberProgress) -> None:
+        """End the round of catching up if the member holds its entries."""
+        if progress.match_index >= progress.round_index:
+            progress.caught_up_at = progress.round_started_at
+            progress.round_started_at = self._context.clock.monotonic()
+            # What earlier leaders committed lies before the first entry; the
+            # commit index may be older until that entry is committed.
+            progress.round_index = max(
+                self._state.commit_index, self._first_index
+            )
+
     def _decrease_next_index(
         self, progress: _MemberProgress, last_index: LogIndex
     ) -> None:
@@ -562,8 +597,8 @@
         """Run one task per member and change the configuration as needed.
 
         A VM whose disk was lost comes back with a new member id. It is a
-        learner until it holds all committed entries, then a voter, and
-        only then the member with its old id is removed.
+        learner until it has caught up. Then the member with its old id
+        loses its vote, the learner gets one, and the old member is removed.
         """
         while True:
             self._update_replication_tasks(group)
@@ -574,7 +609,7 @@
             if self._is_removed():
                 self._state.step_down("this member was removed")
                 return
-            change = self._find_next_configuration()
+            change = self._member_changes.find_next(self._state.configuration)
             if change is not None:
                 await self._try_change_configuration(change)
 
@@ -590,7 +625,8 @@
         for member_id, member in members.items():
             if member_id not in self._progress:
                 next_index = LogIndex(self._state.log.last_index + 1)
-                progress = _MemberProgress(member, next_index)
+                added_at = self._context.clock.monotonic()
+                progress = _MemberProgress(member, next_index, added_at)
                 self._progress[member_id] = progress
                 group.start_soon(self._replicate, progress)
 
@@ -600,63 +636,80 @@
             state.log.configuration_index <= state.commit_index
         )
 
-    def _find_next_configuration(self) -> Configuration | None:
-        configuration = self._state.configuration
-        superseded = configuration.find_superseded_member()
-        if superseded:
-            return configuration.without_member(superseded.member_id)
-        for member_id, progress in self._progress.items():
-            if progress.identity_changed and not configuration.is_voter(
-                member_id
-            ):
-                return configuration.without_member(member_id)
-        has_voter_target = self._context.settings.losses_tolerated > 0
-        # If the group chooses its voters itself, the VMs that formed it are
-        # not preferred; a VM that replaces its own voter after the loss of
-        # its disk is.
-        voter_vms = () if has_voter_target else self._context.initial_voters
-        for learner in configuration.list_promotable_learners(voter_vms):
-            if self.has_caught_up(learner.member_id):
-                return configuration.with_voter(learner.member_id)
-        return (
-            self._find_voter_count_change(configuration)
-            if has_voter_target
-            else None
-        )
+    def has_ended(self, member_id: MemberId) -> bool:
+        """Return whether the VM of a learner answers with another id."""
+        progress = self._progress.get(member_id)
+        return progress is not None and progress.identity_changed
+
+    def is_voter_silent(self, member_id: MemberId) -> bool:
+        """Return whether a voter was silent long enough to be replaced."""
+        # A new leader gives voters that it knew as silent time to answer.
+        elapsed = self._context.clock.monotonic() - self._started_at
+        if elapsed <= self._context.election_timeout.total_seconds():
+            return False
+        limit_s = self._context.settings.silent_voter_ms / 1000
+        return self._measure_silence_s(member_id) > limit_s
 
-    def _find_voter_count_change(
-        self, configuration: Configuration
-    ) -> Configuration | None:
-        """Return the next step to the target number of live voters.
+    def _measure_silence_s(self, member_id: MemberId) -> float:
+        """Return for how long a member was not heard by any leader.
 
-        A silent voter is removed only after a learner was promoted in its
-        place, so that a VM which restarts while no learner is available
-        stays a voter.
+        A new leader knows since when its predecessor is silent, and which
+        voters this one reported; for other members its own term counts.
         """
-        target_count = 2 * self._context.settings.losses_tolerated + 1
-        voters = configuration.list_voters()
-        silent = [m for m in voters if self._is_silent(m)]
-        if len(voters) > target_count and silent:
-            return configuration.without_member(silent[0].member_id)
-        if len(voters) >= target_count + bool(silent):
-            return None
-        for member in configuration.members:
-            if not member.voter and self.has_caught_up(member.member_id):
-                return configuration.with_voter(member.member_id)
-        return None
+        now = self._context.clock.monotonic()
+        if member_id == self._state.member_id:
+            return 0.0
+        progress = self._progress.get(member_id)
+        acked_at = progress.acked_at if progress else _NEVER
+        started_at = self._heard_before.get(member_id, self._started_at)
+        return now - max(acked_at, started_at)
 
-    def _is_silent(self, member: Member) -> bool:
-        if member.member_id == self._state.member_id:
+    def is_learner_silent(self, member_id: MemberId) -> bool:
+        """Return whether a learner was silent long enough to be removed."""
+        progress = self._progress.get(member_id)
+        if progress is None:
             return False
-        progress = self._progress.get(member.member_id)
-        acked_at = progress.acked_at if progress else _NEVER
-        heard_at = max(acked_at, self._started_at)
-        limit_s = self._context.settings.silent_voter_ms / 1000
+        limit_ms = self._context.settings.silent_voter_ms
+        limit_s = limit_ms * _LEARNER_SILENCE_COUNT / 1000
+        heard_at = max(progress.acked_at, progress.added_at)
         return self._context.clock.monotonic() - heard_at > limit_s
 
+    def _list_silences_ms(self) -> dict[MemberId, int]:
+        """Return the silences that the next leader should know of."""
+        limit_s = self._context.election_timeout.total_seconds()
+        silences_s = {
+            member.member_id: self._measure_silence_s(member.member_id)
+            for member in self._state.configuration.list_voters()
+        }
+        return {
+            member_id: int(silence_s * 1000)
+            for member_id, silence_s in silences_s.items()
+            if silence_s > limit_s
+        }
+
     def has_caught_up(self, member_id: MemberId) -> bool:
-        """Return whether a member holds all committed entries."""
-        return self.get_match_index(member_id) >= self._state.commit_index
+        """Return whether a member answers and is close behind the commits.
+
+        A member that is gone still holds all entries while nothing is
+        committed. Under load a slow one never holds the newest; it is close
+        enough if it holds what was committed an election timeout ago, as a
+        commit needs a majority that holds the entry in any case.
+        """
+        if not self._answers(member_id):
+            return False
+        if self.get_match_index(member_id) >= self._state.commit_index:
+            return True
+        progress = self._progress[member_id]
+        lag_s = self._context.clock.monotonic() - progress.caught_up_at
+        return lag_s <= self._context.election_timeout.total_seconds()
+
+    def _answers(self, member_id: MemberId) -> bool:
+        """Return whether a member acknowledged a recent message."""
+        progress = self._progress.get(member_id)
+        if progress is None:
+            return member_id == self._state.member_id
+        elapsed = self._context.clock.monotonic() - progress.acked_at
+        return elapsed <= self._context.election_timeout.total_seconds()
 
     async def _try_change_configuration(self, change: Configuration) -> None:
         try:
