--- a/dotterelbridge/replication/election.py
+++ b/dotterelbridge/replication/election.py
@@ -23,7 +23,6 @@
 
 _log = structlog.get_logger(__name__)
 
-
 _PRE_VOTE_SHARE = 1 / 3
 """Share of the election timeout that a pre-vote waits for replies, as long
 as voters do not reply late."""
--- a/dotterelbridge/resumption/history.py
+++ b/dotterelbridge/resumption/history.py
@@ -1,4 +1,4 @@
-"""Watches which software versions serve, to vouch for streams unrecorded."""
+"""Watches which software versions serve, for streams without a record."""
 
 from collections.abc import Callable
 from collections.abc import Collection
