--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Requests whose paths have many slashes: does a front still answer others?
+# Streams without length: does one that a killed front cut look complete?
 cd "$(dirname "$0")" && exec python3 run.py
