--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -42,12 +42,14 @@
 from dotterelbridge.targets.client import Exchange
 from dotterelbridge.targets.client import ExchangeRequest
 from dotterelbridge.targets.completeness import verify_body_end
+from dotterelbridge.targets.completeness import verify_running
 from dotterelbridge.targets.connection import BodyFraming
 from dotterelbridge.targets.errors import ConnectionClosed
 from dotterelbridge.targets.errors import MalformedResponse
 from dotterelbridge.targets.errors import ResponseTruncated
 from dotterelbridge.targets.errors import SendNotPermitted
 from dotterelbridge.targets.errors import TargetHeldBack
+from dotterelbridge.targets.liveness import LivenessQuery
 from dotterelbridge.targets.media_types import EVENT_STREAM_TYPE
 from dotterelbridge.targets.media_types import has_content_encoding
 from dotterelbridge.targets.media_types import read_media_type
@@ -80,8 +82,6 @@
     status: int
     headers: Headers
     body: bytes
-    is_end_known: bool = True
-    """Whether the end of the body can be told from a cut."""
 
 
 class TargetFailed(TargetError):
@@ -123,8 +123,6 @@
         self.slot: Slot | None = None
         """Slot of the latest attempt."""
         self.is_finished = False
-        self._has_marked_end = False
-        """Whether the caller can tell the end of its stream from a cut."""
         self.first_byte_at: float | None = None
         """Monotonic time at which the first byte was forwarded."""
         self.longest_chunk_gap_s: float | None = None
@@ -221,9 +219,9 @@
                 self._check_response(slot, exchange)
                 if self._is_event_stream(exchange):
                     self._gap_meter = self._create_gap_meter(slot)
-                    await self._forward_stream(exchange)
+                    await self._forward_stream(slot, exchange)
                 else:
-                    await self._forward_response(exchange)
+                    await self._forward_response(slot, exchange)
             outcome = AttemptOutcome.ANSWERED
         except TargetError as error:
             outcome = _classify_error(error)
@@ -347,7 +345,7 @@
             media_type in (b"", EVENT_STREAM_TYPE)
         )
 
-    async def _forward_response(self, exchange: Exchange) -> None:
+    async def _forward_response(self, slot: Slot, exchange: Exchange) -> None:
         """Forward a response after it was received completely."""
         if self.call.has_response_started:
             raise MalformedResponse(
@@ -359,27 +357,20 @@
             self._settings.answer_limit_kb * _BYTES_PER_KB,
             "raise answer_limit_kb in [gateway], or ask for a stream",
         )
+        await verify_body_end(
+            exchange, body, slot.client, self._create_liveness_query(slot)
+        )
         response = WholeResponse(
-            exchange.status,
-            filter_response_headers(exchange.headers),
-            body,
-            is_end_known=verify_body_end(exchange, body),
+            exchange.status, filter_response_headers(exchange.headers), body
         )
         if exchange.status >= _SERVER_ERROR_STATUS:
             raise TargetFailed(response)
         await self.send_response(response)
 
     async def send_response(self, response: WholeResponse) -> None:
-        """Send the caller a response, with a length if its end is known."""
-        headers = response.headers
-        if response.is_end_known:
-            length = (b"content-length", b"%d" % len(response.body))
-            headers = [*headers, length]
-        self._start_response(
-            response.status,
-            headers,
-            ends_with_connection=not response.is_end_known,
-        )
+        """Send the caller a response with its length."""
+        length = (b"content-length", b"%d" % len(response.body))
+        self._start_response(response.status, [*response.headers, length])
         self._write_body(response.body, more=False)
         await self.wait_until_sent()
 
@@ -387,7 +378,7 @@
         """Wait until the caller has taken nearly all that was written."""
         await self._sink.wait_writable()
 
-    async def _forward_stream(self, exchange: Exchange) -> None:
+    async def _forward_stream(self, slot: Slot, exchange: Exchange) -> None:
         """Forward the events of a stream as they arrive."""
         self._parser.start_response(continues=self.call.route.is_resumable)
 
@@ -409,7 +400,7 @@
             return self._write_body(events_data, more=True)
 
         await exchange.relay(forward, self._sink.wait_writable)
-        self._check_stream_end(exchange)
+        await self._check_stream_end(slot, exchange)
         if not self.call.has_response_started:
             self._start_stream(exchange)
         self._write_body(b"", more=False)
@@ -444,20 +435,16 @@
             )
 
     def _start_stream(self, exchange: Exchange) -> None:
-        """Begin a stream, with an end of the same kind as the target's.
+        """Begin a stream in chunks, whatever marks the end of the target's.
 
-        The end of a connection may be a crash of the target, so it must not
-        become an end that tells the caller that the stream is complete.
+        Otherwise the end of this process would look like that of the stream.
         """
         self.call.has_response_started = True
-        self._has_marked_end = exchange.framing is not BodyFraming.CONNECTION
         self._start_response(
-            exchange.status,
-            filter_response_headers(exchange.headers),
-            ends_with_connection=not self._has_marked_end,
+            exchange.status, filter_response_headers(exchange.headers)
         )
 
-    def _check_stream_end(self, exchange: Exchange) -> None:
+    async def _check_stream_end(self, slot: Slot, exchange: Exchange) -> None:
         """Check that a stream that ended normally is complete.
 
         :raises ResponseTruncated: it broke off.
@@ -480,12 +467,21 @@
                 "the connection ended before the stream's first event",
                 "resume the stream",
             )
-        if self._has_marked_end:
-            raise ResponseTruncated(
-                "the end of the connection does not show that the resumed "
-                "stream is complete",
-                "resume the stream",
-            )
+        await verify_running(slot.client, self._create_liveness_query(slot))
+
+    def _create_liveness_query(self, slot: Slot) -> LivenessQuery:
+        """Return how to ask the target whether it still runs."""
+        service = self.call.service
+        path = service.health_path
+        born = None
+        if service.engine is not None and self._settings.report_path:
+            path = self._settings.report_path
+            born = slot.view.born or None
+        expected_target = (
+            self._header_names.expected_target,
+            slot.view.target.encode(),
+        )
+        return LivenessQuery(path, (expected_target,), born)
 
     def _create_gap_meter(self, slot: Slot) -> StreamGapMeter | None:
         if self._stream_gaps is None or self.call.item is None:
@@ -506,17 +502,10 @@
             )
         self._last_chunk_at = now
 
-    def _start_response(
-        self,
-        status: int,
-        headers: Headers,
-        ends_with_connection: bool = False,
-    ) -> None:
+    def _start_response(self, status: int, headers: Headers) -> None:
         self.status = status
         self.first_byte_at = self._clock.monotonic()
-        self._sink.write(
-            create_response_start(status, headers, ends_with_connection)
-        )
+        self._sink.write(create_response_start(status, headers))
 
     def _write_body(self, data: bytes, more: bool) -> bool:
         self.is_finished = not more
--- a/dotterelbridge/gateway/settings.py
+++ b/dotterelbridge/gateway/settings.py
@@ -91,6 +91,9 @@
     answer_grace_ms: _Milliseconds = 150
     """Time beyond a request's deadline in which the target's response is
     still accepted."""
+    report_path: str = ""
+    """Path at which engines report their state without taking a slot; empty
+    if there is none. Read to find out whether an engine still runs."""
     silent_answer_ms: _Milliseconds = 1500
     """Time without a first byte after which an attempt at a target is given
     up, if the request may be repeated."""
--- a/dotterelbridge/serving/attempts.py
+++ b/dotterelbridge/serving/attempts.py
@@ -40,6 +40,7 @@
 from dotterelbridge.targets.errors import ResponseTruncated
 from dotterelbridge.targets.errors import TargetHeldBack
 from dotterelbridge.targets.errors import TargetIdleTimeout
+from dotterelbridge.targets.liveness import LivenessQuery
 
 _BYTES_PER_KB = 1024
 _REFUSAL_BODY_LIMIT_BYTES = 65536
@@ -196,7 +197,7 @@
         self, slot: Slot, create_request: RequestFactory
     ) -> RecordedResponse:
         async with self.open_attempt(slot, create_request) as exchange:
-            response = await self.read_response(exchange)
+            response = await self.read_response(slot, exchange)
             slot.bytes_relayed += len(response.body)
             self._router.record_tokens(slot, 1)
             self.check_response(slot.call, response)
@@ -207,14 +208,17 @@
         if is_retryable_status(call, response.status):
             raise TargetFailed(response)
 
-    async def read_response(self, exchange: Exchange) -> RecordedResponse:
+    async def read_response(
+        self, slot: Slot, exchange: Exchange
+    ) -> RecordedResponse:
         """Return a complete response.
 
         :raises MalformedResponse: it exceeds the size limit.
-        :raises ResponseTruncated: it is certainly incomplete.
+        :raises ResponseTruncated: it is incomplete, or may be.
         """
         limit = self._settings.answer_limit_kb * _BYTES_PER_KB
         body = await exchange.read_all(limit, _TOO_LARGE_REMEDY)
+        await verify_body_end(exchange, body, slot.client, LivenessQuery())
         return RecordedResponse(
             status=exchange.status,
             headers=[
@@ -222,7 +226,6 @@
                 for name, value in filter_response_headers(exchange.headers)
             ],
             body=body,
-            is_end_known=verify_body_end(exchange, body),
         )
 
     async def _check_refusal(self, slot: Slot, exchange: Exchange) -> None:
--- a/dotterelbridge/serving/stream.py
+++ b/dotterelbridge/serving/stream.py
@@ -173,7 +173,7 @@
 
     async def _relay(self, slot: Slot, exchange: Exchange) -> None:
         if not _is_event_stream(exchange):
-            await self._relay_non_stream(exchange)
+            await self._relay_non_stream(slot, exchange)
             return
         limit = self._settings.event_limit_kb * _BYTES_PER_KB
         splitter = EventSplitter(limit)
@@ -209,14 +209,14 @@
         headers = filter_response_headers(exchange.headers)
         self._writer.start(exchange.status, headers, RunStatus.YES)
 
-    async def _relay_non_stream(self, exchange: Exchange) -> None:
+    async def _relay_non_stream(self, slot: Slot, exchange: Exchange) -> None:
         """Relay a response that isn't an event stream, such as an error."""
         if self._writer.started:
             raise MalformedResponse(
                 f"the resumed stream began with status {exchange.status}",
                 "check that the target resumes streams",
             )
-        response = await self._runner.read_response(exchange)
+        response = await self._runner.read_response(slot, exchange)
         self._runner.check_response(self._call, response)
         await self._writer.send_recorded_response(response)
 
--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -20,10 +20,12 @@
 
 from dotterelbridge import events
 from dotterelbridge.clock import Clock
+from dotterelbridge.errors import DocumentMalformed
 from dotterelbridge.errors import TargetConnectFailed
 from dotterelbridge.errors import TargetError
 from dotterelbridge.ids import AttemptId
 from dotterelbridge.ids import ConnectionId
+from dotterelbridge.json_documents import decode_document
 from dotterelbridge.membership.view import TargetInfo
 from dotterelbridge.targets import instruments
 from dotterelbridge.targets.buffer_budget import BufferBudget
@@ -36,6 +38,9 @@
 from dotterelbridge.targets.errors import TargetHeldBack
 from dotterelbridge.targets.errors import TargetIdleTimeout
 from dotterelbridge.targets.events import TargetEvent
+from dotterelbridge.targets.liveness import Liveness
+from dotterelbridge.targets.liveness import LivenessCheck
+from dotterelbridge.targets.liveness import LivenessQuery
 from dotterelbridge.targets.settings import TargetsSettings
 from dotterelbridge.targets.statements import TargetStatement
 from dotterelbridge.targets.statements import read_statement
@@ -44,6 +49,12 @@
 _BYTES_PER_KIB = 1024
 _CHUNK_OVERHEAD_BYTES = 64
 """Memory of a chunk beyond its content."""
+_OK_STATUS = 200
+_MISDIRECTED_STATUS = 421
+_REPORT_LIMIT_BYTES = 4 * 1024 * 1024
+_ACCEPTED_TIME = timedelta(milliseconds=20)
+"""Time for which a new connection has to stay open: the kernel resets those
+that a process had not accepted when it was killed."""
 
 
 class ExchangeRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -89,6 +100,13 @@
     """The target cannot be reached, or closed the connection."""
 
 
+class _Report(msgspec.Struct):
+    """What a target says of its start."""
+
+    born: int | None = None
+    """Unix time in ms."""
+
+
 class Exchange:
     """A response that is being read."""
 
@@ -222,6 +240,11 @@
         self.rate_limit_per_s: float | None = None
         """Requests a second from all VMs together, as the target's latest
         answer named them."""
+        self._liveness_check = LivenessCheck(
+            self._ask_liveness,
+            timedelta(milliseconds=settings.liveness_limit_ms),
+            clock,
+        )
         self._returns_at = -math.inf
         """Monotonic time from which the target takes requests again."""
         self._has_wait_ended = True
@@ -473,6 +496,55 @@
         connection.abort()
         return ProbeOutcome.UP
 
+    async def confirm_running(self, query: LivenessQuery) -> bool:
+        """Return whether the target is sure to run, as of this call or later.
+
+        False means that it has ended, or that this cannot be told.
+        """
+        return await self._liveness_check.confirm(query)
+
+    async def _ask_liveness(self, query: LivenessQuery) -> Liveness:
+        is_limited = self.is_held_back or self.rate_limit_per_s is not None
+        if not query.path or is_limited:
+            return await self._ask_connection()
+        request = ExchangeRequest(
+            attempt=AttemptId(""),
+            method="GET",
+            path=query.path,
+            headers=[*query.headers, (b"connection", b"close")],
+            fresh_connection=True,
+        )
+        try:
+            async with self.open_exchange(request) as exchange:
+                if exchange.status == _MISDIRECTED_STATUS:
+                    return Liveness.GONE
+                if exchange.status != _OK_STATUS or query.born is None:
+                    return Liveness.RUNNING
+                body = await exchange.read_all(
+                    _REPORT_LIMIT_BYTES, "check the target"
+                )
+            report = decode_document(body, _Report)
+        except DocumentMalformed:
+            return Liveness.UNCERTAIN
+        except TargetError as error:
+            return _classify_failure(error)
+        is_same = report.born in (None, query.born)
+        return Liveness.RUNNING if is_same else Liveness.GONE
+
+    async def _ask_connection(self) -> Liveness:
+        """Open a connection, which shows that some process listens.
+
+        It does not show which one.
+        """
+        try:
+            connection = await self._connect()
+        except TargetError as error:
+            return _classify_failure(error)
+        await self._clock.sleep(_ACCEPTED_TIME)
+        is_open = not connection.is_closed
+        connection.abort()
+        return Liveness.RUNNING if is_open else Liveness.UNCERTAIN
+
     def close(self) -> None:
         """Close the idle connections; running exchanges continue."""
         self._is_closed = True
@@ -617,6 +689,12 @@
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+def _classify_failure(error: TargetError) -> Liveness:
+    if isinstance(error.__cause__, ConnectionRefusedError):
+        return Liveness.GONE
+    return Liveness.UNCERTAIN
+
+
 def create_target_client(
     info: TargetInfo,
     settings: TargetsSettings,
--- a/dotterelbridge/targets/completeness.py
+++ b/dotterelbridge/targets/completeness.py
@@ -1,15 +1,17 @@
 """Decides whether a response that ended normally is complete.
 
 A body with a length or in chunks is complete once HTTP says so. One that ends
-with its connection may have been cut off anywhere: only its content can show
-that.
+with its connection may have been cut off anywhere: its content can show that,
+or that the target has ended.
 """
 
 import msgspec
 
 from dotterelbridge.targets.client import Exchange
+from dotterelbridge.targets.client import TargetClient
 from dotterelbridge.targets.connection import BodyFraming
 from dotterelbridge.targets.errors import ResponseTruncated
+from dotterelbridge.targets.liveness import LivenessQuery
 from dotterelbridge.targets.media_types import read_media_type
 
 _JSON_TYPE = b"application/json"
@@ -18,17 +20,44 @@
 """First bytes of JSON values of which no proper prefix is valid."""
 
 
-def verify_body_end(exchange: Exchange, body: bytes) -> bool:
-    """Return whether a body is certainly complete.
-
-    False means that its end cannot be told from a cut: it is then passed on
-    as it came, ended by the connection.
+async def verify_body_end(
+    exchange: Exchange,
+    body: bytes,
+    client: TargetClient,
+    query: LivenessQuery,
+) -> None:
+    """Check that a body is complete.
 
     :param body: all bytes that were received before the response ended.
-    :raises ResponseTruncated: the body is certainly incomplete.
+    :raises ResponseTruncated: it is incomplete, or may be.
     """
     if exchange.framing is not BodyFraming.CONNECTION:
-        return True
+        return
+    if not _has_visible_end(exchange, body):
+        await verify_running(client, query)
+
+
+async def verify_running(client: TargetClient, query: LivenessQuery) -> None:
+    """Check that a target has outlived the connection of its response.
+
+    A target that runs on has ended the connection by itself, as the end of
+    its response.
+
+    :raises ResponseTruncated: it may have ended, and cut the response off.
+    """
+    if not await client.confirm_running(query):
+        raise ResponseTruncated(
+            "the response ended with its connection, and the target did not "
+            "show that it still runs",
+            "retry if the call is idempotent",
+        )
+
+
+def _has_visible_end(exchange: Exchange, body: bytes) -> bool:
+    """Return whether the content of a body shows that it is complete.
+
+    :raises ResponseTruncated: it shows that it is not.
+    """
     if not _is_json(exchange):
         return False
     try:
--- a/dotterelbridge/targets/instruments.py
+++ b/dotterelbridge/targets/instruments.py
@@ -7,3 +7,8 @@
     description="What targets said of themselves, by kind: leaving, wait, "
     "rate_limit, unreadable",
 )
+liveness_checks = metrics.meter.create_counter(
+    "dotterelbridge.targets.liveness_checks",
+    description="Questions whether a target outlived an answer that ended "
+    "with its connection, by outcome: running, gone, uncertain",
+)
--- a/dotterelbridge/targets/settings.py
+++ b/dotterelbridge/targets/settings.py
@@ -21,6 +21,9 @@
     """Timeout between two parts of a response that can be used: complete
     events of a stream, or a kilobyte of another body. It ends responses that
     keep sending a byte now and then."""
+    liveness_limit_ms: _Positive = 1000
+    """Time in which a target has to show that it still runs, after an answer
+    that ended with its connection. Otherwise the answer counts as cut."""
     idle_limit_ms: _Positive = 30000
     """Time after which an idle connection is closed."""
     connections_limit: _Positive = 512
