Let the reader of the list confirm a sole software version (ORDER)

Report of another operator: a front that was out of step during a release took streams of the new version up and went on with them at the old one. Callers here would get the texts of two versions in one stream.

Cause: without a record a stream goes on if only one version has served, and an entry VM that no control VM answers went by its own view. It takes 1.5 s to notice that this is outdated. A control VM that is cut off with it was believed in the same way.

Ruled out: the records, and pauses of over a second, after which a VM watches anew.

Change: a sole version counts only if the VM that reads the platform's list for all others has answered, after its first read as the reader. A record without a version now also leads to a question to all control VMs, as it needs that answer.

Why it works: no VM knows of a target before the reader does, and the reader is asked after the caller's request has come, so it has seen each version that can have begun the stream.

--- a/dotterelbridge/fleet/listing.py
+++ b/dotterelbridge/fleet/listing.py
@@ -51,6 +51,16 @@
         self._is_reader = is_reader
         self._absent_reads: Counter[TargetId] = Counter()
         self._is_failing = False
+        self._has_read = False
+        """Whether the list was read since this VM last became the reader."""
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether this VM reads the list for all others, and has done so.
+
+        A new reader knows only what the former one has passed on to it.
+        """
+        return self._has_read and self._is_reader()
 
     async def run(self) -> None:
         """Read the list at the configured interval until cancelled."""
@@ -59,6 +69,8 @@
             started_at = self._clock.monotonic()
             if self._is_reader():
                 await self._read()
+            else:
+                self._has_read = False
             elapsed = self._clock.monotonic() - started_at
             remaining = interval - timedelta(seconds=elapsed)
             await self._clock.sleep(max(remaining, timedelta(milliseconds=20)))
@@ -77,6 +89,7 @@
         self._is_failing = False
         if self._is_reader():
             self._apply_listing(listed)
+            self._has_read = True
 
     def _apply_listing(self, listed: list[FleetTarget]) -> None:
         listed_names = {entry.target for entry in listed}
--- a/dotterelbridge/nodes/control.py
+++ b/dotterelbridge/nodes/control.py
@@ -288,6 +288,7 @@
                 self._routes,
                 self._clock,
                 lambda: not self._is_detached(),
+                lambda: self._listing_reader.is_reading,
             ),
             self.list_control_vms,
             self._clock,
--- a/dotterelbridge/resumption/history.py
+++ b/dotterelbridge/resumption/history.py
@@ -39,16 +39,20 @@
         routes: ActiveRoutes,
         clock: Clock,
         is_current: Callable[[], bool],
+        reads_list: Callable[[], bool] = lambda: False,
     ) -> None:
         """Start without any observation.
 
         :param is_current: whether this VM's view of targets and routes is up
             to date.
+        :param reads_list: whether this VM reads the list for all others, so
+            that none of them can know more.
         """
         self._fleet_state = fleet_state
         self._routes = routes
         self._clock = clock
         self._is_current = is_current
+        self._reads_list = reads_list
         self._watched_since: float | None = None
         """Since when the view has been current without a gap."""
         self._checked_at = clock.monotonic()
@@ -103,9 +107,13 @@
             and horizon.total_seconds() <= _RETENTION_S
             and self._has_kept_services(route, services, oldest)
         )
+        is_confirmed = self._reads_list()
         return tuple(
             ServiceHistory(
-                service, self._list_versions(service, oldest), is_complete
+                service,
+                self._list_versions(service, oldest),
+                is_complete,
+                is_confirmed,
             )
             for service in services
         )
--- a/dotterelbridge/resumption/keeper.py
+++ b/dotterelbridge/resumption/keeper.py
@@ -111,7 +111,7 @@
             timeout = timedelta(milliseconds=relay_ms)
             async with anyio.create_task_group() as group:
                 for number, query in enumerate(message.queries):
-                    if not answers[number].has_record:
+                    if not answers[number].is_decisive:
                         group.start_soon(
                             self._relay_query, query, timeout, answers, number
                         )
--- a/dotterelbridge/resumption/messages.py
+++ b/dotterelbridge/resumption/messages.py
@@ -52,6 +52,9 @@
     """Versions of the service's targets, sorted; two stand for more."""
     is_complete: bool = False
     """Whether the VM has watched without a gap over the whole horizon."""
+    is_confirmed: bool = False
+    """Whether the VM read the list for all others as it answered, so that no
+    VM can know of a version that it has not seen."""
 
 
 class StreamAnswer(msgspec.Struct, frozen=True, array_like=True):
@@ -72,9 +75,12 @@
         return StreamOrigin(self.service, self.software)
 
     @property
-    def has_record(self) -> bool:
-        """Whether a VM has a record of the stream."""
-        return self.is_conflicting or self.service is not None
+    def is_decisive(self) -> bool:
+        """Whether there is a record that needs nothing else.
+
+        A record of an unknown version needs the histories.
+        """
+        return self.is_conflicting or bool(self.software)
 
 
 @register_message("streams.lookup")
--- a/dotterelbridge/resumption/relay.py
+++ b/dotterelbridge/resumption/relay.py
@@ -42,9 +42,9 @@
 
     @property
     def is_answered(self) -> bool:
-        """Whether a record was found for each query."""
+        """Whether nothing more is needed for any query."""
         return all(
-            any(answer.has_record for answer in answers)
+            any(answer.is_decisive for answer in answers)
             for answers in self.answers
         )
 
--- a/dotterelbridge/resumption/verdict.py
+++ b/dotterelbridge/resumption/verdict.py
@@ -71,11 +71,16 @@
 def _find_sole_origin(
     answer: StreamAnswer, service: ItemName
 ) -> StreamOrigin | None:
-    """Return the only origin that streams of a service can have."""
+    """Return the only origin that streams of a service can have.
+
+    A VM that is cut off takes a moment to notice. So what VMs have seen counts
+    only together with the VM from which all others learn what is listed.
+    """
     for history in answer.histories:
         if (
             history.service == service
             and history.is_complete
+            and history.is_confirmed
             and len(history.versions) == 1
         ):
             return StreamOrigin(service, history.versions[0])
@@ -93,4 +98,5 @@
         first.service,
         tuple(sorted({*first.versions, *second.versions})),
         first.is_complete or second.is_complete,
+        first.is_confirmed or second.is_confirmed,
     )
--- a/tests/resumption/support.py
+++ b/tests/resumption/support.py
@@ -28,6 +28,8 @@
 SETTLE_S = 0.2
 """Time in which records are sent and written."""
 LINKS_KEPT = 3
+READER = "c-e"
+"""The control VM that reads the list for all others."""
 V1 = StreamOrigin(LLM, SoftwareVersion("v1"))
 V2 = StreamOrigin(LLM, SoftwareVersion("v2"))
 
@@ -47,10 +49,15 @@
         self.network = deployment.network.join(name)
         self.fleet_state = FleetState(deployment.clock)
         self.is_current = True
+        self.reads_list = name == READER
         self.scope = anyio.CancelScope()
         routes = activate_route_set(create_route_set())
         self.history = VersionHistory(
-            self.fleet_state, routes, deployment.clock, lambda: self.is_current
+            self.fleet_state,
+            routes,
+            deployment.clock,
+            lambda: self.is_current,
+            lambda: self.reads_list,
         )
         self.serve(*deployment.versions)
 
--- a/tests/resumption/test_table.py
+++ b/tests/resumption/test_table.py
@@ -57,9 +57,9 @@
     assert table.find(b"k").origin is None
 
 
-def history(*versions, complete=True, service=LLM):
+def history(*versions, complete=True, confirmed=True, service=LLM):
     return StreamAnswer(
-        histories=(ServiceHistory(service, versions, complete),)
+        histories=(ServiceHistory(service, versions, complete, confirmed),)
     )
 
 
@@ -93,6 +93,24 @@
         ([history("v1"), history("v2")], [LLM], None),
         ([history("v1"), history("v2", complete=False)], [LLM], None),
         ([history("v1"), history(complete=False)], [LLM], "v1"),
+        # The VM may have been cut off a moment ago.
+        ([history("v1", confirmed=False)], [LLM], None),
+        (
+            [
+                history("v1", confirmed=False),
+                history("v1", complete=False, confirmed=True),
+            ],
+            [LLM],
+            "v1",
+        ),
+        (
+            [
+                history("v1", confirmed=False),
+                history("v1", "v2", complete=False, confirmed=True),
+            ],
+            [LLM],
+            None,
+        ),
         ([history("")], [LLM], ""),
         ([history("", "v1")], [LLM], None),
         # No target of the service states a version.
