--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 import contextlib
 import itertools
 import json
@@ -185,11 +186,16 @@
     """Sends configurations, and checks that each is soon in force."""
 
     def __init__(
-        self, group: ProcessGroup, record: Record, rng: random.Random
+        self,
+        group: ProcessGroup,
+        record: Record,
+        rng: random.Random,
+        create: Callable[[int], dict] = create_configuration,
     ) -> None:
         self._group = group
         self._record = record
         self._random = rng
+        self._create = create
         self._tasks: set[asyncio.Task] = set()
         self.acknowledged = 0
         """Highest version that was acknowledged."""
@@ -209,7 +215,7 @@
 
     async def submit(self, version: int) -> None:
         """Send a version until it is acknowledged."""
-        body = json.dumps(create_configuration(version)).encode()
+        body = json.dumps(self._create(version)).encode()
         while True:
             control = self._random.choice(self._group.controls)
             answer = await self._call(control, "PUT", body)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -64,19 +64,23 @@
         self.is_stopping = False
         self.disturbed_at = time.monotonic()
         with open(self._log, "ab") as log:
-            self._process = subprocess.Popen(
-                [sys.executable, "platform/launch.py"],
-                cwd=ROOT,
-                env={
-                    "PATH": os.environ["PATH"],
-                    "DOTTERELBRIDGE_SETTINGS": str(self._settings),
-                    "PYTHONPATH": str(ROOT),
-                    "PYTHONDONTWRITEBYTECODE": "1",
-                },
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
+            self._process = self._spawn(log.fileno())
+
+    def _spawn(self, log: int) -> subprocess.Popen:
+        """Start the process; it logs to a descriptor."""
+        return subprocess.Popen(
+            [sys.executable, "platform/launch.py"],
+            cwd=ROOT,
+            env={
+                "PATH": os.environ["PATH"],
+                "DOTTERELBRIDGE_SETTINGS": str(self._settings),
+                "PYTHONPATH": str(ROOT),
+                "PYTHONDONTWRITEBYTECODE": "1",
+            },
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
 
     def handles(self, signum: signal.Signals) -> bool:
         """Return whether a signal no longer has its default action."""
