Log a full disk as one line, with what to do about it

Change: member_failed names the error alone if the storage failed; the advice is to restart only if the log does not go on.

Measured: test_failed_write_in_a_task_group_reopens_the_log, which now looks for the line and for no traceback, failed before and passes.

--- a/dotterelbridge/replication/events.py
+++ b/dotterelbridge/replication/events.py
@@ -28,7 +28,8 @@
         3010,
         logging.ERROR,
         "Durable storage failed; this VM acknowledges nothing more. Free "
-        "space or replace the disk, then restart the daemon.",
+        "space or replace the disk; restart the daemon if it does not go "
+        "on.",
     )
     STORAGE_REOPENED = (
         3012,
--- a/dotterelbridge/replication/file_storage.py
+++ b/dotterelbridge/replication/file_storage.py
@@ -270,7 +270,7 @@
         if self._failed:
             raise StorageError(
                 f"{self._folder} failed earlier or is closed",
-                "repair the disk, then restart the daemon",
+                "repair the disk; restart the daemon if it does not go on",
             )
 
     def _mark_failed(self, error: OSError) -> StorageError:
@@ -279,9 +279,9 @@
         is_disk_full = error.errno in (errno.ENOSPC, errno.EDQUOT)
         return StorageError(
             f"writing to {self._folder} failed: {error}",
-            "free space, then restart the daemon"
+            "free space; restart the daemon if it does not go on"
             if is_disk_full
-            else "check the disk, then restart the daemon",
+            else "check the disk; restart the daemon if it does not go on",
         )
 
 
--- a/dotterelbridge/replication/recovering_log.py
+++ b/dotterelbridge/replication/recovering_log.py
@@ -94,7 +94,13 @@
         while True:
             try:
                 await self._run_member()
-            except Exception:
+            except* (StorageError, OSError) as group:
+                events.log(
+                    _log,
+                    ReplicationEvent.MEMBER_FAILED,
+                    error=str(_find_first(group)),
+                )
+            except* Exception:
                 events.log(_log, ReplicationEvent.MEMBER_FAILED, exc_info=True)
             await self._reopen()
 
@@ -133,6 +139,14 @@
             member.add_state_machine(name, machine)
 
 
+def _find_first(group: ExceptionGroup) -> Exception:
+    """Return the first error of a group that is no group itself."""
+    error: Exception = group
+    while isinstance(error, ExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 def create_recovering_log(
     create_member: Callable[[], LogMember], clock: Clock
 ) -> RecoveringLog:
--- a/dotterelbridge/replication/storage_writer.py
+++ b/dotterelbridge/replication/storage_writer.py
@@ -122,5 +122,6 @@
             self._state.mark_failed()
             raise StorageError(
                 f"storage failed: {error}",
-                "free space or replace the disk, then restart the daemon",
+                "free space or replace the disk; restart the daemon if it "
+                "does not go on",
             ) from error
--- a/tests/test_recovering_log.py
+++ b/tests/test_recovering_log.py
@@ -45,7 +45,7 @@
     "error",
     [StorageError("the disk is full", "free space"), OSError(28, "full")],
 )
-def test_failed_write_in_a_task_group_reopens_the_log(error):
+def test_failed_write_in_a_task_group_reopens_the_log(error, capsys):
     # Guards against a control process that ends on a full disk: the error
     # of a ballot's write arrives as a group, which ``except`` does not match.
     members = [FakeMember(error), FakeMember(None)]
@@ -60,6 +60,11 @@
 
     run_in_virtual_time(check)
     assert members[1].is_running
+    # Guards against a traceback of many lines for a disk that is full.
+    log = capsys.readouterr().out
+    assert log.count("member_failed") == 1
+    assert str(error) in log
+    assert "Traceback" not in log
 
 
 class FailingMachine(StateMachine):
