Call the check of a target's life a probe

No behaviour.

Measured: the tests of unframed answers, of faulty targets, of liveness and of killed entry VMs pass.

--- a/dotterelbridge/claims/service.py
+++ b/dotterelbridge/claims/service.py
@@ -34,7 +34,7 @@
     headers: list[tuple[str, str]]
     body: bytes
     is_end_known: bool = True
-    """Whether the end of the body can be told from a cut; otherwise it is
+    """False in records of an earlier release whose body may be cut off; it is
     passed on without a length."""
 
 
--- a/dotterelbridge/gateway/attempts.py
+++ b/dotterelbridge/gateway/attempts.py
@@ -49,7 +49,7 @@
 from dotterelbridge.targets.errors import ResponseTruncated
 from dotterelbridge.targets.errors import SendNotPermitted
 from dotterelbridge.targets.errors import TargetHeldBack
-from dotterelbridge.targets.liveness import LivenessQuery
+from dotterelbridge.targets.liveness import LivenessProbe
 from dotterelbridge.targets.media_types import EVENT_STREAM_TYPE
 from dotterelbridge.targets.media_types import has_content_encoding
 from dotterelbridge.targets.media_types import read_media_type
@@ -358,7 +358,7 @@
             "raise answer_limit_kb in [gateway], or ask for a stream",
         )
         await verify_body_end(
-            exchange, body, slot.client, self._create_liveness_query(slot)
+            exchange, body, slot.client, self._create_liveness_probe(slot)
         )
         response = WholeResponse(
             exchange.status, filter_response_headers(exchange.headers), body
@@ -467,10 +467,10 @@
                 "the connection ended before the stream's first event",
                 "resume the stream",
             )
-        await verify_running(slot.client, self._create_liveness_query(slot))
+        await verify_running(slot.client, self._create_liveness_probe(slot))
 
-    def _create_liveness_query(self, slot: Slot) -> LivenessQuery:
-        """Return how to ask the target whether it still runs."""
+    def _create_liveness_probe(self, slot: Slot) -> LivenessProbe:
+        """Return how to find out whether the target still runs."""
         service = self.call.service
         path = service.health_path
         born = None
@@ -481,7 +481,7 @@
             self._header_names.expected_target,
             slot.view.target.encode(),
         )
-        return LivenessQuery(path, (expected_target,), born)
+        return LivenessProbe(path, (expected_target,), born)
 
     def _create_gap_meter(self, slot: Slot) -> StreamGapMeter | None:
         if self._stream_gaps is None or self.call.item is None:
--- a/dotterelbridge/serving/attempts.py
+++ b/dotterelbridge/serving/attempts.py
@@ -40,7 +40,7 @@
 from dotterelbridge.targets.errors import ResponseTruncated
 from dotterelbridge.targets.errors import TargetHeldBack
 from dotterelbridge.targets.errors import TargetIdleTimeout
-from dotterelbridge.targets.liveness import LivenessQuery
+from dotterelbridge.targets.liveness import LivenessProbe
 
 _BYTES_PER_KB = 1024
 _REFUSAL_BODY_LIMIT_BYTES = 65536
@@ -218,7 +218,7 @@
         """
         limit = self._settings.answer_limit_kb * _BYTES_PER_KB
         body = await exchange.read_all(limit, _TOO_LARGE_REMEDY)
-        await verify_body_end(exchange, body, slot.client, LivenessQuery())
+        await verify_body_end(exchange, body, slot.client, LivenessProbe())
         return RecordedResponse(
             status=exchange.status,
             headers=[
--- a/dotterelbridge/targets/client.py
+++ b/dotterelbridge/targets/client.py
@@ -40,7 +40,7 @@
 from dotterelbridge.targets.events import TargetEvent
 from dotterelbridge.targets.liveness import Liveness
 from dotterelbridge.targets.liveness import LivenessCheck
-from dotterelbridge.targets.liveness import LivenessQuery
+from dotterelbridge.targets.liveness import LivenessProbe
 from dotterelbridge.targets.settings import TargetsSettings
 from dotterelbridge.targets.statements import TargetStatement
 from dotterelbridge.targets.statements import read_statement
@@ -241,7 +241,7 @@
         """Requests a second from all VMs together, as the target's latest
         answer named them."""
         self._liveness_check = LivenessCheck(
-            self._ask_liveness,
+            self._probe_liveness,
             timedelta(milliseconds=settings.liveness_limit_ms),
             clock,
         )
@@ -496,29 +496,29 @@
         connection.abort()
         return ProbeOutcome.UP
 
-    async def confirm_running(self, query: LivenessQuery) -> bool:
+    async def confirm_running(self, probe: LivenessProbe) -> bool:
         """Return whether the target is sure to run, as of this call or later.
 
         False means that it has ended, or that this cannot be told.
         """
-        return await self._liveness_check.confirm(query)
+        return await self._liveness_check.confirm(probe)
 
-    async def _ask_liveness(self, query: LivenessQuery) -> Liveness:
+    async def _probe_liveness(self, probe: LivenessProbe) -> Liveness:
         is_limited = self.is_held_back or self.rate_limit_per_s is not None
-        if not query.path or is_limited:
-            return await self._ask_connection()
+        if not probe.path or is_limited:
+            return await self._probe_connection()
         request = ExchangeRequest(
             attempt=AttemptId(""),
             method="GET",
-            path=query.path,
-            headers=[*query.headers, (b"connection", b"close")],
+            path=probe.path,
+            headers=[*probe.headers, (b"connection", b"close")],
             fresh_connection=True,
         )
         try:
             async with self.open_exchange(request) as exchange:
                 if exchange.status == _MISDIRECTED_STATUS:
                     return Liveness.GONE
-                if exchange.status != _OK_STATUS or query.born is None:
+                if exchange.status != _OK_STATUS or probe.born is None:
                     return Liveness.RUNNING
                 body = await exchange.read_all(
                     _REPORT_LIMIT_BYTES, "check the target"
@@ -528,10 +528,10 @@
             return Liveness.UNCERTAIN
         except TargetError as error:
             return _classify_failure(error)
-        is_same = report.born in (None, query.born)
+        is_same = report.born in (None, probe.born)
         return Liveness.RUNNING if is_same else Liveness.GONE
 
-    async def _ask_connection(self) -> Liveness:
+    async def _probe_connection(self) -> Liveness:
         """Open a connection, which shows that some process listens.
 
         It does not show which one.
--- a/dotterelbridge/targets/completeness.py
+++ b/dotterelbridge/targets/completeness.py
@@ -11,7 +11,7 @@
 from dotterelbridge.targets.client import TargetClient
 from dotterelbridge.targets.connection import BodyFraming
 from dotterelbridge.targets.errors import ResponseTruncated
-from dotterelbridge.targets.liveness import LivenessQuery
+from dotterelbridge.targets.liveness import LivenessProbe
 from dotterelbridge.targets.media_types import read_media_type
 
 _JSON_TYPE = b"application/json"
@@ -24,7 +24,7 @@
     exchange: Exchange,
     body: bytes,
     client: TargetClient,
-    query: LivenessQuery,
+    probe: LivenessProbe,
 ) -> None:
     """Check that a body is complete.
 
@@ -34,10 +34,10 @@
     if exchange.framing is not BodyFraming.CONNECTION:
         return
     if not _has_visible_end(exchange, body):
-        await verify_running(client, query)
+        await verify_running(client, probe)
 
 
-async def verify_running(client: TargetClient, query: LivenessQuery) -> None:
+async def verify_running(client: TargetClient, probe: LivenessProbe) -> None:
     """Check that a target has outlived the connection of its response.
 
     A target that runs on has ended the connection by itself, as the end of
@@ -45,7 +45,7 @@
 
     :raises ResponseTruncated: it may have ended, and cut the response off.
     """
-    if not await client.confirm_running(query):
+    if not await client.confirm_running(probe):
         raise ResponseTruncated(
             "the response ended with its connection, and the target did not "
             "show that it still runs",
--- a/dotterelbridge/targets/instruments.py
+++ b/dotterelbridge/targets/instruments.py
@@ -9,6 +9,6 @@
 )
 liveness_checks = metrics.meter.create_counter(
     "dotterelbridge.targets.liveness_checks",
-    description="Questions whether a target outlived an answer that ended "
+    description="Probes whether a target outlived an answer that ended "
     "with its connection, by outcome: running, gone, uncertain",
 )
--- a/dotterelbridge/targets/liveness.py
+++ b/dotterelbridge/targets/liveness.py
@@ -21,7 +21,7 @@
 
 
 class Liveness(enum.Enum):
-    """What one question to a target showed."""
+    """What one probe of a target showed."""
 
     RUNNING = "running"
     GONE = "gone"
@@ -30,8 +30,8 @@
     """No usable reply; the target may be out of connections."""
 
 
-class LivenessQuery(msgspec.Struct, frozen=True):
-    """How to ask a target."""
+class LivenessProbe(msgspec.Struct, frozen=True):
+    """How to probe a target."""
 
     path: str = ""
     """Path to read; empty to only open a connection."""
@@ -43,52 +43,52 @@
 
 
 class LivenessCheck:
-    """Asks one target; answers that end together share a question."""
+    """Probes one target; responses that end together share a probe."""
 
     def __init__(
         self,
-        ask: Callable[[LivenessQuery], Awaitable[Liveness]],
+        send_probe: Callable[[LivenessProbe], Awaitable[Liveness]],
         limit: timedelta,
         clock: Clock,
     ) -> None:
         """Create a check.
 
-        :param ask: asks the target once.
+        :param send_probe: probes the target once.
         :param limit: time in which the target has to reply.
         """
-        self._ask = ask
+        self._send_probe = send_probe
         self._limit = limit
         self._clock = clock
         self._running: asyncio.Task[bool] | None = None
         self._pending: asyncio.Task[bool] | None = None
 
-    async def confirm(self, query: LivenessQuery) -> bool:
+    async def confirm(self, probe: LivenessProbe) -> bool:
         """Return whether the target is sure to run, as of this call or later.
 
-        A question that was sent before the call proves nothing, so the call
+        A probe that was sent before the call proves nothing, so the call
         waits for the next one.
         """
         if self._pending is None:
             loop = asyncio.get_running_loop()
             self._pending = loop.create_task(
-                self._run_after(self._running, query)
+                self._run_after(self._running, probe)
             )
         return await asyncio.shield(self._pending)
 
     async def _run_after(
-        self, previous: asyncio.Task[bool] | None, query: LivenessQuery
+        self, previous: asyncio.Task[bool] | None, probe: LivenessProbe
     ) -> bool:
         if previous is not None:
             await asyncio.wait([previous])
         self._running, self._pending = self._pending, None
-        liveness = await self._ask_until_certain(query)
+        liveness = await self._probe_until_certain(probe)
         instruments.liveness_checks.add(1, {"outcome": liveness.value})
         return liveness is Liveness.RUNNING
 
-    async def _ask_until_certain(self, query: LivenessQuery) -> Liveness:
+    async def _probe_until_certain(self, probe: LivenessProbe) -> Liveness:
         with anyio.move_on_after(self._limit.total_seconds()):
             while True:
-                liveness = await self._ask(query)
+                liveness = await self._send_probe(probe)
                 if liveness is not Liveness.UNCERTAIN:
                     return liveness
                 await self._clock.sleep(_RETRY_DELAY)
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -27,7 +27,7 @@
 """A stream that may not be resumed, and one that may."""
 HEALTH_PATH = "/health"
 REPORT_PATH = "/report"
-QUESTION_PATHS = (HEALTH_PATH, REPORT_PATH)
+PROBE_PATHS = (HEALTH_PATH, REPORT_PATH)
 SHORT_LIMIT = TargetsSettings(liveness_limit_ms=200)
 CALL_PATHS = ["/book/a", "/look/a"]
 """A request that may not be repeated, and one that may."""
@@ -129,8 +129,8 @@
     run_async(check)()
 
 
-def answer_question(body: bytes, *statuses: int, report: bytes = b"{}"):
-    """Return a handler that answers questions with the statuses in turn.
+def answer_probe(body: bytes, *statuses: int, report: bytes = b"{}"):
+    """Return a handler that answers probes with the statuses in turn.
 
     Status 0 closes the connection, -1 leaves it open; the last one repeats.
     """
@@ -139,7 +139,7 @@
     remaining = list(statuses)
 
     async def handle(received):
-        if received.path not in QUESTION_PATHS:
+        if received.path not in PROBE_PATHS:
             is_stream = received.path in STREAM_PATHS
             await (stream if is_stream else answer)(received)
             return
@@ -173,7 +173,7 @@
     path, statuses, is_whole
 ):
     async def check():
-        handler = answer_question(b"x", *statuses)
+        handler = answer_probe(b"x", *statuses)
         async with run_gateway(
             health_path=HEALTH_PATH,
             report_path=REPORT_PATH,
@@ -182,8 +182,8 @@
             service = JOBS if path == "/book/a" else LLM
             target = await gateway.add_target("t1", handler, service=service)
             received = await send_raw(gateway, create_request_lines(path))
-        question = next(r for r in target.received if r.path in QUESTION_PATHS)
-        assert question.headers["dotterelbridge-expected-target"] == "t1"
+        probe = next(r for r in target.received if r.path in PROBE_PATHS)
+        assert probe.headers["dotterelbridge-expected-target"] == "t1"
         if path == "/book/a":
             expected = b"HTTP/1.1 200" if is_whole else b"HTTP/1.1 502"
             assert received.startswith(expected)
@@ -205,7 +205,7 @@
     report, is_whole
 ):
     async def check():
-        handler = answer_question(b"", 200, report=report)
+        handler = answer_probe(b"", 200, report=report)
         async with run_gateway(report_path=REPORT_PATH) as gateway:
             await gateway.add_target("e1", handler, service=LLM)
             lines = create_request_lines("/quotes/")
