Refuse a deadline of thousands of digits as malformed

Callers of the own listener with a Dotterelbridge-Deadline of more than 4,300 digits got a 500 without Dotterelbridge-Run, as int() raises an error for them.

Cause: the number was converted before its size was checked. The gateway is not affected.

Change: more than 20 digits are refused before they are converted.

Measured: test_malformed_requests_are_refused_as_not_run with such a header failed before (500) and passes.

--- a/dotterelbridge/serving/request.py
+++ b/dotterelbridge/serving/request.py
@@ -23,6 +23,7 @@
 _KEY_LENGTH_LIMIT = 255
 _MERGED_PIECE_BYTES = 32768
 _DEADLINE_LIMIT_MS = 24 * 60 * 60 * 1000
+_DEADLINE_DIGITS_LIMIT = 20
 
 
 class CallerRequest(msgspec.Struct, kw_only=True):
@@ -183,12 +184,15 @@
     if value is None:
         return None
     text = value.decode("ascii", "replace").strip()
-    if not text.isdecimal() or not 0 < int(text) <= _DEADLINE_LIMIT_MS:
+    # int() raises an error for thousands of digits.
+    is_short = len(text) <= _DEADLINE_DIGITS_LIMIT
+    milliseconds = int(text) if is_short and text.isdecimal() else 0
+    if not 0 < milliseconds <= _DEADLINE_LIMIT_MS:
         raise RequestMalformed(
             "Dotterelbridge-Deadline is not a valid number of milliseconds",
             f"send a whole number from 1 to {_DEADLINE_LIMIT_MS}",
         )
-    return timedelta(milliseconds=int(text))
+    return timedelta(milliseconds=milliseconds)
 
 
 def _parse_key(value: bytes | None) -> IdempotencyKey | None:
--- a/tests/serving/test_callers.py
+++ b/tests/serving/test_callers.py
@@ -122,6 +122,14 @@
             },
             400,
         ),
+        # Guards against an internal error for a number of many digits.
+        (
+            {
+                "json": {"model": "quote"},
+                "headers": {"Dotterelbridge-Deadline": "9" * 5000},
+            },
+            400,
+        ),
     ]
     async with run_serving() as harness, create_client(harness) as client:
         engine = await harness.add_engine("e1", answer_json)
