Name the byte that is withheld from callers of HTTP/1.0

Cause: the name read like a word of the platform, and the page of the module on completeness said half of what decides.

Change: names and a comment; no behaviour.

Measured: the tests of the server, of killed entry VMs and of unframed answers pass.

--- a/dotterelbridge/serving/server.py
+++ b/dotterelbridge/serving/server.py
@@ -142,7 +142,7 @@
         self._response_started = False
         self._chunked = False
         self._ends_body_by_close = False
-        self._held_back = b""
+        self._withheld = b""
         """Last byte of a body that ends with the connection, until more of
         the body or its end is known."""
         self._has_no_body = False
@@ -222,8 +222,8 @@
             return
         if self._ends_body_by_close:
             # What has arrived is passed on whole; the reset marks the cut.
-            self._transport.write(self._held_back)
-            self._held_back = b""
+            self._transport.write(self._withheld)
+            self._withheld = b""
             self._transport.get_extra_info("socket").setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
             )
@@ -498,7 +498,7 @@
             and request.http_version == "1.1"
         )
         self._ends_body_by_close = not has_length and not self._chunked
-        self._held_back = b""
+        self._withheld = b""
         if self._ends_body_by_close:
             request.keep_alive = False
         lines = [_STATUS_LINES.get(status) or _create_status_line(status)]
@@ -524,7 +524,7 @@
             if not more_body:
                 body += b"0\r\n\r\n"
         elif self._ends_body_by_close:
-            body = self._hold_back_end(body, more_body)
+            body = self._withhold_last_byte(body, more_body)
         if self._response_head:
             body = self._response_head + body
             self._response_head = b""
@@ -533,14 +533,16 @@
             if self._transport.get_write_buffer_size():
                 self.update_account()
 
-    def _hold_back_end(self, body: bytes, more_body: bool | None) -> bytes:
+    def _withhold_last_byte(
+        self, body: bytes, more_body: bool | None
+    ) -> bytes:
         """Keep the last byte of a body that may go on.
 
         If this process ends, the kernel closes the connection as at the end
         of the body; an event then lacks its end.
         """
-        body = self._held_back + body
-        self._held_back = body[-1:] if more_body else b""
+        body = self._withheld + body
+        self._withheld = body[-1:] if more_body else b""
         return body[:-1] if more_body else body
 
     def _refuse_malformed(self, problem: str) -> None:
--- a/dotterelbridge/targets/completeness.py
+++ b/dotterelbridge/targets/completeness.py
@@ -1,8 +1,8 @@
 """Decides whether a response that ended normally is complete.
 
 A body with a length or in chunks is complete once HTTP says so. One that ends
-with its connection may have been cut off anywhere: its content can show that,
-or that the target has ended.
+with its connection may have been cut off anywhere: its content has to show
+that it was not, or else the target, which has to run on.
 """
 
 import msgspec
